Lay out the workspace: crates, shared types and messages

Cause: parts can only be built side by side against fixed borders. Change: the workspace with its lints; ids, counters and outcomes; bundle and settings models; commands and records of both state machines; every message between processes; the rpc transport; the callers' and back ends' contracts. Measured: clippy clean with -D warnings; no test yet.

--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,11 @@
+//! The control plane: what every node runs to take part in the cluster, and the core process.
+
+#![deny(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod handle;
+
+pub use handle::{
+    InstalledBundle, NodeContext, NodeFeeds, NodeHandle, NodeReport, Reach, Readiness, Statistics,
+    latency_bucket,
+};
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! See docs/ARCHITECTURE.md.
--- /dev/null
+++ b/crates/hooklug/src/main.rs
@@ -0,0 +1,3 @@
+//! See docs/ARCHITECTURE.md.
+
+fn main() {}
--- /dev/null
+++ b/crates/rpc/src/frame.rs
@@ -0,0 +1,70 @@
+//! Frames and their length prefix.
+
+use std::io;
+
+use hooklug_protocol::Method;
+use hooklug_types::BundleVersion;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+use crate::Fault;
+
+/// Longest frame accepted, in bytes.
+pub(crate) const MAX_FRAME_BYTES: usize = 64 << 20;
+
+/// From the side that opened the connection.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum ClientFrame {
+    /// A request with one reply.
+    Call { id: u64, method: Method, body: Vec<u8> },
+    /// A request answered by a stream.
+    Open { id: u64, method: Method, body: Vec<u8> },
+    /// The reply or the rest of the stream is not wanted any more.
+    Cancel { id: u64 },
+    /// Asks for a sign of life.
+    Ping { bundle: BundleVersion },
+}
+
+/// From the side that accepted it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct ServerFrame {
+    /// Bundle version in force at the sender.
+    pub(crate) bundle: BundleVersion,
+    pub(crate) body: ServerBody,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum ServerBody {
+    Reply { id: u64, body: Vec<u8> },
+    Item { id: u64, body: Vec<u8> },
+    End { id: u64 },
+    Fault { id: u64, fault: Fault },
+    Pong,
+}
+
+/// Encodes a value with its length in front.
+pub(crate) fn encode<T: Serialize>(value: &T) -> io::Result<Vec<u8>> {
+    let mut bytes = postcard::to_extend(value, vec![0_u8; 4]).map_err(io::Error::other)?;
+    let length = bytes.len() - 4;
+    if length > MAX_FRAME_BYTES {
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, "frame too long"));
+    }
+    let prefix = u32::try_from(length).map_err(io::Error::other)?;
+    bytes[..4].copy_from_slice(&prefix.to_le_bytes());
+    Ok(bytes)
+}
+
+/// Reads and decodes one frame.
+pub(crate) async fn read<T, R>(reader: &mut R) -> io::Result<T>
+where
+    T: DeserializeOwned,
+    R: AsyncRead + Unpin,
+{
+    let length = reader.read_u32_le().await? as usize;
+    if length > MAX_FRAME_BYTES {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too long"));
+    }
+    let mut bytes = vec![0_u8; length];
+    reader.read_exact(&mut bytes).await?;
+    postcard::from_bytes(&bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
+}
--- /dev/null
+++ b/crates/rpc/src/hello.rs
@@ -0,0 +1,137 @@
+//! The first frames of a connection: both ends prove that they hold the cluster secret.
+
+use std::io;
+use std::net::IpAddr;
+
+use hooklug_types::{BundleVersion, Incarnation, NodeId, NodeRole};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use subtle::ConstantTimeEq;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+
+use crate::frame::{encode, read};
+use crate::{LocalIdentity, Peer};
+
+const PROTOCOL_VERSION: u32 = 1;
+
+type Nonce = [u8; 32];
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Challenge {
+    protocol: u32,
+    nonce: Nonce,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    node: NodeId,
+    incarnation: Incarnation,
+    role: NodeRole,
+    cluster: u64,
+    bundle: BundleVersion,
+    nonce: Nonce,
+    proof: [u8; 32],
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Side {
+    Client,
+    Server,
+}
+
+fn proof(
+    key: &[u8; 32],
+    side: Side,
+    challenge: &Nonce,
+    own: &Nonce,
+    who: (NodeId, u64),
+) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    hasher.update(match side {
+        Side::Client => b"client",
+        Side::Server => b"server",
+    });
+    hasher.update(challenge).update(own);
+    hasher.update(&who.0.0.to_le_bytes()).update(&who.1.to_le_bytes());
+    *hasher.finalize().as_bytes()
+}
+
+fn make_hello(identity: &LocalIdentity, side: Side, challenge: &Nonce, nonce: Nonce) -> Hello {
+    let node = identity.address.node;
+    let incarnation = identity.address.incarnation;
+    Hello {
+        node,
+        incarnation,
+        role: identity.address.role,
+        cluster: identity.cluster(),
+        bundle: identity.bundles.installed(),
+        nonce,
+        proof: proof(identity.secret_key(), side, challenge, &nonce, (node, incarnation.0)),
+    }
+}
+
+fn check_hello(
+    identity: &LocalIdentity,
+    side: Side,
+    challenge: &Nonce,
+    hello: &Hello,
+    ip: IpAddr,
+) -> io::Result<Peer> {
+    let who = (hello.node, hello.incarnation.0);
+    let expected = proof(identity.secret_key(), side, challenge, &hello.nonce, who);
+    if !bool::from(expected.ct_eq(&hello.proof)) {
+        return Err(refuse("peer does not hold the cluster secret"));
+    }
+    let (own, other) = (identity.cluster(), hello.cluster);
+    if own != 0 && other != 0 && own != other {
+        return Err(refuse("peer belongs to another cluster"));
+    }
+    identity.bundles.saw(hello.bundle);
+    Ok(Peer { node: hello.node, incarnation: hello.incarnation, role: hello.role, ip })
+}
+
+fn refuse(reason: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::PermissionDenied, reason)
+}
+
+async fn send<T: Serialize, S: AsyncWrite + Unpin>(stream: &mut S, value: &T) -> io::Result<()> {
+    stream.write_all(&encode(value)?).await?;
+    stream.flush().await
+}
+
+/// The opening side's part.
+pub(crate) async fn connect<S>(
+    stream: &mut S,
+    identity: &LocalIdentity,
+    ip: IpAddr,
+) -> io::Result<Peer>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let challenge: Challenge = read(stream).await?;
+    if challenge.protocol != PROTOCOL_VERSION {
+        return Err(refuse("peer speaks another protocol version"));
+    }
+    let nonce: Nonce = rand::rng().random();
+    send(stream, &make_hello(identity, Side::Client, &challenge.nonce, nonce)).await?;
+    let reply: Hello = read(stream).await?;
+    check_hello(identity, Side::Server, &nonce, &reply, ip)
+}
+
+/// The accepting side's part.
+pub(crate) async fn accept<S>(
+    stream: &mut S,
+    identity: &LocalIdentity,
+    ip: IpAddr,
+) -> io::Result<Peer>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let nonce: Nonce = rand::rng().random();
+    send(stream, &Challenge { protocol: PROTOCOL_VERSION, nonce }).await?;
+    let hello: Hello = read(stream).await?;
+    let peer = check_hello(identity, Side::Client, &nonce, &hello, ip)?;
+    let own: Nonce = rand::rng().random();
+    send(stream, &make_hello(identity, Side::Server, &hello.nonce, own)).await?;
+    Ok(peer)
+}
--- /dev/null
+++ b/crates/state/src/meta/command.rs
@@ -0,0 +1,204 @@
+//! Commands and reads of the meta group.
+
+use std::net::SocketAddr;
+
+use hooklug_types::{
+    BundleVersion, Digest, FencingEpoch, GroupId, Incarnation, NodeId, OperatorName, Renewal,
+    UnixMillis,
+};
+use serde::{Deserialize, Serialize};
+
+use super::record::{
+    BundleRecord, CoreLeader, GroupPlacement, HarmReport, MetaState, StoreRecord, StoreState,
+};
+
+/// A bundle that operators submit. Checked and its signatures verified by the node that forwards it,
+/// and checked again by the machine as far as versions go.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmitBundle {
+    /// Its version.
+    pub version: BundleVersion,
+    /// The version that it was built on; must be the newest committed one.
+    pub base: BundleVersion,
+    /// Canonical bytes (`hooklug_bundle` makes them).
+    pub bytes: Vec<u8>,
+    /// Operators whose signatures were verified.
+    pub signed_by: Vec<OperatorName>,
+}
+
+/// A command of the meta group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MetaCommand {
+    /// First command of a cluster: its id, stores and first placements.
+    Form {
+        /// The cluster id.
+        cluster: u64,
+        /// The stores that form it.
+        stores: Vec<StoreRecord>,
+        /// Placement of each group.
+        placements: Vec<(GroupId, GroupPlacement)>,
+    },
+    /// A store tells its address and run; a new one is added as active, a removed one refused.
+    RegisterStore(StoreRecord),
+    /// Changes what a store is to the cluster.
+    SetStoreState {
+        /// Epoch of the core leader.
+        epoch: FencingEpoch,
+        /// The store.
+        node: NodeId,
+        /// Its new state.
+        state: StoreState,
+    },
+    /// Changes a group's wanted placement.
+    SetPlacement {
+        /// Epoch of the core leader.
+        epoch: FencingEpoch,
+        /// The group.
+        group: GroupId,
+        /// What the sender saw; refused when it has changed.
+        expected: GroupPlacement,
+        /// The new placement.
+        placement: GroupPlacement,
+    },
+    /// Takes the core leadership; refused while another's lease has not been expired.
+    AcquireLeadership {
+        /// The core.
+        core: NodeId,
+        /// The run of its process.
+        incarnation: Incarnation,
+        /// Address of its rpc port.
+        address: SocketAddr,
+        /// Epoch that it saw last (0 for none); refused when it has moved.
+        seen: FencingEpoch,
+    },
+    /// Renews the core leader's lease.
+    RenewLeadership {
+        /// Its epoch.
+        epoch: FencingEpoch,
+    },
+    /// Ends the core leader's lease, if no renewal came after the one named. Proposed only by the group's leader.
+    ExpireLeadership {
+        /// The epoch that was judged.
+        epoch: FencingEpoch,
+        /// The renewal that was judged.
+        renewal: Renewal,
+    },
+    /// Commits a bundle.
+    SubmitBundle(SubmitBundle),
+    /// Marks a version as rolled back, in a new bundle built on the newest.
+    RollBack {
+        /// Epoch of the core leader.
+        epoch: FencingEpoch,
+        /// What was found.
+        harm: HarmReport,
+    },
+    /// Moves the group's clock on. Proposed only by the group's leader.
+    AdvanceClock {
+        /// The new time.
+        now: UnixMillis,
+    },
+}
+
+/// Reply to a [`MetaCommand`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MetaReply {
+    /// Done.
+    Done,
+    /// The core leader, after the command.
+    Leader(CoreLeader),
+    /// The bundle, as committed (now or before).
+    Bundle(BundleRecord),
+    /// Refused; nothing changed.
+    Refused(MetaRefusal),
+}
+
+/// Why a meta command was refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+pub enum MetaRefusal {
+    /// The cluster exists already.
+    #[error("the cluster is formed already, its id is {cluster}")]
+    Formed {
+        /// Its id.
+        cluster: u64,
+    },
+    /// The cluster does not exist yet.
+    #[error("the cluster is not formed yet")]
+    NotFormed,
+    /// The sender's fencing epoch is not in force.
+    #[error("another core leads under epoch {current}")]
+    StaleFencing {
+        /// The epoch in force.
+        current: FencingEpoch,
+    },
+    /// Another core's lease has not been expired.
+    #[error("another core leads")]
+    LeaderAlive {
+        /// It.
+        leader: CoreLeader,
+    },
+    /// The lease was renewed since.
+    #[error("the leadership was renewed since")]
+    Renewed,
+    /// No such store, or it was removed.
+    #[error("no such store")]
+    NoStore,
+    /// The placement is not what the sender saw.
+    #[error("the placement has changed")]
+    PlacementChanged,
+    /// The same version was committed with other content.
+    #[error("bundle {version} is committed with other content")]
+    VersionTaken {
+        /// The version.
+        version: BundleVersion,
+        /// Digest of the committed one.
+        digest: Digest,
+    },
+    /// The base is not the newest version.
+    #[error("the base is not the newest version, {newest}")]
+    StaleBase {
+        /// The newest.
+        newest: BundleVersion,
+    },
+    /// The version is not higher than the base, or the bytes do not decode.
+    #[error("the bundle is invalid: {reason}")]
+    InvalidBundle {
+        /// What is wrong.
+        reason: String,
+    },
+    /// Nothing to roll back: the version is not sound, or it is the only sound one.
+    #[error("nothing to roll back: {reason}")]
+    NothingToRollBack {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// A linearizable read of the meta group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MetaQuery {
+    /// All but the bundles' bytes.
+    State,
+    /// The newest bundle's record.
+    NewestBundle,
+    /// A bundle's canonical bytes; `None` for the newest. The last 512 versions are kept.
+    BundleBytes(Option<BundleVersion>),
+    /// One section's bytes by digest, for nodes that hold the others.
+    Section(Digest),
+    /// Records of the last so many bundles, newest first.
+    History(u32),
+}
+
+/// Answer to a [`MetaQuery`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MetaAnswer {
+    /// The state.
+    State(Box<MetaState>),
+    /// The newest bundle.
+    NewestBundle(Option<BundleRecord>),
+    /// Bytes of a bundle, with its record.
+    BundleBytes(Option<(BundleRecord, Vec<u8>)>),
+    /// Bytes of a section.
+    Section(Option<Vec<u8>>),
+    /// Records.
+    History(Vec<BundleRecord>),
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,8 @@
+//! The store process and the client that every other process reads and writes shared state with.
+
+#![deny(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod access;
+
+pub use access::{StateAccess, Unavailable};
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,27 @@
+//! Identifiers, counters and outcomes that every hooklug crate shares.
+//!
+//! They live apart from any behaviour so that two crates never need each other only for a name.
+
+#![deny(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod counters;
+mod ids;
+mod load;
+mod outcome;
+mod place;
+mod shard;
+
+pub use counters::{
+    BundleVersion, EventSeq, FencingEpoch, Incarnation, NodeId, Renewal, Revision, SessionEpoch,
+    TokenCount, UnixMillis,
+};
+pub use ids::{
+    CallAttempt, CallId, EngineId, IdError, MAX_ID_BYTES, ModelName, OperatorName, PrefixId,
+    ProgramId, RegionName, RouteName, ServiceName, ServiceVersion, SessionId, TenantId, TurnId,
+    WindowGroup, WindowName, ZoneName,
+};
+pub use load::EngineLoad;
+pub use outcome::{CallOutcome, EndReason, FailureCode};
+pub use place::{EngineIncarnation, NodeRole, SessionKey, SessionPlace};
+pub use shard::{Digest, GroupId, META_GROUP, SHARD_COUNT, shard_of};
