--- /dev/null
+++ b/crates/wal/src/segment.rs
@@ -0,0 +1,80 @@
+//! Segment files: their names, and reading them back.
+
+use std::path::{Path, PathBuf};
+
+use tracing::warn;
+
+use crate::block::{Block, DecodeFault, synced_later};
+use crate::{Files, GroupRecord, WalError};
+
+const EXTENSION: &str = "segment";
+
+/// Path of a segment.
+pub(crate) fn path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("{number:016}.{EXTENSION}"))
+}
+
+/// Numbers of the segments in a folder, in order.
+///
+/// # Errors
+/// When the folder cannot be read, or a segment between two others is missing.
+pub(crate) fn numbers(files: &dyn Files, folder: &Path) -> Result<Vec<u64>, WalError> {
+    let paths = files.list(folder).map_err(|e| WalError::io("list", folder, &e))?;
+    let mut numbers: Vec<u64> = paths.iter().filter_map(|path| number(path)).collect();
+    numbers.sort_unstable();
+    match numbers.windows(2).find(|pair| pair[1] != pair[0] + 1) {
+        Some(pair) => {
+            let missing = path(folder, pair[0] + 1);
+            Err(WalError::corrupt(&missing, 0, "the segment is missing between two others"))
+        }
+        None => Ok(numbers),
+    }
+}
+
+fn number(path: &Path) -> Option<u64> {
+    if path.extension()?.to_str()? != EXTENSION {
+        return None;
+    }
+    path.file_stem()?.to_str()?.parse().ok()
+}
+
+/// What a segment holds.
+#[derive(Debug, Default)]
+pub(crate) struct SegmentContent {
+    /// Its records, in order.
+    pub(crate) records: Vec<GroupRecord>,
+    /// Bytes up to the end of the last whole block.
+    pub(crate) length: u64,
+}
+
+/// Reads a segment. A torn tail is cut off the last one; any other damage is refused.
+pub(crate) fn read(
+    files: &dyn Files,
+    path: &Path,
+    is_last: bool,
+) -> Result<SegmentContent, WalError> {
+    let bytes = files.read(path).map_err(|e| WalError::io("read", path, &e))?;
+    let mut content = SegmentContent::default();
+    let mut at = 0;
+    while at < bytes.len() {
+        match Block::decode(&bytes[at..]) {
+            Ok((block, length)) => {
+                content.records.extend(block.records);
+                at += length;
+            }
+            Err(fault) if is_last && is_torn(&fault, &bytes, at) => {
+                let (offset, cut) = (at, bytes.len() - at);
+                warn!(path = %path.display(), offset, cut, %fault, "cut a torn tail off the log");
+                break;
+            }
+            Err(fault) => return Err(WalError::corrupt(path, at as u64, fault.to_string())),
+        }
+    }
+    content.length = at as u64;
+    Ok(content)
+}
+
+/// Whether the damage lies where nothing was ever synced.
+fn is_torn(fault: &DecodeFault, bytes: &[u8], at: usize) -> bool {
+    !matches!(fault, DecodeFault::Body(_)) && !synced_later(bytes, at)
+}
--- /dev/null
+++ b/crates/wal/src/writer.rs
@@ -0,0 +1,169 @@
+//! The writer: one thread that turns all that is queued into one block and one sync.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::mpsc::Receiver;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use hooklug_types::GroupId;
+use tracing::error;
+
+use crate::block::Block;
+use crate::log::{Append, WalOptions};
+use crate::recovery::GroupHead;
+use crate::{Files, GroupRecord, LogFile, Record, Recovered, WalError, segment};
+
+/// Appends taken into one block at most; bounds the time to the first acknowledgement.
+const MAX_BLOCK_APPENDS: usize = 4096;
+
+/// Highest entry index of each group in one segment.
+pub(crate) type SegmentSpan = BTreeMap<GroupId, u64>;
+
+/// Which segments are there and what they hold; shared with the handle.
+#[derive(Debug, Default)]
+pub(crate) struct SegmentIndex {
+    /// All segments but the active one, oldest first.
+    pub(crate) sealed: BTreeMap<u64, SegmentSpan>,
+    /// Each group without its entries.
+    pub(crate) heads: BTreeMap<GroupId, GroupHead>,
+}
+
+impl SegmentIndex {
+    /// Groups that keep the oldest segment alive.
+    pub(crate) fn holders_of_oldest(&self) -> Vec<GroupId> {
+        let Some(span) = self.sealed.values().next() else { return Vec::new() };
+        let holds = |(group, last): &(&GroupId, &u64)| !self.is_covered(**group, **last);
+        span.iter().filter(holds).map(|(group, _)| *group).collect()
+    }
+
+    fn is_covered(&self, group: GroupId, index: u64) -> bool {
+        self.heads.get(&group).is_some_and(|head| index <= head.covered())
+    }
+}
+
+pub(crate) type SharedIndex = Arc<Mutex<SegmentIndex>>;
+
+pub(crate) struct Writer {
+    pub(crate) files: Arc<dyn Files>,
+    pub(crate) folder: PathBuf,
+    pub(crate) options: WalOptions,
+    pub(crate) index: SharedIndex,
+    pub(crate) file: Box<dyn LogFile>,
+    pub(crate) number: u64,
+    pub(crate) length: u64,
+    pub(crate) synced: u64,
+    pub(crate) span: SegmentSpan,
+}
+
+impl Writer {
+    /// Serves until all handles are gone. After the first failure every append is refused.
+    pub(crate) fn run(mut self, queue: &Receiver<Append>) {
+        let mut failure: Option<WalError> = None;
+        while let Ok(first) = queue.recv() {
+            let mut appends = vec![first];
+            appends.extend(queue.try_iter().take(MAX_BLOCK_APPENDS - 1));
+            if failure.is_none() {
+                failure = self.write(&mut appends).err().map(|error| {
+                    error!(%error, "the log failed; nothing is acknowledged any more");
+                    WalError::Failed { reason: error.to_string() }
+                });
+            }
+            for append in appends {
+                (append.done)(failure.clone().map_or(Ok(()), Err));
+            }
+        }
+    }
+
+    fn write(&mut self, appends: &mut [Append]) -> Result<(), WalError> {
+        let sync = appends.iter().any(|append| append.sync);
+        let records = appends.iter_mut().flat_map(|a| std::mem::take(&mut a.records)).collect();
+        self.append(records)?;
+        if sync {
+            self.sync()?;
+        }
+        if self.length >= self.options.segment_bytes {
+            self.rotate()?;
+        }
+        self.remove_covered()
+    }
+
+    fn append(&mut self, records: Vec<GroupRecord>) -> Result<(), WalError> {
+        let block = Block { synced: self.synced, records };
+        let path = segment::path(&self.folder, self.number);
+        let written = block.encode().and_then(|bytes| {
+            self.file.append(&bytes)?;
+            Ok(bytes.len() as u64)
+        });
+        self.length += written.map_err(|e| WalError::io("write", &path, &e))?;
+        self.note(&block.records);
+        Ok(())
+    }
+
+    fn note(&mut self, records: &[GroupRecord]) {
+        let mut index = self.index.lock().unwrap_or_else(PoisonError::into_inner);
+        for GroupRecord { group, record } in records {
+            index.heads.entry(*group).or_default().note(record);
+            if let Record::Append(entries) = record {
+                let last = entries.last().map_or(0, |entry| entry.index);
+                let highest = self.span.entry(*group).or_default();
+                *highest = last.max(*highest);
+            }
+        }
+    }
+
+    fn sync(&mut self) -> Result<(), WalError> {
+        let path = segment::path(&self.folder, self.number);
+        self.file.sync().map_err(|e| WalError::io("sync", &path, &e))?;
+        self.synced = self.length;
+        Ok(())
+    }
+
+    /// Starts a new segment.
+    fn rotate(&mut self) -> Result<(), WalError> {
+        self.sync()?;
+        let number = self.number + 1;
+        let path = segment::path(&self.folder, number);
+        self.file = self.files.create(&path).map_err(|e| WalError::io("create", &path, &e))?;
+        let sealed = std::mem::take(&mut self.span);
+        self.index
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .sealed
+            .insert(self.number, sealed);
+        (self.number, self.length, self.synced) = (number, 0, 0);
+        self.begin_segment()
+    }
+
+    /// Writes the head of every group into an empty segment, so that older ones are only needed for entries.
+    pub(crate) fn begin_segment(&mut self) -> Result<(), WalError> {
+        if self.length > 0 {
+            return Ok(());
+        }
+        let checkpoint = {
+            let index = self.index.lock().unwrap_or_else(PoisonError::into_inner);
+            Recovered::checkpoint(&index.heads)
+        };
+        self.append(checkpoint)?;
+        self.sync()?;
+        self.files.sync_folder(&self.folder).map_err(|e| WalError::io("sync", &self.folder, &e))
+    }
+
+    /// Removes the oldest segments as long as snapshots cover all their entries. Only a prefix may go:
+    /// a later segment may say that entries of an earlier one were overwritten.
+    fn remove_covered(&mut self) -> Result<(), WalError> {
+        loop {
+            let oldest = {
+                let index = self.index.lock().unwrap_or_else(PoisonError::into_inner);
+                index.sealed.keys().next().copied().filter(|_| index.holders_of_oldest().is_empty())
+            };
+            let Some(oldest) = oldest else { return Ok(()) };
+            // What made it removable must be durable first.
+            if self.synced < self.length {
+                self.sync()?;
+            }
+            let path = segment::path(&self.folder, oldest);
+            self.files.remove(&path).map_err(|e| WalError::io("remove", &path, &e))?;
+            self.index.lock().unwrap_or_else(PoisonError::into_inner).sealed.remove(&oldest);
+        }
+    }
+}
