--- /dev/null
+++ b/crates/raft/src/election.rs
@@ -0,0 +1,179 @@
+//! Elections: pre-vote, vote, leader stickiness and what changes with the role.
+
+use hooklug_types::NodeId;
+
+use crate::message::{EntryKind, MessageBody};
+use crate::node::RawNode;
+use crate::progress::Progress;
+use crate::ready::Role;
+
+/// Which question a vote request asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Ballot {
+    /// Would you vote for me? Changes nothing.
+    PreVote,
+    /// Vote for me.
+    Vote {
+        /// A leader handed over to the candidate.
+        transfer: bool,
+    },
+}
+
+/// A vote request as received.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct VoteRequest {
+    pub(crate) from: NodeId,
+    pub(crate) term: u64,
+    pub(crate) ballot: Ballot,
+    pub(crate) last_index: u64,
+    pub(crate) last_term: u64,
+}
+
+impl RawNode {
+    /// Asks for leadership now instead of after the election timeout: for a group's first leader
+    /// and for tests. Does nothing at a leader or a replica without a vote.
+    pub fn campaign(&mut self) {
+        if self.role == Role::Leader {
+            return;
+        }
+        self.reset_election_timer();
+        self.leader = None;
+        if !self.is_promotable() {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.ask_for_votes(Ballot::PreVote);
+    }
+
+    /// Asks for votes at once, without a pre-vote.
+    pub(crate) fn start_election(&mut self, transfer: bool) {
+        if self.role == Role::Leader || !self.is_promotable() {
+            return;
+        }
+        self.reset_election_timer();
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.term += 1;
+        self.vote = Some(self.config.id);
+        self.ask_for_votes(Ballot::Vote { transfer });
+    }
+
+    /// Whether the replica may lead. One whose own removal is not committed still may: without it
+    /// a group of two could be left without any possible leader (Raft dissertation, 4.2.2).
+    fn is_promotable(&self) -> bool {
+        let id = self.config.id;
+        let committed = self.log.conf_at(self.log.commit());
+        let is_voter = self.log.conf().voters.contains(&id) || committed.voters.contains(&id);
+        is_voter && !self.log.has_pending_snapshot()
+    }
+
+    fn ask_for_votes(&mut self, ballot: Ballot) {
+        self.votes.clear();
+        self.votes.insert(self.config.id, true);
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        let own = self.config.id;
+        let voters = self.log.conf().voters.iter().copied();
+        let others: Vec<NodeId> = voters.filter(|voter| *voter != own).collect();
+        for voter in others {
+            match ballot {
+                Ballot::PreVote => {
+                    let body = MessageBody::PreVote { last_index, last_term };
+                    self.send_with_term(voter, self.term + 1, body);
+                }
+                Ballot::Vote { transfer } => {
+                    self.send(voter, MessageBody::Vote { last_index, last_term, transfer });
+                }
+            }
+        }
+        self.count_votes();
+    }
+
+    fn count_votes(&mut self) {
+        let won = self.log.conf().is_quorum(|voter| self.votes.get(&voter) == Some(&true));
+        let lost = self.log.conf().is_quorum(|voter| self.votes.get(&voter) == Some(&false));
+        match self.role {
+            Role::PreCandidate if won => self.start_election(false),
+            Role::Candidate if won => self.become_leader(),
+            Role::PreCandidate | Role::Candidate if lost => self.become_follower(self.term, None),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn handle_vote_request(&mut self, request: VoteRequest) {
+        let may_vote = match self.vote {
+            Some(voted) if request.term == self.term => voted == request.from,
+            None if request.term == self.term => self.leader.is_none(),
+            _ => request.term > self.term,
+        };
+        let granted = may_vote && self.log.is_up_to_date(request.last_index, request.last_term);
+        match request.ballot {
+            Ballot::PreVote => {
+                let term = if granted { request.term } else { self.term };
+                let body = MessageBody::PreVoteReply { granted };
+                self.send_with_term(request.from, term, body);
+            }
+            Ballot::Vote { .. } => {
+                if granted {
+                    self.vote = Some(request.from);
+                    self.reset_election_timer();
+                }
+                self.send(request.from, MessageBody::VoteReply { granted });
+            }
+        }
+    }
+
+    /// An answer to a pre-vote. A grant carries the term asked about, so that one from an earlier
+    /// round is recognised.
+    pub(crate) fn handle_pre_vote_reply(&mut self, from: NodeId, term: u64, granted: bool) {
+        let asked_term = self.term + 1;
+        if self.role != Role::PreCandidate || (granted && term != asked_term) {
+            return;
+        }
+        self.votes.insert(from, granted);
+        self.count_votes();
+    }
+
+    pub(crate) fn handle_vote_reply(&mut self, from: NodeId, granted: bool) {
+        if self.role != Role::Candidate {
+            return;
+        }
+        self.votes.insert(from, granted);
+        self.count_votes();
+    }
+
+    /// Whether a live leader is known, so that others' elections are not joined.
+    pub(crate) fn has_live_leader(&self) -> bool {
+        self.leader.is_some() && self.election_elapsed < self.config.election_ticks
+    }
+
+    pub(crate) fn become_follower(&mut self, term: u64, leader: Option<NodeId>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.votes.clear();
+        self.progress.clear();
+        self.transfer_to = None;
+        let lost = self.reads.abandon();
+        self.lost_reads.extend(lost);
+        self.reset_election_timer();
+    }
+
+    fn become_leader(&mut self) {
+        self.role = Role::Leader;
+        self.leader = Some(self.config.id);
+        self.votes.clear();
+        self.transfer_to = None;
+        self.reset_election_timer();
+        self.heartbeat_elapsed = 0;
+        let last_index = self.log.last_index();
+        let max_inflight = self.config.max_inflight;
+        let members: Vec<NodeId> = self.log.conf().members().collect();
+        let fresh = |node| (node, Progress::new(last_index, max_inflight));
+        self.progress = members.into_iter().map(fresh).collect();
+        self.log.append(self.term, EntryKind::Noop);
+        self.note_own_progress();
+    }
+}
--- /dev/null
+++ b/crates/raft/src/step.rs
@@ -0,0 +1,125 @@
+//! Received messages: the rules on terms first, then each message's own handler.
+
+use hooklug_types::NodeId;
+
+use crate::election::{Ballot, VoteRequest};
+use crate::message::{Message, MessageBody};
+use crate::node::RawNode;
+use crate::ready::{Role, Snapshot};
+use crate::replication::AppendRequest;
+
+impl RawNode {
+    /// Takes a message. One that is stale, odd or for another replica changes nothing.
+    pub fn step(&mut self, message: Message) {
+        if message.to != self.config.id || message.from == self.config.id {
+            return;
+        }
+        if self.accept_term(&message) {
+            self.dispatch(message);
+        }
+    }
+
+    /// Takes a snapshot that the shell has received whole and verified. It comes out as
+    /// [`crate::Ready::snapshot`] if it is newer than the log's committed part.
+    pub fn receive_snapshot(&mut self, from: NodeId, term: u64, snapshot: Snapshot) {
+        let announced = MessageBody::InstallSnapshot(snapshot.meta.clone());
+        let message = Message { from, to: self.config.id, term, body: announced };
+        if from != self.config.id && self.accept_term(&message) {
+            self.follow(from);
+            self.install_snapshot(from, snapshot);
+        }
+    }
+
+    /// Compares terms; gives whether the message is to be handled.
+    fn accept_term(&mut self, message: &Message) -> bool {
+        if message.term > self.term {
+            return self.accept_newer_term(message);
+        }
+        if message.term < self.term {
+            self.refuse_older_term(message);
+            return false;
+        }
+        true
+    }
+
+    fn accept_newer_term(&mut self, message: &Message) -> bool {
+        match message.body {
+            MessageBody::PreVote { .. } => !self.has_live_leader(),
+            MessageBody::PreVoteReply { granted: true } => true,
+            MessageBody::Vote { transfer: false, .. } if self.has_live_leader() => false,
+            MessageBody::Append { .. }
+            | MessageBody::Heartbeat { .. }
+            | MessageBody::InstallSnapshot(_) => {
+                self.become_follower(message.term, Some(message.from));
+                true
+            }
+            _ => {
+                self.become_follower(message.term, None);
+                true
+            }
+        }
+    }
+
+    /// Tells a sender that is behind of the newer term. A leader must hear it: with pre-vote this
+    /// replica never disturbs it by an election, so it would stay cut off for ever.
+    fn refuse_older_term(&mut self, message: &Message) {
+        match message.body {
+            MessageBody::Append { .. }
+            | MessageBody::Heartbeat { .. }
+            | MessageBody::InstallSnapshot(_) => {
+                self.send(message.from, MessageBody::AppendReply { matched: 0, rejected: None });
+            }
+            MessageBody::PreVote { .. } => {
+                self.send(message.from, MessageBody::PreVoteReply { granted: false });
+            }
+            _ => {}
+        }
+    }
+
+    fn dispatch(&mut self, message: Message) {
+        let Message { from, term, body, .. } = message;
+        match body {
+            MessageBody::PreVote { last_index, last_term } => {
+                let ballot = Ballot::PreVote;
+                self.handle_vote_request(VoteRequest { from, term, ballot, last_index, last_term });
+            }
+            MessageBody::Vote { last_index, last_term, transfer } => {
+                let ballot = Ballot::Vote { transfer };
+                self.handle_vote_request(VoteRequest { from, term, ballot, last_index, last_term });
+            }
+            MessageBody::PreVoteReply { granted } => {
+                self.handle_pre_vote_reply(from, term, granted);
+            }
+            MessageBody::VoteReply { granted } => self.handle_vote_reply(from, granted),
+            MessageBody::Append { prev_index, prev_term, entries, commit } => {
+                self.follow(from);
+                let request = AppendRequest { prev_index, prev_term, entries, commit };
+                self.handle_append(from, request);
+            }
+            MessageBody::AppendReply { matched, rejected } => {
+                self.handle_append_reply(from, matched, rejected);
+            }
+            MessageBody::Heartbeat { commit, read_round } => {
+                self.follow(from);
+                self.handle_heartbeat(from, commit, read_round);
+            }
+            MessageBody::HeartbeatReply { read_round } => {
+                self.handle_heartbeat_reply(from, read_round);
+            }
+            MessageBody::InstallSnapshot(_) => self.follow(from),
+            MessageBody::TimeoutNow => self.start_election(true),
+        }
+    }
+
+    /// Follows the leader of the current term. A leader never follows another in its own term.
+    fn follow(&mut self, leader: NodeId) {
+        match self.role {
+            Role::Leader => {}
+            Role::Follower => {
+                self.leader = Some(leader);
+                self.election_elapsed = 0;
+            }
+            Role::PreCandidate | Role::Candidate => self.become_follower(self.term, Some(leader)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/raft/tests/group.rs
@@ -0,0 +1,184 @@
+//! A group without faults: elections, replication, reads, membership, transfer.
+
+mod common;
+
+use common::{Group, node, voters};
+use hooklug_raft::{ConfChange, ConfState, ProposeError, ReadState, Role};
+
+fn led_by_one() -> Group {
+    let mut group = Group::new(&[1, 2, 3]);
+    group.at(1).campaign();
+    group.settle();
+    assert_eq!(group.leader(), Some(1));
+    group
+}
+
+#[test]
+fn a_leader_is_elected_by_timers_alone() {
+    let mut group = Group::new(&[1, 2, 3]);
+    group.tick(40);
+    let leader = group.leader().expect("a leader");
+    for replica in group.nodes.values() {
+        assert_eq!(replica.status().leader, Some(node(leader)));
+    }
+}
+
+#[test]
+fn commands_reach_every_replica_in_order() {
+    let mut group = led_by_one();
+    for n in 0..20u8 {
+        group.at(1).propose(vec![n; 600]).expect("taken");
+    }
+    group.settle();
+    let expected: Vec<Vec<u8>> = (0..20u8).map(|n| vec![n; 600]).collect();
+    for id in 1..=3 {
+        assert_eq!(group.commands(id), expected, "replica {id}");
+    }
+}
+
+#[test]
+fn a_follower_refuses_proposals_and_names_the_leader() {
+    let mut group = led_by_one();
+    let refused = group.at(2).propose(b"x".to_vec());
+    assert_eq!(refused, Err(ProposeError::NotLeader { leader: Some(node(1)) }));
+    assert_eq!(group.at(3).read_index(1), Err(ProposeError::NotLeader { leader: Some(node(1)) }));
+}
+
+#[test]
+fn a_sole_voter_commits_alone() {
+    let mut group = Group::new(&[1]);
+    group.at(1).campaign();
+    group.settle();
+    group.at(1).propose(b"x".to_vec()).expect("taken");
+    group.at(1).read_index(5).expect("taken");
+    group.settle();
+    assert_eq!(group.commands(1), vec![b"x".to_vec()]);
+    assert_eq!(group.reads.len(), 1);
+}
+
+#[test]
+fn a_read_needs_a_quorum_that_answers_after_it() {
+    let mut group = led_by_one();
+    group.at(1).propose(b"x".to_vec()).expect("taken");
+    group.settle();
+    let commit = group.at(1).status().commit;
+    group.at(1).read_index(9).expect("taken");
+    group.settle();
+    assert_eq!(group.reads, vec![ReadState { context: 9, index: commit }]);
+
+    group.cut.insert(1);
+    group.at(1).read_index(10).expect("taken");
+    group.settle();
+    assert_eq!(group.reads.len(), 1, "no quorum has answered");
+    group.tick(25);
+    assert_eq!(group.reads_lost, vec![10]);
+    assert_eq!(group.at(1).status().role, Role::Follower, "check-quorum");
+    assert_ne!(group.leader(), Some(1));
+}
+
+#[test]
+fn reads_that_come_together_share_a_round() {
+    let mut group = led_by_one();
+    for context in 0..50 {
+        group.at(1).read_index(context).expect("taken");
+    }
+    let ready = group.at(1).ready();
+    assert_eq!(ready.messages_before_sync.len(), 2, "one heartbeat a follower");
+}
+
+#[test]
+fn a_replica_that_was_cut_off_does_not_depose_the_leader() {
+    let mut group = led_by_one();
+    let term = group.at(1).status().term;
+    group.cut.insert(3);
+    group.tick(100);
+    group.cut.clear();
+    group.tick(10);
+    assert_eq!(group.leader(), Some(1));
+    assert_eq!(group.at(1).status().term, term, "pre-vote kept the term");
+}
+
+#[test]
+fn leadership_goes_to_the_named_voter() {
+    let mut group = led_by_one();
+    assert_eq!(
+        group.at(1).transfer_leadership(node(9)),
+        Err(ProposeError::InvalidTransferTarget(node(9)))
+    );
+    group.at(1).transfer_leadership(node(3)).expect("taken");
+    assert_eq!(group.at(1).propose(b"x".to_vec()), Err(ProposeError::Busy));
+    group.settle();
+    assert_eq!(group.leader(), Some(3));
+}
+
+#[test]
+fn an_empty_node_joins_as_learner_by_snapshot_and_becomes_a_voter() {
+    let mut group = led_by_one();
+    group.at(1).propose(b"before".to_vec()).expect("taken");
+    group.settle();
+    group.start(4, ConfState::default());
+    group.at(1).propose_conf_change(ConfChange::AddLearner(node(4))).expect("taken");
+    assert_eq!(
+        group.at(1).propose_conf_change(ConfChange::Remove(node(2))),
+        Err(ProposeError::ConfChangeUnderWay)
+    );
+    group.tick(6);
+    assert_eq!(group.commands(4), vec![b"before".to_vec()]);
+    group.at(1).propose_conf_change(ConfChange::PromoteVoter(node(4))).expect("caught up");
+    group.tick(2);
+    group.at(1).propose_conf_change(ConfChange::Remove(node(3))).expect("taken");
+    group.tick(2);
+    assert_eq!(group.at(4).status().conf, voters(&[1, 2, 4]));
+}
+
+#[test]
+fn a_learner_that_lags_is_not_promoted() {
+    let mut group = led_by_one();
+    group.at(1).propose_conf_change(ConfChange::AddLearner(node(4))).expect("taken");
+    group.settle();
+    let refused = group.at(1).propose_conf_change(ConfChange::PromoteVoter(node(4)));
+    assert!(matches!(refused, Err(ProposeError::LearnerLags { .. })), "{refused:?}");
+}
+
+#[test]
+fn a_change_that_does_not_fit_is_refused() {
+    let mut group = led_by_one();
+    for change in [ConfChange::AddLearner(node(2)), ConfChange::Remove(node(9))] {
+        let refused = group.at(1).propose_conf_change(change);
+        assert_eq!(refused, Err(ProposeError::InvalidConfChange), "{change:?}");
+    }
+    let mut alone = Group::new(&[1]);
+    alone.at(1).campaign();
+    alone.settle();
+    let refused = alone.at(1).propose_conf_change(ConfChange::Remove(node(1)));
+    assert_eq!(refused, Err(ProposeError::InvalidConfChange));
+}
+
+#[test]
+fn a_leader_that_removes_itself_hands_over() {
+    let mut group = led_by_one();
+    group.at(1).propose_conf_change(ConfChange::Remove(node(1))).expect("taken");
+    group.settle();
+    let leader = group.leader().expect("a leader");
+    assert_ne!(leader, 1);
+    group.at(leader).propose(b"after".to_vec()).expect("taken");
+    group.settle();
+    assert_eq!(group.at(leader).status().conf, voters(&[2, 3]));
+    assert!(group.commands(leader).contains(&b"after".to_vec()));
+}
+
+#[test]
+fn a_follower_behind_the_compacted_log_gets_a_snapshot() {
+    let mut group = led_by_one();
+    group.cut.insert(3);
+    for n in 0..10u8 {
+        group.at(1).propose(vec![n]).expect("taken");
+    }
+    group.settle();
+    let applied = group.at(1).status().applied;
+    group.at(1).compact(applied).expect("applied");
+    group.cut.clear();
+    group.tick(10);
+    assert_eq!(group.at(3).status().commit, group.at(1).status().commit);
+    assert_eq!(group.commands(3), group.commands(1));
+}
