state, store: shard and meta state machines, in-memory groups

Cause: engine, gateway and store need the replicated state machines and a stand-in for the store client. Change: ShardMachine and MetaMachine over the existing commands, reads and records; MemoryState runs all groups in one process with switches for unavailable groups and lost answers.

--- /dev/null
+++ b/crates/state/src/meta/leadership.rs
@@ -0,0 +1,59 @@
+//! The core leader's lease. Each leadership has a fencing epoch of its own.
+
+use hooklug_types::{FencingEpoch, Renewal};
+
+use super::command::{MetaRefusal, MetaReply};
+use super::machine::{MetaMachine, Outcome};
+use super::record::CoreLeader;
+
+impl MetaMachine {
+    /// Takes the leadership once the former lease has expired. A leader that asks again keeps its own.
+    pub(super) fn acquire_leadership(
+        &mut self,
+        candidate: CoreLeader,
+        seen: FencingEpoch,
+    ) -> Outcome {
+        let leader = &mut self.state.meta.leader;
+        if let Some(present) = leader.as_ref().filter(|l| !l.expired) {
+            let own =
+                present.core == candidate.core && present.incarnation == candidate.incarnation;
+            return match own {
+                true => Ok(MetaReply::Leader(present.clone())),
+                false => Err(MetaRefusal::LeaderAlive { leader: present.clone() }),
+            };
+        }
+        let current = leader.as_ref().map(|l| l.epoch).unwrap_or_default();
+        if current != seen {
+            return Err(MetaRefusal::StaleFencing { current });
+        }
+        *leader = Some(candidate.clone());
+        Ok(MetaReply::Leader(candidate))
+    }
+
+    /// Renews the lease that has this epoch; an expired one stays expired.
+    pub(super) fn renew_leadership(&mut self, epoch: FencingEpoch) -> Outcome {
+        let stale = self.stale_fencing();
+        match &mut self.state.meta.leader {
+            Some(leader) if leader.epoch == epoch && !leader.expired => {
+                leader.renewal = leader.renewal.next();
+                Ok(MetaReply::Leader(leader.clone()))
+            }
+            _ => Err(stale),
+        }
+    }
+
+    /// Ends the lease that has this epoch, unless it was renewed after the renewal that was judged.
+    pub(super) fn expire_leadership(&mut self, epoch: FencingEpoch, judged: Renewal) -> Outcome {
+        let stale = self.stale_fencing();
+        match &mut self.state.meta.leader {
+            Some(leader) if leader.epoch == epoch => {
+                if !leader.expired && leader.renewal != judged {
+                    return Err(MetaRefusal::Renewed);
+                }
+                leader.expired = true;
+                Ok(MetaReply::Leader(leader.clone()))
+            }
+            _ => Err(stale),
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/meta/machine.rs
@@ -0,0 +1,145 @@
+//! The meta group's state machine: the state, the dispatch of commands and reads, and snapshots.
+
+use hooklug_types::{Digest, FencingEpoch, Renewal, UnixMillis};
+use serde::{Deserialize, Serialize};
+
+use super::archive::BundleArchive;
+use super::command::{MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply};
+use super::record::{CoreLeader, MetaState};
+use crate::{MachineError, StateMachine, decode, encode};
+
+/// What a command comes to: a reply, or a refusal.
+pub(super) type Outcome = Result<MetaReply, MetaRefusal>;
+
+/// All of the meta group's state; what a snapshot holds.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(super) struct FullState {
+    pub clock: UnixMillis,
+    pub meta: MetaState,
+    pub archive: BundleArchive,
+}
+
+/// The state machine of the meta group (design section 3).
+#[derive(Debug, Clone, Default)]
+pub struct MetaMachine {
+    pub(super) state: FullState,
+}
+
+impl MetaMachine {
+    /// A cluster that is not formed yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies a command; each is idempotent by its key.
+    pub fn apply_command(&mut self, command: MetaCommand) -> MetaReply {
+        self.apply_formed(command).unwrap_or_else(MetaReply::Refused)
+    }
+
+    fn apply_formed(&mut self, command: MetaCommand) -> Outcome {
+        match command {
+            MetaCommand::Form { cluster, stores, placements } => {
+                self.form(cluster, stores, placements)
+            }
+            MetaCommand::AdvanceClock { now } => Ok(self.advance_clock(now)),
+            _ if self.state.meta.cluster == 0 => Err(MetaRefusal::NotFormed),
+            MetaCommand::RegisterStore(store) => self.register_store(store),
+            MetaCommand::SetStoreState { epoch, node, state } => {
+                self.check_fencing(epoch)?;
+                self.set_store_state(node, state)
+            }
+            MetaCommand::SetPlacement { epoch, group, expected, placement } => {
+                self.check_fencing(epoch)?;
+                self.set_placement(group, &expected, placement)
+            }
+            MetaCommand::AcquireLeadership { core, incarnation, address, seen } => {
+                let epoch = seen.next();
+                let candidate = CoreLeader {
+                    core,
+                    incarnation,
+                    address,
+                    epoch,
+                    renewal: Renewal(0),
+                    expired: false,
+                };
+                self.acquire_leadership(candidate, seen)
+            }
+            MetaCommand::RenewLeadership { epoch } => self.renew_leadership(epoch),
+            MetaCommand::ExpireLeadership { epoch, renewal } => {
+                self.expire_leadership(epoch, renewal)
+            }
+            MetaCommand::SubmitBundle(submit) => self.submit_bundle(submit),
+            MetaCommand::RollBack { epoch, harm } => {
+                self.check_fencing(epoch)?;
+                self.roll_back(harm)
+            }
+        }
+    }
+
+    /// Answers a read from the state as it is.
+    #[must_use]
+    pub fn answer(&self, query: &MetaQuery) -> MetaAnswer {
+        let archive = &self.state.archive;
+        match query {
+            MetaQuery::State => MetaAnswer::State(Box::new(self.state.meta.clone())),
+            MetaQuery::NewestBundle => MetaAnswer::NewestBundle(self.state.meta.bundle.clone()),
+            MetaQuery::BundleBytes(version) => {
+                let newest = self.state.meta.bundle.as_ref().map(|b| b.version);
+                let found = version.or(newest).and_then(|v| archive.bytes(v));
+                MetaAnswer::BundleBytes(found)
+            }
+            MetaQuery::Section(digest) => MetaAnswer::Section(archive.section(digest)),
+            MetaQuery::History(limit) => MetaAnswer::History(archive.newest_records(*limit)),
+        }
+    }
+
+    /// The group's clock.
+    #[must_use]
+    pub fn clock(&self) -> UnixMillis {
+        self.state.clock
+    }
+
+    fn advance_clock(&mut self, now: UnixMillis) -> MetaReply {
+        self.state.clock = self.state.clock.max(now);
+        MetaReply::Done
+    }
+
+    /// Whether a controller's write may pass: its epoch is in force and its lease has not expired.
+    fn check_fencing(&self, epoch: FencingEpoch) -> Result<(), MetaRefusal> {
+        match &self.state.meta.leader {
+            Some(leader) if leader.epoch == epoch && !leader.expired => Ok(()),
+            _ => Err(self.stale_fencing()),
+        }
+    }
+
+    pub(super) fn stale_fencing(&self) -> MetaRefusal {
+        let current = self.state.meta.leader.as_ref().map(|l| l.epoch).unwrap_or_default();
+        MetaRefusal::StaleFencing { current }
+    }
+}
+
+impl StateMachine for MetaMachine {
+    fn apply(&mut self, command: &[u8]) -> Result<Vec<u8>, MachineError> {
+        let command: MetaCommand = decode("meta command", command)?;
+        Ok(encode(&self.apply_command(command)))
+    }
+
+    fn query(&self, query: &[u8]) -> Result<Vec<u8>, MachineError> {
+        let query: MetaQuery = decode("meta query", query)?;
+        Ok(encode(&self.answer(&query)))
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        encode(&self.state)
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), MachineError> {
+        self.state = decode("meta snapshot", snapshot)?;
+        Ok(())
+    }
+
+    fn digest(&self) -> Digest {
+        Digest::of(&self.snapshot())
+    }
+}
--- a/crates/state/src/meta/mod.rs
+++ b/crates/state/src/meta/mod.rs
@@ -1,10 +1,22 @@
 //! The meta group: cluster id, stores, shard map, bundles, roll-outs and the core leader's lease.
 
+mod archive;
+mod bundles;
+mod canonical;
 pub mod command;
+mod formation;
+mod leadership;
+mod machine;
+mod placement;
 pub mod record;
+mod rollback;
+mod stores;
 
+pub use archive::KEPT_VERSIONS;
 pub use command::{MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply, SubmitBundle};
+pub use machine::MetaMachine;
 pub use record::{
     BundleOrigin, BundleRecord, CoreLeader, GroupPlacement, HarmReport, MetaState, RollbackRecord,
     StoreRecord, StoreState,
 };
+pub use rollback::KEPT_ROLLBACKS;
--- /dev/null
+++ b/crates/state/src/meta/rollback.rs
@@ -0,0 +1,72 @@
+//! Taking a harmful version out of force, as a new bundle built on the newest.
+
+use hooklug_bundle::{Bundle, VersionState};
+
+use super::command::{MetaRefusal, MetaReply};
+use super::machine::{MetaMachine, Outcome};
+use super::record::{BundleOrigin, HarmReport, RollbackRecord};
+
+/// Roll-backs remembered in the state (ours).
+pub const KEPT_ROLLBACKS: usize = 64;
+
+impl MetaMachine {
+    /// Marks a version as rolled back. Asked again while it is, replies with the bundle that did it.
+    pub(super) fn roll_back(&mut self, harm: HarmReport) -> Outcome {
+        let newest = self.newest_version();
+        let Some(mut bundle) = self.state.archive.bundle(newest) else {
+            return Err(nothing("there is no bundle"));
+        };
+        if let Some(done) = self.rolled_back_already(&bundle, &harm) {
+            return Ok(done);
+        }
+        mark_rolled_back(&mut bundle, &harm)?;
+        bundle.base = newest;
+        bundle.version = newest.next();
+        let record = self.commit_bundle(&bundle, BundleOrigin::Rollback(harm.clone()));
+        self.remember_rollback(RollbackRecord {
+            bundle: record.version,
+            harm,
+            committed: record.committed,
+        });
+        Ok(MetaReply::Bundle(record))
+    }
+
+    fn rolled_back_already(&self, bundle: &Bundle, harm: &HarmReport) -> Option<MetaReply> {
+        let service = bundle.services.get(&harm.service)?;
+        let marked = service
+            .versions
+            .iter()
+            .any(|v| v.version == harm.version && v.state == VersionState::RolledBack);
+        let same =
+            |r: &&RollbackRecord| r.harm.service == harm.service && r.harm.version == harm.version;
+        let record = self.state.meta.rollbacks.iter().rev().find(same).filter(|_| marked)?;
+        self.state.archive.record(record.bundle).cloned().map(MetaReply::Bundle)
+    }
+
+    fn remember_rollback(&mut self, record: RollbackRecord) {
+        let rollbacks = &mut self.state.meta.rollbacks;
+        rollbacks.push(record);
+        let surplus = rollbacks.len().saturating_sub(KEPT_ROLLBACKS);
+        rollbacks.drain(..surplus);
+    }
+}
+
+fn mark_rolled_back(bundle: &mut Bundle, harm: &HarmReport) -> Result<(), MetaRefusal> {
+    let service =
+        bundle.services.get_mut(&harm.service).ok_or_else(|| nothing("no such service"))?;
+    let sound = service.versions.iter().filter(|v| v.state == VersionState::Sound).count();
+    let entry = service
+        .versions
+        .iter_mut()
+        .find(|v| v.version == harm.version && v.state == VersionState::Sound)
+        .ok_or_else(|| nothing("the version is not in force"))?;
+    if sound < 2 {
+        return Err(nothing("it is the only sound version"));
+    }
+    entry.state = VersionState::RolledBack;
+    Ok(())
+}
+
+fn nothing(reason: &str) -> MetaRefusal {
+    MetaRefusal::NothingToRollBack { reason: reason.to_owned() }
+}
--- a/crates/state/src/shard/command.rs
+++ b/crates/state/src/shard/command.rs
@@ -103,16 +103,17 @@
 /// A command of a shard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ShardCommand {
-    /// Declares a program.
+    /// Declares a program. Reply: `Program`.
     PutProgram(PutProgram),
-    /// Opens a session.
+    /// Opens a session; replies with it as it stands when another owner holds it. Reply: `Session`.
     OpenSession(OpenSession),
     /// Takes a session over. Refused while the recorded owner's lease is not known to be expired:
     /// the taker proves it with `ExpireLease` in the lease's shard first (leases live in another shard).
+    /// Reply: `Session`.
     TakeSession(TakeSession),
-    /// Begins a turn.
+    /// Begins a turn. Reply: `Turn`.
     BeginTurn(BeginTurn),
-    /// Appends events of the open turn, or tool results between turns.
+    /// Appends events of the open turn, or tool results between turns. Reply: `Appended`.
     AppendEvents {
         /// Which session.
         key: SessionKey,
@@ -125,25 +126,25 @@
         /// The events' bodies.
         bodies: Vec<EventBody>,
     },
-    /// Ends the open turn and settles its reservation.
+    /// Ends the open turn and settles its reservation. Reply: `Turn`, with the ended turn as `existing`.
     FinishTurn(FinishTurn),
-    /// Gives a session up between turns; the next message takes it elsewhere.
+    /// Gives a session up between turns; the next message takes it elsewhere. Reply: `Session`.
     HandOver {
         /// Which session.
         key: SessionKey,
         /// Epoch of the asking owner.
         epoch: SessionEpoch,
     },
-    /// Closes a session; its link is removed, its history kept.
+    /// Closes a session between turns; its link is removed, its history kept. Reply: `Session`.
     CloseSession {
         /// Which session.
         key: SessionKey,
         /// Epoch of the asking owner.
         epoch: SessionEpoch,
     },
-    /// Claims a call's dispatch.
+    /// Claims a call's dispatch. Reply: `CallGranted`, or `Call` when it has an outcome already.
     BeginCall(BeginCall),
-    /// Records a call's outcome.
+    /// Records a call's outcome. Reply: `Call`.
     FinishCall {
         /// The program.
         program: ProgramId,
@@ -154,7 +155,8 @@
         /// How it ended; `Unknown` may later be replaced by `Answered` by the same attempt.
         outcome: CallOutcome,
     },
-    /// Seals a call as never to run; the only source of "not run".
+    /// Seals a call as never to run; the only source of "not run". Refused as held once it was begun,
+    /// also when it has an outcome. Reply: `Call`.
     SealCall {
         /// The program.
         program: ProgramId,
@@ -163,12 +165,12 @@
         /// Digest of the call's content.
         digest: Digest,
     },
-    /// Renews an engine's lease, or starts it.
+    /// Renews an engine's lease, or starts it. Reply: `Lease`.
     RenewLease {
         /// Whose.
         holder: EngineIncarnation,
     },
-    /// Ends a lease, if no renewal came after the one named. Proposed only by the group's leader.
+    /// Ends a lease, if no renewal came after the one named. Proposed only by the group's leader. Reply: `Lease`.
     ExpireLease {
         /// Whose.
         holder: EngineIncarnation,
--- /dev/null
+++ b/crates/state/src/shard/events.rs
@@ -0,0 +1,147 @@
+//! Appending to a session's stream and reading from it.
+
+use hooklug_types::{EventSeq, SessionEpoch, SessionKey, TokenCount, TurnId};
+
+use super::command::{ShardRefusal, ShardReply};
+use super::event::{Event, EventBody};
+use super::machine::{Outcome, SessionEntry, ShardMachine};
+use super::query::ShardAnswer;
+
+/// Bytes of event texts after which an answer is cut, with `more` set (ours); it holds at least one event.
+const ANSWER_BYTES: usize = 1 << 20;
+
+impl ShardMachine {
+    /// Appends events of the open turn, or tool results between turns: all of them or none.
+    pub(super) fn append_events(
+        &mut self,
+        key: &SessionKey,
+        epoch: SessionEpoch,
+        turn: Option<&TurnId>,
+        first_seq: EventSeq,
+        bodies: Vec<EventBody>,
+    ) -> Outcome {
+        let session = self.program_mut(&key.program)?.session_mut(&key.session)?;
+        session.check_epoch(epoch)?;
+        if session.has_all(first_seq, turn, &bodies) {
+            return Ok(ShardReply::Appended { next_seq: session.record.next_seq });
+        }
+        session.check_append(turn, first_seq, &bodies)?;
+        session.append(turn, bodies);
+        Ok(ShardReply::Appended { next_seq: session.record.next_seq })
+    }
+
+    /// Events of a session after a place.
+    pub(super) fn answer_events(
+        &self,
+        key: &SessionKey,
+        after: EventSeq,
+        limit: u32,
+    ) -> ShardAnswer {
+        let all = self.find_session(key).map(|s| s.log.after(after)).unwrap_or_default();
+        let mut bytes = 0;
+        let mut events: Vec<Event> = Vec::new();
+        for event in all.iter().take(limit as usize) {
+            bytes += event.body.text_bytes();
+            if bytes > ANSWER_BYTES && !events.is_empty() {
+                break;
+            }
+            events.push(event.clone());
+        }
+        let more = events.len() < all.len();
+        ShardAnswer::Events { events, more }
+    }
+}
+
+impl SessionEntry {
+    /// Whether an append changes nothing: it repeats what stands, or only brings results of calls
+    /// whose results stand already.
+    fn has_all(&self, first_seq: EventSeq, turn: Option<&TurnId>, bodies: &[EventBody]) -> bool {
+        bodies.iter().all(|body| self.has_result(body)) || self.log.repeats(first_seq, turn, bodies)
+    }
+
+    fn has_result(&self, body: &EventBody) -> bool {
+        matches!(body, EventBody::ToolResult { call, .. } if self.tool_results.contains(call))
+    }
+
+    fn check_append(
+        &self,
+        turn: Option<&TurnId>,
+        first_seq: EventSeq,
+        bodies: &[EventBody],
+    ) -> Result<(), ShardRefusal> {
+        if self.record.closed {
+            return Err(ShardRefusal::SessionClosed);
+        }
+        self.check_kinds(turn, bodies)?;
+        let brings_known_result = bodies.iter().any(|body| self.has_result(body));
+        if first_seq != self.record.next_seq || brings_known_result {
+            return Err(ShardRefusal::Gap { next_seq: self.record.next_seq });
+        }
+        self.check_reservation(turn, bodies)
+    }
+
+    /// A turn's events need the turn open; between turns only tool results may come.
+    fn check_kinds(&self, turn: Option<&TurnId>, bodies: &[EventBody]) -> Result<(), ShardRefusal> {
+        let allowed = match turn {
+            Some(_) => bodies.iter().all(EventBody::may_be_appended),
+            None => bodies.iter().all(|body| matches!(body, EventBody::ToolResult { .. })),
+        };
+        match (turn, &self.record.open_turn) {
+            (Some(named), Some(open)) if named == open && allowed => Ok(()),
+            (None, None) if allowed => Ok(()),
+            (None, Some(open)) => Err(ShardRefusal::TurnOpen { turn: open.clone() }),
+            _ => Err(ShardRefusal::NoOpenTurn),
+        }
+    }
+
+    fn check_reservation(
+        &self,
+        turn: Option<&TurnId>,
+        bodies: &[EventBody],
+    ) -> Result<(), ShardRefusal> {
+        let Some(record) = turn.and_then(|t| self.turns.get(t)) else { return Ok(()) };
+        let left = TokenCount(record.reserved.0.saturating_sub(record.tokens.0));
+        if total_tokens(bodies) > left {
+            return Err(ShardRefusal::ReservationExceeded { left });
+        }
+        Ok(())
+    }
+
+    fn append(&mut self, turn: Option<&TurnId>, bodies: Vec<EventBody>) {
+        if let Some(record) = turn.and_then(|t| self.turns.get_mut(t)) {
+            record.tokens.0 += total_tokens(&bodies).0;
+        }
+        for body in bodies {
+            if let EventBody::ToolResult { call, .. } = &body {
+                self.tool_results.insert(call.clone());
+            }
+            self.push_event(turn.cloned(), body);
+        }
+    }
+}
+
+/// Tokens of some events; a sum beyond the type's range counts as its largest value.
+fn total_tokens(bodies: &[EventBody]) -> TokenCount {
+    let counts = bodies.iter().map(|body| match body {
+        EventBody::Tokens { count, .. } => count.0,
+        _ => 0,
+    });
+    TokenCount(counts.fold(0, u64::saturating_add))
+}
+
+impl EventBody {
+    /// Whether an owner may append it; the others are written by the commands that they record.
+    fn may_be_appended(&self) -> bool {
+        matches!(self, Self::Tokens { .. } | Self::ToolRequested { .. } | Self::ToolResult { .. })
+    }
+
+    fn text_bytes(&self) -> usize {
+        match self {
+            Self::TurnStarted { input, .. } => input.len(),
+            Self::Tokens { text, .. } => text.len(),
+            Self::ToolRequested { tool, arguments } => tool.len() + arguments.len(),
+            Self::ToolResult { call, result } => call.len() + result.len(),
+            Self::TurnEnded { .. } | Self::Closed => 0,
+        }
+    }
+}
--- a/crates/state/src/shard/mod.rs
+++ b/crates/state/src/shard/mod.rs
@@ -1,14 +1,26 @@
 //! The shard: programs with their budgets, sessions, turns, calls and engine leases.
 
+mod calls;
 pub mod command;
 pub mod event;
+mod event_log;
+mod events;
+mod expiry;
+mod leases;
+mod machine;
+mod programs;
 pub mod query;
+mod sessions;
+mod turns;
 
 pub use command::{
     BeginCall, BeginTurn, FinishTurn, OpenSession, PutProgram, ShardCommand, ShardRefusal,
     ShardReply, TakeSession, TurnGrant,
 };
 pub use event::{Event, EventBody};
+pub use event_log::EventLog;
+pub use expiry::ITEMS_PER_STEP;
+pub use machine::ShardMachine;
 pub use query::{
     CallRecord, LeaseRecord, ProgramRecord, SessionRecord, ShardAnswer, ShardQuery, TurnRecord,
     TurnState,
--- /dev/null
+++ b/crates/state/src/shard/sessions.rs
@@ -0,0 +1,177 @@
+//! Sessions: opening, take-over, hand-over and closing. The epoch fences every former owner.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use hooklug_types::{EndReason, SessionEpoch, SessionKey};
+
+use super::command::{OpenSession, ShardRefusal, ShardReply, TakeSession};
+use super::event::EventBody;
+use super::event_log::EventLog;
+use super::expiry::ExpiryItem;
+use super::machine::{Outcome, SessionEntry, ShardMachine};
+use super::query::SessionRecord;
+
+impl ShardMachine {
+    /// Opens a session at an owner. The first writer wins; one without an owner is taken.
+    pub(super) fn open_session(&mut self, open: OpenSession) -> Outcome {
+        let first_epoch = self.state.epoch_floor.next();
+        let program = self.program_mut(&open.key.program)?;
+        let Some(session) = program.sessions.get_mut(&open.key.session) else {
+            let entry = SessionEntry::opened(open, first_epoch);
+            let record = entry.record.clone();
+            program.sessions.insert(record.key.session.clone(), entry);
+            return Ok(ShardReply::Session(record));
+        };
+        if session.record.closed {
+            return Err(ShardRefusal::SessionClosed);
+        }
+        if session.record.owner.is_none() {
+            session.record.owner = Some(open.owner);
+            session.record.version = open.version;
+            session.record.epoch = session.record.epoch.next();
+        }
+        Ok(ShardReply::Session(session.record.clone()))
+    }
+
+    /// Takes a session over; an open turn is sealed `interrupted`. That the former owner's lease has
+    /// expired is the taker's word: the lease lives in another shard, where its expiry is committed.
+    pub(super) fn take_session(&mut self, take: TakeSession) -> Outcome {
+        let program = self.program_mut(&take.key.program)?;
+        let session = program.session_mut(&take.key.session)?;
+        let record = &session.record;
+        let taken_already = record.epoch == take.expected_epoch.next()
+            && record.owner.as_ref() == Some(&take.new_owner);
+        if taken_already {
+            return Ok(ShardReply::Session(record.clone()));
+        }
+        if record.closed {
+            return Err(ShardRefusal::SessionClosed);
+        }
+        if record.epoch != take.expected_epoch {
+            return Err(record.stale());
+        }
+        self.seal_open_turn(&take.key)?;
+        let session = self.program_mut(&take.key.program)?.session_mut(&take.key.session)?;
+        session.record.owner = Some(take.new_owner);
+        session.record.version = take.version;
+        session.record.epoch = session.record.epoch.next();
+        Ok(ShardReply::Session(session.record.clone()))
+    }
+
+    /// Ends a session's open turn, if there is one, as `interrupted`.
+    pub(super) fn seal_open_turn(&mut self, key: &SessionKey) -> Result<(), ShardRefusal> {
+        let session = self.program_mut(&key.program)?.session_mut(&key.session)?;
+        match session.record.open_turn.clone() {
+            Some(turn) => self.end_turn(key, &turn, EndReason::Interrupted).map(drop),
+            None => Ok(()),
+        }
+    }
+
+    /// Gives a session up between turns.
+    pub(super) fn hand_over(&mut self, key: &SessionKey, epoch: SessionEpoch) -> Outcome {
+        let session = self.program_mut(&key.program)?.session_mut(&key.session)?;
+        let record = &mut session.record;
+        if record.closed {
+            return Err(ShardRefusal::SessionClosed);
+        }
+        let given_up_already =
+            record.owner.is_none() && (record.epoch == epoch || record.epoch == epoch.next());
+        if given_up_already {
+            return Ok(ShardReply::Session(record.clone()));
+        }
+        if record.epoch != epoch {
+            return Err(record.stale());
+        }
+        if let Some(turn) = record.open_turn.clone() {
+            return Err(ShardRefusal::TurnOpen { turn });
+        }
+        record.owner = None;
+        record.epoch = epoch.next();
+        Ok(ShardReply::Session(record.clone()))
+    }
+
+    /// Closes a session between turns. Closed is closed, whoever asks again.
+    pub(super) fn close_session(&mut self, key: &SessionKey, epoch: SessionEpoch) -> Outcome {
+        let clock = self.state.clock;
+        let forgotten = self.keep_until();
+        let program = self.program_mut(&key.program)?;
+        let session = program.session_mut(&key.session)?;
+        if session.record.closed {
+            return Ok(ShardReply::Session(session.record.clone()));
+        }
+        if session.record.epoch != epoch {
+            return Err(session.record.stale());
+        }
+        if let Some(turn) = session.record.open_turn.clone() {
+            return Err(ShardRefusal::TurnOpen { turn });
+        }
+        session.push_event(None, EventBody::Closed);
+        session.record.owner = None;
+        session.record.closed = true;
+        let record = session.record.clone();
+        program.last_ended = clock;
+        self.schedule(forgotten, ExpiryItem::Session(key.clone()));
+        Ok(ShardReply::Session(record))
+    }
+
+    /// Sessions that are not closed, in key order, after a key.
+    pub(super) fn open_sessions(
+        &self,
+        after: Option<&SessionKey>,
+        limit: u32,
+    ) -> Vec<SessionRecord> {
+        let from = after.map_or(Bound::Unbounded, |key| Bound::Included(key.program.clone()));
+        self.state
+            .programs
+            .range((from, Bound::Unbounded))
+            .flat_map(|(_, program)| program.sessions.values())
+            .map(|session| &session.record)
+            .filter(|record| !record.closed && after.is_none_or(|key| record.key > *key))
+            .take(limit as usize)
+            .cloned()
+            .collect()
+    }
+}
+
+impl SessionEntry {
+    fn opened(open: OpenSession, epoch: SessionEpoch) -> Self {
+        let log = EventLog::default();
+        let record = SessionRecord {
+            key: open.key,
+            owner: Some(open.owner),
+            epoch,
+            service: open.service,
+            version: open.version,
+            prefix: open.prefix,
+            head: None,
+            open_turn: None,
+            next_seq: log.next_seq(),
+            closed: false,
+        };
+        Self { record, turns: BTreeMap::new(), log, tool_results: BTreeSet::new() }
+    }
+
+    /// Adds an event to the stream and returns its place.
+    pub(super) fn push_event(
+        &mut self,
+        turn: Option<hooklug_types::TurnId>,
+        body: EventBody,
+    ) -> hooklug_types::EventSeq {
+        let seq = self.log.push(turn, body);
+        self.record.next_seq = self.log.next_seq();
+        seq
+    }
+
+    /// Whether a write under this epoch may pass: the session has an owner, and under this epoch.
+    pub(super) fn check_epoch(&self, epoch: SessionEpoch) -> Result<(), ShardRefusal> {
+        let owned = self.record.owner.is_some() || self.record.closed;
+        if owned && self.record.epoch == epoch { Ok(()) } else { Err(self.record.stale()) }
+    }
+}
+
+impl SessionRecord {
+    pub(super) fn stale(&self) -> ShardRefusal {
+        ShardRefusal::StaleEpoch { record: Box::new(self.clone()) }
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,5 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod access;
+mod memory;
 
 pub use access::{StateAccess, Unavailable};
+pub use memory::MemoryState;
--- /dev/null
+++ b/crates/store/src/memory.rs
@@ -0,0 +1,273 @@
+//! All groups in this process and in memory: for tests and for running one process alone.
+//!
+//! Commands are applied to the same state machines as in a store, one at a time, so that what they
+//! promise about each other holds here too. Nothing survives the process.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use hooklug_protocol::store::{LeaseSubject, LeaseVerdict};
+use hooklug_state::meta::{MetaAnswer, MetaCommand, MetaMachine, MetaQuery, MetaReply};
+use hooklug_state::shard::{ShardAnswer, ShardCommand, ShardMachine, ShardQuery, ShardReply};
+use hooklug_types::{EngineIncarnation, FencingEpoch, GroupId, META_GROUP, Renewal, UnixMillis};
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{StateAccess, Unavailable};
+
+/// How long a lease lasts from the apply of its last renewal, with the margin (ours: 3 s + 500 ms).
+const LEASE_TIME: Duration = Duration::from_millis(3_500);
+/// How long finished turns and calls are kept (ours).
+const KEEP_TIME: Duration = Duration::from_secs(86_400);
+
+/// All groups, in memory. Cheap to clone; clones share the state.
+#[derive(Debug, Clone)]
+pub struct MemoryState {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    lease_time: Duration,
+    keep_time: Duration,
+    groups: Mutex<Groups>,
+    unavailable: watch::Sender<BTreeSet<GroupId>>,
+}
+
+#[derive(Debug)]
+struct Groups {
+    meta: MetaMachine,
+    shards: BTreeMap<GroupId, ShardMachine>,
+    engine_renewals: BTreeMap<EngineIncarnation, Instant>,
+    leader_renewal: Option<Instant>,
+    /// The groups' time when a test drives it; the wall clock otherwise.
+    manual_clock: Option<UnixMillis>,
+    answers_to_lose: BTreeMap<GroupId, u32>,
+}
+
+impl Default for MemoryState {
+    fn default() -> Self {
+        Self::new(LEASE_TIME, KEEP_TIME)
+    }
+}
+
+impl MemoryState {
+    /// Empty groups with a lease time, margin included, and a keep time.
+    #[must_use]
+    pub fn new(lease_time: Duration, keep_time: Duration) -> Self {
+        let groups = Groups {
+            meta: MetaMachine::new(),
+            shards: BTreeMap::new(),
+            engine_renewals: BTreeMap::new(),
+            leader_renewal: None,
+            manual_clock: None,
+            answers_to_lose: BTreeMap::new(),
+        };
+        let unavailable = watch::Sender::new(BTreeSet::new());
+        let inner = Inner { lease_time, keep_time, groups: Mutex::new(groups), unavailable };
+        Self { inner: Arc::new(inner) }
+    }
+
+    /// Makes a group unavailable, or available again. Requests to it wait until their deadline.
+    pub fn set_available(&self, group: GroupId, available: bool) {
+        self.inner.unavailable.send_modify(|groups| {
+            if available {
+                groups.remove(&group);
+            } else {
+                groups.insert(group);
+            }
+        });
+    }
+
+    /// Makes the answers of a group's next commands get lost: they are applied, and answered
+    /// [`Unavailable`] at once.
+    pub fn lose_answers(&self, group: GroupId, count: u32) {
+        self.groups().answers_to_lose.insert(group, count);
+    }
+
+    /// Takes the groups' clock from the wall and sets it; it never goes back.
+    pub fn set_clock(&self, now: UnixMillis) {
+        self.groups().manual_clock = Some(now);
+    }
+
+    fn groups(&self) -> MutexGuard<'_, Groups> {
+        self.inner.groups.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn reach(&self, group: GroupId, deadline: Instant) -> Result<(), Unavailable> {
+        let mut unavailable = self.inner.unavailable.subscribe();
+        let available = unavailable.wait_for(|groups| !groups.contains(&group));
+        match timeout_at(deadline, available).await {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err(Unavailable { group, reason: "switched off".to_owned() }),
+        }
+    }
+}
+
+impl Groups {
+    fn now(&self) -> UnixMillis {
+        self.manual_clock.unwrap_or_else(UnixMillis::now)
+    }
+
+    fn shard(&mut self, group: GroupId, keep_time: Duration) -> &mut ShardMachine {
+        let now = self.now();
+        let shard = self.shards.entry(group).or_insert_with(|| ShardMachine::new(keep_time));
+        shard.apply_command(ShardCommand::AdvanceClock { now });
+        shard
+    }
+
+    fn execute_meta(&mut self, command: &MetaCommand) -> MetaReply {
+        let now = self.now();
+        self.meta.apply_command(MetaCommand::AdvanceClock { now });
+        let reply = self.meta.apply_command(command.clone());
+        let begins = matches!(
+            command,
+            MetaCommand::AcquireLeadership { .. } | MetaCommand::RenewLeadership { .. }
+        );
+        if begins && matches!(reply, MetaReply::Leader(_)) {
+            self.leader_renewal = Some(Instant::now());
+        }
+        reply
+    }
+
+    fn note_renewals(&mut self, command: &ShardCommand, reply: &ShardReply) {
+        match (command, reply) {
+            (ShardCommand::RenewLease { holder }, ShardReply::Lease(_)) => {
+                self.engine_renewals.insert(holder.clone(), Instant::now());
+            }
+            (ShardCommand::Batch(commands), ShardReply::Batch(replies)) => {
+                for (command, reply) in commands.iter().zip(replies) {
+                    self.note_renewals(command, reply);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn loses_answer(&mut self, group: GroupId) -> Result<(), Unavailable> {
+        match self.answers_to_lose.get_mut(&group) {
+            Some(left) if *left > 0 => {
+                *left -= 1;
+                Err(Unavailable { group, reason: "the answer was lost".to_owned() })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn expire_engine(
+        &mut self,
+        group: GroupId,
+        holder: EngineIncarnation,
+        inner: &Inner,
+    ) -> LeaseVerdict {
+        let renewed = self.engine_renewals.get(&holder).copied();
+        let shard = self.shard(group, inner.keep_time);
+        let answer = shard.answer(&ShardQuery::Lease(holder.clone()));
+        let ShardAnswer::Lease(Some(lease)) = answer else {
+            let renewal = Renewal::default();
+            shard.apply_command(ShardCommand::ExpireLease { holder, renewal });
+            return LeaseVerdict::Unknown;
+        };
+        let left = time_left(renewed, inner.lease_time);
+        if !lease.expired && !left.is_zero() {
+            return held(left);
+        }
+        let renewal = lease.renewal;
+        shard.apply_command(ShardCommand::ExpireLease { holder, renewal });
+        LeaseVerdict::Expired
+    }
+
+    fn expire_leader(&mut self, epoch: FencingEpoch, lease_time: Duration) -> LeaseVerdict {
+        let MetaAnswer::State(state) = self.meta.answer(&MetaQuery::State) else {
+            return LeaseVerdict::Unknown;
+        };
+        let Some(leader) = state.leader.filter(|l| l.epoch >= epoch) else {
+            return LeaseVerdict::Unknown;
+        };
+        if leader.epoch > epoch || leader.expired {
+            return LeaseVerdict::Expired;
+        }
+        let left = time_left(self.leader_renewal, lease_time);
+        if !left.is_zero() {
+            return held(left);
+        }
+        let renewal = leader.renewal;
+        self.meta.apply_command(MetaCommand::ExpireLeadership { epoch, renewal });
+        LeaseVerdict::Expired
+    }
+}
+
+fn time_left(renewed: Option<Instant>, lease_time: Duration) -> Duration {
+    renewed.map_or(Duration::ZERO, |at| lease_time.saturating_sub(at.elapsed()))
+}
+
+fn held(left: Duration) -> LeaseVerdict {
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    LeaseVerdict::Held { left_ms: left_ms.max(1) }
+}
+
+#[async_trait]
+impl StateAccess for MemoryState {
+    async fn execute_shard(
+        &self,
+        group: GroupId,
+        command: &ShardCommand,
+        deadline: Instant,
+    ) -> Result<ShardReply, Unavailable> {
+        self.reach(group, deadline).await?;
+        let mut groups = self.groups();
+        let reply = groups.shard(group, self.inner.keep_time).apply_command(command.clone());
+        groups.note_renewals(command, &reply);
+        groups.loses_answer(group)?;
+        Ok(reply)
+    }
+
+    async fn query_shard(
+        &self,
+        group: GroupId,
+        query: &ShardQuery,
+        deadline: Instant,
+    ) -> Result<ShardAnswer, Unavailable> {
+        self.reach(group, deadline).await?;
+        Ok(self.groups().shard(group, self.inner.keep_time).answer(query))
+    }
+
+    async fn execute_meta(
+        &self,
+        command: &MetaCommand,
+        deadline: Instant,
+    ) -> Result<MetaReply, Unavailable> {
+        self.reach(META_GROUP, deadline).await?;
+        let mut groups = self.groups();
+        let reply = groups.execute_meta(command);
+        groups.loses_answer(META_GROUP)?;
+        Ok(reply)
+    }
+
+    async fn query_meta(
+        &self,
+        query: &MetaQuery,
+        deadline: Instant,
+    ) -> Result<MetaAnswer, Unavailable> {
+        self.reach(META_GROUP, deadline).await?;
+        Ok(self.groups().meta.answer(query))
+    }
+
+    async fn expire_lease(
+        &self,
+        group: GroupId,
+        subject: LeaseSubject,
+        deadline: Instant,
+    ) -> Result<LeaseVerdict, Unavailable> {
+        self.reach(group, deadline).await?;
+        let mut groups = self.groups();
+        let verdict = match subject {
+            LeaseSubject::Engine(holder) => groups.expire_engine(group, holder, &self.inner),
+            LeaseSubject::CoreLeader(epoch) => groups.expire_leader(epoch, self.inner.lease_time),
+        };
+        groups.loses_answer(group)?;
+        Ok(verdict)
+    }
+}
