--- a/crates/raft/src/status.rs
+++ b/crates/raft/src/status.rs
@@ -51,6 +51,18 @@
 }
 
 impl RawNode {
+    /// What the replica is.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// The leader, as far as it is known.
+    #[must_use]
+    pub fn leader(&self) -> Option<NodeId> {
+        self.leader
+    }
+
     /// State at this moment.
     #[must_use]
     pub fn status(&self) -> Status {
