--- /dev/null
+++ b/crates/replication/src/applier.rs
@@ -0,0 +1,135 @@
+//! Threads that own the state machines: they apply, answer reads and take snapshots.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::{Receiver, Sender};
+use std::time::Instant;
+
+use hooklug_raft::{EntryKind, Snapshot, SnapshotMeta};
+use hooklug_state::{MachineError, StateMachine};
+use hooklug_types::GroupId;
+use tokio::sync::oneshot;
+use tracing::error;
+
+use crate::compaction::SnapshotJob;
+use crate::input::Input;
+use crate::{ConfirmedRead, Proposal, ReadWaiter, ReplicaDigest, ReplicationError};
+
+/// One task of an applier, for one group.
+pub(crate) enum ApplyTask {
+    /// Takes a group's state machine over.
+    Adopt { machine: Box<dyn StateMachine>, meta: SnapshotMeta },
+    /// Lets a group go.
+    Release,
+    /// Replaces the state.
+    Install(Snapshot),
+    /// Applies entries and tells who waits.
+    Apply(Vec<Proposal>),
+    /// Answers confirmed reads.
+    Answer { reads: Vec<ReadWaiter>, leading_since: Instant },
+    /// Answers from the state as it is, however old.
+    AnswerLocal { query: Vec<u8>, reply: oneshot::Sender<Result<Vec<u8>, ReplicationError>> },
+    /// Writes a snapshot of the state.
+    Snapshot,
+    /// Tells the digest of the state.
+    Digest(oneshot::Sender<ReplicaDigest>),
+}
+
+/// A task and its group.
+pub(crate) type GroupTask = (GroupId, ApplyTask);
+
+/// A state machine and what it has applied.
+struct Applied {
+    machine: Box<dyn StateMachine>,
+    meta: SnapshotMeta,
+}
+
+/// One applier thread.
+pub(crate) struct Applier {
+    groups: BTreeMap<GroupId, Applied>,
+    snapshots: Sender<SnapshotJob>,
+    driver: Sender<Input>,
+}
+
+impl Applier {
+    pub(crate) fn new(snapshots: Sender<SnapshotJob>, driver: Sender<Input>) -> Self {
+        Self { groups: BTreeMap::new(), snapshots, driver }
+    }
+
+    /// Serves until all senders are gone.
+    pub(crate) fn run(mut self, tasks: &Receiver<GroupTask>) {
+        while let Ok((group, task)) = tasks.recv() {
+            if let Err(fault) = self.handle(group, task) {
+                // The replica can no longer agree with the others.
+                error!(%group, %fault, "a state machine failed");
+                self.groups.remove(&group);
+                let reason = format!("{group}: {fault}");
+                let _ = self.driver.send(Input::Failed { reason });
+            }
+        }
+    }
+
+    fn handle(&mut self, group: GroupId, task: ApplyTask) -> Result<(), MachineError> {
+        if let ApplyTask::Adopt { machine, meta } = task {
+            self.groups.insert(group, Applied { machine, meta });
+            return Ok(());
+        }
+        let Some(applied) = self.groups.get_mut(&group) else { return Ok(()) };
+        match task {
+            ApplyTask::Adopt { .. } => {}
+            ApplyTask::Release => drop(self.groups.remove(&group)),
+            ApplyTask::Install(snapshot) => {
+                applied.machine.restore(&snapshot.data)?;
+                applied.meta = snapshot.meta;
+            }
+            ApplyTask::Apply(proposals) => {
+                for proposal in proposals {
+                    applied.apply(proposal)?;
+                }
+            }
+            ApplyTask::Answer { reads, leading_since } => {
+                reads.into_iter().for_each(|read| applied.answer(read, leading_since));
+            }
+            ApplyTask::AnswerLocal { query, reply } => {
+                drop(reply.send(applied.query(&query)));
+            }
+            ApplyTask::Snapshot => {
+                let (meta, data) = (applied.meta.clone(), applied.machine.snapshot());
+                let _ = self.snapshots.send(SnapshotJob::Write { group, meta, data });
+            }
+            ApplyTask::Digest(reply) => {
+                let (applied, digest) = (applied.meta.index, applied.machine.digest());
+                drop(reply.send(ReplicaDigest { applied, digest }));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Applied {
+    fn apply(&mut self, proposal: Proposal) -> Result<(), MachineError> {
+        let Proposal { entry, reply } = proposal;
+        let result = match &entry.kind {
+            EntryKind::Command(command) => self.machine.apply(command)?,
+            EntryKind::ConfChange(change) => {
+                self.meta.conf = self.meta.conf.with(*change);
+                Vec::new()
+            }
+            EntryKind::Noop => Vec::new(),
+        };
+        (self.meta.index, self.meta.term) = (entry.index, entry.term);
+        if let Some(reply) = reply {
+            drop(reply.send(Ok(result)));
+        }
+        Ok(())
+    }
+
+    fn answer(&self, read: ReadWaiter, leading_since: Instant) {
+        let answer = self.query(&read.query);
+        let read_reply = answer.map(|answer| ConfirmedRead { answer, leading_since });
+        drop(read.reply.send(read_reply));
+    }
+
+    fn query(&self, query: &[u8]) -> Result<Vec<u8>, ReplicationError> {
+        self.machine.query(query).map_err(|e| ReplicationError::Refused(e.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/replication/src/compaction.rs
@@ -0,0 +1,39 @@
+//! The thread that writes and removes snapshot files, so that neither consensus nor applying waits
+//! for them.
+
+use std::sync::mpsc::{Receiver, Sender};
+
+use hooklug_raft::SnapshotMeta;
+use hooklug_types::GroupId;
+use hooklug_wal::SnapshotStore;
+use tracing::warn;
+
+use crate::input::Input;
+
+/// One task of the snapshot thread.
+pub(crate) enum SnapshotJob {
+    /// Writes a snapshot of the own state.
+    Write { group: GroupId, meta: SnapshotMeta, data: Vec<u8> },
+    /// Removes what covers less than an index; the log names a newer one.
+    RemoveBefore { group: GroupId, index: u64 },
+}
+
+/// Serves until all senders are gone.
+pub(crate) fn run(store: &SnapshotStore, jobs: &Receiver<SnapshotJob>, driver: &Sender<Input>) {
+    while let Ok(job) = jobs.recv() {
+        match job {
+            SnapshotJob::Write { group, meta, data } => {
+                let input = match store.write(group, meta.index, &data) {
+                    Ok(()) => Input::SnapshotWritten { group, meta },
+                    Err(error) => Input::Failed { reason: error.to_string() },
+                };
+                let _ = driver.send(input);
+            }
+            SnapshotJob::RemoveBefore { group, index } => {
+                if let Err(error) = store.remove_before(group, index) {
+                    warn!(%group, %error, "old snapshots are left for the next time");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/replication/src/driver.rs
@@ -0,0 +1,214 @@
+//! The thread that owns all replicas.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use hooklug_raft::{HardState, Message, MessageBody};
+use hooklug_types::GroupId;
+use hooklug_wal::{SnapshotStore, Wal};
+use tokio::sync::watch;
+use tracing::error;
+
+use crate::applier::{ApplyTask, GroupTask};
+use crate::compaction::SnapshotJob;
+use crate::input::Input;
+use crate::start::{MachineFactory, StartContext};
+use crate::transport::Transport;
+use crate::{Replica, ReplicationError, ReplicationSettings};
+
+/// Inputs taken before replicas are turned over; bounds how long a message waits.
+const MAX_INPUTS_PER_CYCLE: usize = 4_096;
+/// Ticks made up for at most after the process was held up: time that passed while it was frozen
+/// says nothing about its leaders.
+const MAX_TICKS_AT_ONCE: u32 = 2;
+/// Ticks between looks at how many log segments are kept.
+const PRESSURE_TICKS: u32 = 20;
+/// Senders to the threads around the driver.
+pub(crate) struct Workers {
+    pub(crate) appliers: Vec<Sender<GroupTask>>,
+    pub(crate) snapshots: Sender<SnapshotJob>,
+    pub(crate) driver: Sender<Input>,
+}
+
+impl Workers {
+    pub(crate) fn apply(&self, group: GroupId, task: ApplyTask) {
+        let applier = group.0 as usize % self.appliers.len();
+        // The appliers outlive the driver.
+        let _ = self.appliers[applier].send((group, task));
+    }
+}
+
+/// The driver's state.
+pub(crate) struct Driver {
+    pub(crate) settings: ReplicationSettings,
+    pub(crate) replicas: BTreeMap<GroupId, Replica>,
+    /// Hard states of removed replicas: a vote is never forgotten.
+    pub(crate) removed: BTreeMap<GroupId, HardState>,
+    pub(crate) wal: Wal,
+    pub(crate) snapshot_store: SnapshotStore,
+    pub(crate) machines: MachineFactory,
+    pub(crate) context: StartContext,
+    pub(crate) transport: Transport,
+    pub(crate) workers: Workers,
+    pub(crate) failure: watch::Sender<Option<String>>,
+    pub(crate) dirty: BTreeSet<GroupId>,
+    pub(crate) groups: Arc<Mutex<BTreeSet<GroupId>>>,
+    /// Closed when the driver has ended and the log is whole.
+    pub(crate) ended: watch::Sender<()>,
+}
+
+impl Driver {
+    /// Serves until told to stop, then closes the log.
+    pub(crate) fn run(mut self, inputs: &Receiver<Input>) {
+        self.serve(inputs);
+        self.wal.close();
+        drop(self.ended);
+    }
+
+    fn serve(&mut self, inputs: &Receiver<Input>) {
+        let mut next_tick = Instant::now() + self.settings.tick;
+        let mut ticks = 0_u32;
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            let first = match inputs.recv_timeout(wait) {
+                Ok(input) => Some(input),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let rest = inputs.try_iter().take(MAX_INPUTS_PER_CYCLE);
+            for input in first.into_iter().chain(rest) {
+                if matches!(input, Input::Stop) {
+                    return;
+                }
+                self.handle(input);
+            }
+            let now = Instant::now();
+            if now >= next_tick {
+                let late =
+                    now.duration_since(next_tick).as_micros() / self.settings.tick.as_micros();
+                let due = u32::try_from(late).unwrap_or(u32::MAX).saturating_add(1);
+                (0..due.min(MAX_TICKS_AT_ONCE)).for_each(|_| self.tick(now));
+                next_tick = now + self.settings.tick;
+                ticks += 1;
+                if ticks.is_multiple_of(PRESSURE_TICKS) {
+                    self.relieve_log();
+                }
+            }
+            self.turn_over();
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        if self.failure.borrow().is_some() {
+            return;
+        }
+        for (group, replica) in &mut self.replicas {
+            replica.tick(now);
+            self.dirty.insert(*group);
+        }
+    }
+
+    fn handle(&mut self, input: Input) {
+        let now = Instant::now();
+        match input {
+            Input::Messages(messages) => {
+                for (group, message) in messages {
+                    self.step(group, message, now);
+                }
+            }
+            Input::Propose { group, command, reply } => match self.replica(group) {
+                Ok(replica) => replica.propose(command, reply),
+                Err(error) => drop(reply.send(Err(error))),
+            },
+            Input::ChangeMembers { group, change, reply } => match self.replica(group) {
+                Ok(replica) => replica.change_members(change, reply),
+                Err(error) => drop(reply.send(Err(error))),
+            },
+            Input::Read { group, read } => match self.replica(group) {
+                Ok(replica) => replica.read(read),
+                Err(error) => drop(read.reply.send(Err(error))),
+            },
+            Input::Transfer { group, to, reply } => {
+                drop(reply.send(self.replica(group).and_then(|replica| replica.transfer(to))));
+            }
+            Input::Campaign { group } => {
+                if let Ok(replica) = self.replica(group) {
+                    replica.campaign();
+                }
+            }
+            Input::Bootstrap { group, conf, reply } => {
+                drop(reply.send(self.bootstrap(group, conf)));
+            }
+            Input::Remove { group, reply } => drop(reply.send(self.remove(group))),
+            Input::Status { reply } => {
+                drop(reply.send(self.replicas.values().map(Replica::status).collect()));
+            }
+            Input::Persisted { groups, outcome } => match outcome {
+                Ok(()) => self.persisted(groups, now),
+                Err(error) => self.fail(error.to_string()),
+            },
+            Input::SnapshotWritten { group, meta } => self.snapshot_written(group, meta),
+            Input::SnapshotReceived { group, from, term, snapshot } => {
+                if let Ok(replica) = self.replica_or_new(group) {
+                    replica.receive_snapshot(from, term, snapshot, now);
+                }
+            }
+            Input::SnapshotSent { group, to, sent } => {
+                if let Ok(replica) = self.replica(group) {
+                    replica.report_snapshot(to, sent);
+                }
+            }
+            Input::Failed { reason } => self.fail(reason),
+            Input::Stop => {}
+        }
+    }
+
+    /// The replica of a group, to be turned over in this cycle.
+    pub(crate) fn replica(&mut self, group: GroupId) -> Result<&mut Replica, ReplicationError> {
+        if let Some(reason) = self.failure.borrow().clone() {
+            return Err(ReplicationError::Failed(reason));
+        }
+        let replica = self.replicas.get_mut(&group).ok_or(ReplicationError::NoReplica(group))?;
+        self.dirty.insert(group);
+        Ok(replica)
+    }
+
+    fn step(&mut self, group: GroupId, message: Message, now: Instant) {
+        // Only a leader's word makes a replica; one without members must not answer a vote request.
+        let from_leader = matches!(
+            message.body,
+            MessageBody::Append { .. }
+                | MessageBody::Heartbeat { .. }
+                | MessageBody::InstallSnapshot(_)
+        );
+        let replica = if from_leader { self.replica_or_new(group) } else { self.replica(group) };
+        if let Ok(replica) = replica
+            && (from_leader || replica.has_members())
+        {
+            replica.step(message, now);
+        }
+    }
+
+    fn persisted(&mut self, groups: Vec<GroupId>, now: Instant) {
+        for group in groups {
+            let Some(replica) = self.replicas.get_mut(&group) else { continue };
+            let messages = replica.persisted(now);
+            self.transport.send(group, messages);
+            self.dirty.insert(group);
+        }
+    }
+
+    /// Stops acknowledging for good.
+    fn fail(&mut self, reason: String) {
+        if self.failure.borrow().is_some() {
+            return;
+        }
+        error!(reason, "this store acknowledges nothing any more");
+        let error = ReplicationError::Failed(reason.clone());
+        self.failure.send_replace(Some(reason));
+        self.replicas.values_mut().for_each(|replica| replica.fail_waiting(&error));
+        self.dirty.clear();
+    }
+}
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -1,4 +1,31 @@
-//! See docs/ARCHITECTURE.md.
+//! Runs the replicated groups of one process.
+//!
+//! One driver thread owns all replicas: it ticks them, steps messages and turns each `Ready` into
+//! work for others. The log's writer syncs entries of many groups together, applier threads own the
+//! state machines, and one task a peer store sends what gathered for it in shared frames.
 
 #![deny(rust_2018_idioms)]
 #![forbid(unsafe_code)]
+
+mod addresses;
+mod applier;
+mod compaction;
+mod driver;
+mod error;
+mod handle;
+mod input;
+mod lifecycle;
+mod replica;
+mod rounds;
+mod settings;
+mod snapshot_inbox;
+mod snapshot_sender;
+mod start;
+mod transport;
+
+pub use addresses::AddressBook;
+pub use error::{OpenError, ReplicationError};
+pub use handle::{ConfirmedRead, ReplicaDigest, Replicator};
+pub use replica::{Proposal, ReadWaiter, Replica, Round};
+pub use settings::ReplicationSettings;
+pub use start::{MachineFactory, StartContext};
--- /dev/null
+++ b/crates/replication/src/lifecycle.rs
@@ -0,0 +1,127 @@
+//! How replicas come to a process and leave it.
+
+use std::sync::PoisonError;
+
+use hooklug_raft::{ConfState, HardState, RawNode, Restored, SnapshotMeta};
+use hooklug_types::GroupId;
+use hooklug_wal::{GroupRecord, Record, RecoveredGroup, WalError};
+use tracing::info;
+
+use crate::applier::ApplyTask;
+use crate::driver::Driver;
+use crate::{OpenError, Replica, ReplicationError};
+
+/// Term and index of a group's first snapshot: the empty state with its first members. A replica that
+/// joins later lacks it and so gets a snapshot with the members before anything else (ours).
+const FIRST_INDEX: u64 = 1;
+
+impl Driver {
+    /// Restores one replica from what the log holds of it.
+    pub(crate) fn restore(
+        &mut self,
+        group: GroupId,
+        state: RecoveredGroup,
+    ) -> Result<(), OpenError> {
+        let meta = match state.snapshot {
+            Some(meta) if !state.removed => meta,
+            // Removed, or a replica that joined and never got its members.
+            _ => {
+                self.removed.insert(group, state.hard_state);
+                return Ok(());
+            }
+        };
+        let mut machine = (self.machines)(group);
+        let data = self.snapshot_store.read(group, meta.index)?;
+        machine.restore(&data).map_err(|error| OpenError::Machine { group, error })?;
+        let restored = Restored {
+            hard_state: state.hard_state,
+            snapshot: meta.clone(),
+            entries: state.entries,
+        };
+        let node = RawNode::new(self.settings.raft_config(group), restored)
+            .map_err(|error| OpenError::Raft { group, error })?;
+        self.workers.apply(group, ApplyTask::Adopt { machine, meta: meta.clone() });
+        self.replicas.insert(group, Replica::new(group, node, state.hard_state, Some(meta)));
+        self.dirty.insert(group);
+        Ok(())
+    }
+
+    /// The replica of a group; made without members when there is none, to be filled by a snapshot.
+    pub(crate) fn replica_or_new(
+        &mut self,
+        group: GroupId,
+    ) -> Result<&mut Replica, ReplicationError> {
+        if !self.replicas.contains_key(&group) && self.failure.borrow().is_none() {
+            info!(%group, "a replica is placed here");
+            let conf = ConfState::default();
+            let empty = SnapshotMeta { index: 0, term: 0, conf };
+            self.adopt(group, empty, None)?;
+        }
+        self.replica(group)
+    }
+
+    fn adopt(
+        &mut self,
+        group: GroupId,
+        meta: SnapshotMeta,
+        snapshot: Option<SnapshotMeta>,
+    ) -> Result<(), ReplicationError> {
+        let mut hard_state = self.removed.remove(&group).unwrap_or_default();
+        hard_state.commit = meta.index;
+        hard_state.term = hard_state.term.max(meta.term);
+        let restored = Restored { hard_state, snapshot: meta.clone(), entries: Vec::new() };
+        let node = RawNode::new(self.settings.raft_config(group), restored)
+            .map_err(|error| ReplicationError::Failed(error.to_string()))?;
+        let machine = (self.machines)(group);
+        self.workers.apply(group, ApplyTask::Adopt { machine, meta });
+        self.replicas.insert(group, Replica::new(group, node, hard_state, snapshot));
+        self.publish_groups();
+        Ok(())
+    }
+
+    /// Makes the first replica of a group that begins with these members.
+    pub(crate) fn bootstrap(
+        &mut self,
+        group: GroupId,
+        conf: ConfState,
+    ) -> Result<(), ReplicationError> {
+        if self.replicas.contains_key(&group) || self.removed.contains_key(&group) {
+            return Ok(());
+        }
+        let failed = |error: WalError| ReplicationError::Failed(error.to_string());
+        let meta = SnapshotMeta { index: FIRST_INDEX, term: FIRST_INDEX, conf };
+        let state = (self.machines)(group).snapshot();
+        self.snapshot_store.write(group, meta.index, &state).map_err(failed)?;
+        let hard_state = HardState { term: meta.term, vote: None, commit: meta.index };
+        let records = vec![
+            GroupRecord { group, record: Record::HardState(hard_state) },
+            GroupRecord { group, record: Record::Snapshot(meta.clone()) },
+        ];
+        let (done, outcome) = std::sync::mpsc::channel();
+        self.wal.append(records, true, Box::new(move |written| drop(done.send(written))));
+        let lost = |_| ReplicationError::Failed("the log's writer has ended".to_owned());
+        outcome.recv().map_err(lost)?.map_err(failed)?;
+        self.adopt(group, meta.clone(), Some(meta))
+    }
+
+    pub(crate) fn remove(&mut self, group: GroupId) -> Result<(), ReplicationError> {
+        let replica = self.replica(group)?;
+        if replica.leads() {
+            return Err(ReplicationError::Refused("it leads the group".to_owned()));
+        }
+        replica.fail_waiting(&ReplicationError::NoReplica(group));
+        info!(%group, "a replica is removed from here");
+        let hard_state = replica.hard_state();
+        self.replicas.remove(&group);
+        self.removed.insert(group, hard_state);
+        self.workers.apply(group, ApplyTask::Release);
+        self.append_snapshot(group, u64::MAX, Record::Removed);
+        self.publish_groups();
+        Ok(())
+    }
+
+    pub(crate) fn publish_groups(&self) {
+        let groups = self.replicas.keys().copied().collect();
+        *self.groups.lock().unwrap_or_else(PoisonError::into_inner) = groups;
+    }
+}
--- /dev/null
+++ b/crates/replication/src/replica.rs
@@ -0,0 +1,396 @@
+//! One replica: consensus with the requests that wait on it. No I/O; time comes in as an argument.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use hooklug_protocol::store::{MemberProgress, ReplicaStatus};
+use hooklug_raft::{
+    ConfChange, Entry, EntryKind, HardState, LogPosition, Message, ProposeError, RawNode, Ready,
+    Role, Snapshot, SnapshotMeta,
+};
+use hooklug_types::{GroupId, NodeId};
+use hooklug_wal::Record;
+use tokio::sync::oneshot;
+
+use crate::ReplicationError;
+use crate::input::Reply;
+
+/// A committed entry and who waits for its result.
+#[derive(Debug)]
+pub struct Proposal {
+    /// The entry.
+    pub entry: Entry,
+    /// Gets the state machine's reply.
+    pub reply: Option<oneshot::Sender<Result<Vec<u8>, ReplicationError>>>,
+}
+
+/// A read and who waits for its answer.
+#[derive(Debug)]
+pub struct ReadWaiter {
+    /// The encoded query.
+    pub query: Vec<u8>,
+    /// Gets the answer, and since when this replica leads.
+    pub reply: oneshot::Sender<Result<crate::ConfirmedRead, ReplicationError>>,
+}
+
+/// One `Ready` as work for the shell: send `early`; install `snapshot`, apply `committed` and answer
+/// `reads`, in this order; persist `records` and, if `sync`, wait for it; then send what
+/// [`Replica::persisted`] gives.
+#[derive(Debug, Default)]
+pub struct Round {
+    /// Messages that do not rest on this round's writes.
+    pub early: Vec<Message>,
+    /// A snapshot to put in place of the state.
+    pub snapshot: Option<Snapshot>,
+    /// Entries to apply.
+    pub committed: Vec<Proposal>,
+    /// Reads to answer after them.
+    pub reads: Vec<ReadWaiter>,
+    /// Since when this replica leads, for the answers to reads.
+    pub leading_since: Option<Instant>,
+    /// What to persist.
+    pub records: Vec<Record>,
+    /// Whether the replica waits for the sync.
+    pub sync: bool,
+    /// Messages that rest on nothing that waits for a sync.
+    pub late: Vec<Message>,
+    /// Replicas that need a snapshot.
+    pub snapshots_wanted: Vec<NodeId>,
+}
+
+#[derive(Debug)]
+struct PendingProposal {
+    term: u64,
+    reply: Reply,
+}
+
+/// One replica of one group.
+#[derive(Debug)]
+pub struct Replica {
+    group: GroupId,
+    node: RawNode,
+    /// The newest hard state that was handed out.
+    hard_state: HardState,
+    proposals: BTreeMap<u64, PendingProposal>,
+    /// Reads that wait for their round, by context.
+    unconfirmed: BTreeMap<u64, Vec<ReadWaiter>>,
+    /// Reads that wait for entries up to an index.
+    confirmed: Vec<(u64, Vec<ReadWaiter>)>,
+    /// Reads of this driver cycle; they share one context.
+    arrived: Vec<ReadWaiter>,
+    next_context: u64,
+    /// Highest index handed to the state machine.
+    handed_over: u64,
+    /// The newest durable snapshot.
+    snapshot: Option<SnapshotMeta>,
+    snapshotting: bool,
+    leading_since: Option<Instant>,
+    /// Messages that wait for the sync under way; `None` when none is.
+    after_sync: Option<Vec<Message>>,
+}
+
+impl Replica {
+    /// A replica around a consensus core that has applied nothing after its snapshot.
+    #[must_use]
+    pub fn new(
+        group: GroupId,
+        node: RawNode,
+        hard_state: HardState,
+        snapshot: Option<SnapshotMeta>,
+    ) -> Self {
+        Self {
+            group,
+            node,
+            hard_state,
+            proposals: BTreeMap::new(),
+            unconfirmed: BTreeMap::new(),
+            confirmed: Vec::new(),
+            arrived: Vec::new(),
+            next_context: 1,
+            handed_over: snapshot.as_ref().map_or(0, |meta| meta.index),
+            snapshot,
+            snapshotting: false,
+            leading_since: None,
+            after_sync: None,
+        }
+    }
+
+    /// One tick.
+    pub fn tick(&mut self, now: Instant) {
+        self.node.tick();
+        self.note_role(now);
+    }
+
+    /// A message of another replica.
+    pub fn step(&mut self, message: Message, now: Instant) {
+        self.node.step(message);
+        self.note_role(now);
+    }
+
+    /// A verified snapshot of the leader.
+    pub fn receive_snapshot(&mut self, from: NodeId, term: u64, snapshot: Snapshot, now: Instant) {
+        self.node.receive_snapshot(from, term, snapshot);
+        self.note_role(now);
+    }
+
+    /// How a snapshot transfer ended.
+    pub fn report_snapshot(&mut self, to: NodeId, sent: bool) {
+        self.node.report_snapshot(to, sent);
+    }
+
+    /// A command; its result or an error goes to `reply`.
+    pub fn propose(&mut self, command: Vec<u8>, reply: Reply) {
+        let position = self.node.propose(command);
+        self.wait_for(position, reply);
+    }
+
+    /// A membership change; `reply` gets empty bytes once it is committed.
+    pub fn change_members(&mut self, change: ConfChange, reply: Reply) {
+        let position = self.node.propose_conf_change(change);
+        self.wait_for(position, reply);
+    }
+
+    fn wait_for(&mut self, position: Result<LogPosition, ProposeError>, reply: Reply) {
+        match position {
+            Ok(LogPosition { term, index }) => {
+                let pending = PendingProposal { term, reply };
+                if let Some(lost) = self.proposals.insert(index, pending) {
+                    drop(lost.reply.send(Err(ReplicationError::Uncertain)));
+                }
+            }
+            Err(error) => drop(reply.send(Err(error.into()))),
+        }
+    }
+
+    /// A linearizable read; all reads of one cycle share a round.
+    pub fn read(&mut self, read: ReadWaiter) {
+        if self.node.role() == Role::Leader {
+            self.arrived.push(read);
+        } else {
+            let leader = self.node.leader();
+            drop(read.reply.send(Err(ReplicationError::NotLeader { leader })));
+        }
+    }
+
+    /// Hands leadership over.
+    ///
+    /// # Errors
+    /// When this replica does not lead or the target has no vote.
+    pub fn transfer(&mut self, to: NodeId) -> Result<(), ReplicationError> {
+        self.node.transfer_leadership(to).map_err(ReplicationError::from)
+    }
+
+    /// Asks for leadership.
+    pub fn campaign(&mut self) {
+        self.node.campaign();
+    }
+
+    /// The next round of work, if there is any and none is under way.
+    pub fn round(&mut self, now: Instant) -> Option<Round> {
+        self.start_reads();
+        if self.after_sync.is_some() || !self.node.has_ready() {
+            return None;
+        }
+        let ready = self.node.ready();
+        self.note_role(now);
+        Some(self.turn_into_work(ready))
+    }
+
+    fn start_reads(&mut self) {
+        if self.arrived.is_empty() {
+            return;
+        }
+        let reads = std::mem::take(&mut self.arrived);
+        let context = self.next_context;
+        self.next_context += 1;
+        match self.node.read_index(context) {
+            Ok(()) => drop(self.unconfirmed.insert(context, reads)),
+            Err(error) => fail_reads(reads, &error.into()),
+        }
+    }
+
+    fn turn_into_work(&mut self, mut ready: Ready) -> Round {
+        self.hard_state = ready.hard_state.unwrap_or(self.hard_state);
+        let records = take_records(&mut ready);
+        if let Some(snapshot) = &ready.snapshot {
+            self.handed_over = snapshot.meta.index;
+            self.snapshot = Some(snapshot.meta.clone());
+        }
+        let committed = ready.committed.into_iter().map(|entry| self.commit(entry)).collect();
+        for context in ready.reads_lost {
+            let reads = self.unconfirmed.remove(&context).unwrap_or_default();
+            fail_reads(reads, &ReplicationError::NotLeader { leader: self.node.leader() });
+        }
+        for read in ready.reads {
+            let waiters = self.unconfirmed.remove(&read.context).unwrap_or_default();
+            self.confirmed.push((read.index, waiters));
+        }
+        let mut round = Round {
+            early: ready.messages_before_sync,
+            snapshot: ready.snapshot,
+            committed,
+            reads: self.due_reads(),
+            leading_since: self.leading_since,
+            records,
+            sync: ready.must_sync,
+            late: Vec::new(),
+            snapshots_wanted: ready.snapshots_wanted,
+        };
+        if round.sync {
+            self.after_sync = Some(ready.messages);
+        } else {
+            round.late = ready.messages;
+            self.node.advance();
+        }
+        round
+    }
+
+    /// Notes that the last round is synced; gives the messages that waited for it.
+    pub fn persisted(&mut self, now: Instant) -> Vec<Message> {
+        let Some(messages) = self.after_sync.take() else { return Vec::new() };
+        self.node.advance();
+        self.note_role(now);
+        messages
+    }
+
+    fn commit(&mut self, entry: Entry) -> Proposal {
+        self.handed_over = entry.index;
+        if let EntryKind::ConfChange(change) = entry.kind {
+            self.node.apply_conf_change(change);
+        }
+        let Some(pending) = self.proposals.remove(&entry.index) else {
+            return Proposal { entry, reply: None };
+        };
+        if pending.term != entry.term {
+            drop(pending.reply.send(Err(ReplicationError::Uncertain)));
+            return Proposal { entry, reply: None };
+        }
+        Proposal { entry, reply: Some(pending.reply) }
+    }
+
+    fn due_reads(&mut self) -> Vec<ReadWaiter> {
+        let handed_over = self.handed_over;
+        let mut due = Vec::new();
+        self.confirmed.retain_mut(|(index, reads)| {
+            let is_due = *index <= handed_over;
+            if is_due {
+                due.append(reads);
+            }
+            !is_due
+        });
+        due
+    }
+
+    /// Notes since when this replica leads. One that stopped leading answers what waits at once, so
+    /// that callers turn to the new leader.
+    fn note_role(&mut self, now: Instant) {
+        let leads = self.node.role() == Role::Leader;
+        if leads == self.leading_since.is_some() {
+            return;
+        }
+        self.leading_since = leads.then_some(now);
+        if !leads {
+            self.fail_waiting(&ReplicationError::Uncertain);
+        }
+    }
+
+    /// Answers all proposals and new reads with an error.
+    pub fn fail_waiting(&mut self, error: &ReplicationError) {
+        for (_, pending) in std::mem::take(&mut self.proposals) {
+            drop(pending.reply.send(Err(error.clone())));
+        }
+        fail_reads(std::mem::take(&mut self.arrived), error);
+    }
+
+    /// Whether enough was applied since the last snapshot to take another.
+    #[must_use]
+    pub fn wants_snapshot(&self, snapshot_entries: u64) -> bool {
+        let covered = self.snapshot.as_ref().map_or(0, |meta| meta.index);
+        !self.snapshotting && self.handed_over.saturating_sub(covered) >= snapshot_entries
+    }
+
+    /// Notes that a snapshot of the state was asked for.
+    pub fn begin_snapshot(&mut self) {
+        self.snapshotting = true;
+    }
+
+    /// Notes that a snapshot of the state is durable and drops the entries that it covers, but for
+    /// some. Gives the record to persist; `None` when a newer snapshot stands already.
+    pub fn finish_snapshot(&mut self, meta: SnapshotMeta, trailing: u64) -> Option<Record> {
+        self.snapshotting = false;
+        if self.snapshot.as_ref().is_some_and(|newest| newest.index >= meta.index) {
+            return None;
+        }
+        // Applied when the round that held the entries is advanced; until then it stays whole.
+        let _ = self.node.compact(meta.index.saturating_sub(trailing));
+        self.snapshot = Some(meta.clone());
+        Some(Record::Snapshot(meta))
+    }
+
+    /// The newest durable snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<&SnapshotMeta> {
+        self.snapshot.as_ref()
+    }
+
+    /// Whether it has members to vote with: one that joins gets them with its first snapshot.
+    #[must_use]
+    pub fn has_members(&self) -> bool {
+        self.snapshot.is_some()
+    }
+
+    /// Whether it leads.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        self.leading_since.is_some()
+    }
+
+    /// Term and vote that a later replica of the group on this node must not forget.
+    #[must_use]
+    pub fn hard_state(&self) -> HardState {
+        self.hard_state
+    }
+
+    /// The replica for operators and for repair.
+    #[must_use]
+    pub fn status(&self) -> ReplicaStatus {
+        let status = self.node.status();
+        let progress = status.progress.into_iter().map(|member| MemberProgress {
+            node: member.node,
+            matched: member.matched,
+            active: member.active,
+        });
+        ReplicaStatus {
+            group: self.group,
+            role: status.role,
+            term: status.term,
+            leader: status.leader,
+            commit: status.commit,
+            applied: status.applied,
+            conf: status.conf,
+            progress: progress.collect(),
+        }
+    }
+
+    /// The leader's term, for the messages of a snapshot transfer.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        self.node.status().term
+    }
+}
+
+fn take_records(ready: &mut Ready) -> Vec<Record> {
+    let mut records = Vec::new();
+    records.extend(ready.snapshot.as_ref().map(|snapshot| Record::Snapshot(snapshot.meta.clone())));
+    records.extend(ready.hard_state.map(Record::HardState));
+    if !ready.entries.is_empty() {
+        records.push(Record::Append(std::mem::take(&mut ready.entries)));
+    }
+    records
+}
+
+fn fail_reads(reads: Vec<ReadWaiter>, error: &ReplicationError) {
+    for read in reads {
+        drop(read.reply.send(Err(error.clone())));
+    }
+}
--- /dev/null
+++ b/crates/replication/src/snapshot_sender.rs
@@ -0,0 +1,99 @@
+//! Snapshots on their way out, in pieces.
+
+use std::time::Duration;
+
+use hooklug_protocol::store::SnapshotChunk;
+use hooklug_raft::SnapshotMeta;
+use hooklug_rpc::RpcClient;
+use hooklug_types::{Digest, GroupId, NodeId};
+use hooklug_wal::SnapshotStore;
+use tokio::time::Instant;
+use tracing::{debug, info};
+
+use crate::AddressBook;
+
+/// Bytes of one piece (ours).
+const CHUNK_BYTES: usize = 512 << 10;
+/// Time for one piece to be answered; the last one waits for the receiver's disk.
+const CHUNK_TIME: Duration = Duration::from_secs(10);
+/// Pieces that may fail or be asked for again in one transfer.
+const MAX_SETBACKS: u32 = 5;
+
+/// One transfer.
+#[derive(Debug, Clone)]
+pub(crate) struct Transfer {
+    pub(crate) group: GroupId,
+    pub(crate) from: NodeId,
+    pub(crate) to: NodeId,
+    pub(crate) term: u64,
+    pub(crate) meta: SnapshotMeta,
+}
+
+impl Transfer {
+    /// Sends the snapshot; gives whether the receiver has it whole.
+    pub(crate) async fn run(
+        self,
+        store: SnapshotStore,
+        client: RpcClient,
+        addresses: AddressBook,
+    ) -> bool {
+        let (group, index) = (self.group, self.meta.index);
+        let read = tokio::task::spawn_blocking(move || store.read(group, index)).await;
+        let data = match read {
+            Ok(Ok(data)) => data,
+            Ok(Err(error)) => {
+                // A newer one has taken its place, most likely; the receiver asks again.
+                debug!(%group, %error, "a snapshot to send is gone");
+                return false;
+            }
+            Err(_) => return false,
+        };
+        info!(%group, to = %self.to, index, bytes = data.len(), "sending a snapshot");
+        self.send_chunks(&data, &client, &addresses).await
+    }
+
+    async fn send_chunks(&self, data: &[u8], client: &RpcClient, addresses: &AddressBook) -> bool {
+        let digest = Digest::of(data);
+        let (mut offset, mut setbacks) = (0, 0);
+        while setbacks <= MAX_SETBACKS {
+            let Some(address) = addresses.get(self.to) else { return false };
+            let chunk = self.chunk(data, offset, digest);
+            let (end, is_last) = (offset + chunk.data.len(), chunk.whole.is_some());
+            let answer = client.call(address, &chunk, Instant::now() + CHUNK_TIME).await;
+            let next = match answer {
+                Ok(Ok(progress)) => usize::try_from(progress.next_offset).unwrap_or(0),
+                Ok(Err(fault)) => {
+                    debug!(group = %self.group, to = %self.to, %fault, "snapshot refused");
+                    return false;
+                }
+                Err(error) => {
+                    debug!(group = %self.group, to = %self.to, %error, "snapshot piece lost");
+                    setbacks += 1;
+                    continue;
+                }
+            };
+            if next == end && is_last {
+                return true;
+            }
+            if next != end {
+                setbacks += 1;
+            }
+            offset = next.min(data.len());
+        }
+        false
+    }
+
+    fn chunk(&self, data: &[u8], offset: usize, digest: Digest) -> SnapshotChunk {
+        let end = data.len().min(offset + CHUNK_BYTES);
+        SnapshotChunk {
+            to: self.to,
+            from: self.from,
+            term: self.term,
+            group: self.group,
+            meta: self.meta.clone(),
+            offset: offset as u64,
+            data: data[offset..end].to_vec(),
+            whole: (end == data.len()).then_some(digest),
+        }
+    }
+}
--- /dev/null
+++ b/crates/replication/src/start.rs
@@ -0,0 +1,116 @@
+//! Opening the log and starting the threads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::mpsc::{Sender, channel};
+
+use hooklug_rpc::RpcClient;
+use hooklug_state::StateMachine;
+use hooklug_types::GroupId;
+use hooklug_wal::{Files, SnapshotStore, Wal};
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+
+use crate::applier::{Applier, GroupTask};
+use crate::compaction;
+use crate::driver::{Driver, Workers};
+use crate::transport::Transport;
+use crate::{AddressBook, OpenError, ReplicationSettings, Replicator};
+
+/// Threads that own state machines (ours): a long snapshot of one group holds up half of them at most.
+const APPLIERS: usize = 2;
+
+/// Makes the empty state machine of a group.
+pub type MachineFactory = Arc<dyn Fn(GroupId) -> Box<dyn StateMachine> + Send + Sync>;
+
+/// What replicas share with the rest of the process.
+#[derive(Debug, Clone)]
+pub struct StartContext {
+    /// Calls other stores.
+    pub client: RpcClient,
+    /// Where they listen.
+    pub addresses: AddressBook,
+    /// Runs the sending tasks.
+    pub runtime: Handle,
+    /// The disk.
+    pub files: Arc<dyn Files>,
+}
+
+impl Replicator {
+    /// Opens the log, restores all replicas that it holds and starts them.
+    ///
+    /// # Errors
+    /// [`OpenError`] when anything on the disk is not what was written.
+    pub fn start(
+        settings: ReplicationSettings,
+        machines: MachineFactory,
+        context: StartContext,
+    ) -> Result<Self, OpenError> {
+        let files = context.files.clone();
+        let (wal, recovered) =
+            Wal::open(files.clone(), &settings.folder.join("log"), settings.wal.clone())?;
+        let snapshots = SnapshotStore::open(files, &settings.folder.join("snapshots"))?;
+        let (driver, inputs) = channel();
+        let (snapshot_jobs, jobs) = channel();
+        let appliers = start_appliers(&snapshot_jobs, &driver)?;
+        let (store, back) = (snapshots.clone(), driver.clone());
+        spawn("snapshots", move || compaction::run(&store, &jobs, &back))?;
+        let (failure, failed) = watch::channel(None);
+        let (ended, watch_end) = watch::channel(());
+        let groups = Arc::default();
+        let handle = Self {
+            node: settings.node,
+            driver: driver.clone(),
+            appliers: appliers.clone(),
+            inbox: Arc::default(),
+            snapshots: snapshots.clone(),
+            failure: failed,
+            ended: watch_end,
+            groups: Arc::clone(&groups),
+        };
+        let transport = Transport::new(
+            context.client.clone(),
+            context.addresses.clone(),
+            context.runtime.clone(),
+        );
+        let mut started = Driver {
+            settings,
+            replicas: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            wal,
+            snapshot_store: snapshots,
+            machines,
+            context,
+            transport,
+            workers: Workers { appliers, snapshots: snapshot_jobs, driver },
+            failure,
+            dirty: Default::default(),
+            groups,
+            ended,
+        };
+        for (group, state) in recovered.groups {
+            started.restore(group, state)?;
+        }
+        started.publish_groups();
+        spawn("raft-driver", move || started.run(&inputs))?;
+        Ok(handle)
+    }
+}
+
+fn start_appliers(
+    snapshots: &Sender<compaction::SnapshotJob>,
+    driver: &Sender<crate::input::Input>,
+) -> Result<Vec<Sender<GroupTask>>, OpenError> {
+    let start = |number: usize| {
+        let applier = Applier::new(snapshots.clone(), driver.clone());
+        let (tasks, queue) = channel();
+        spawn(&format!("applier-{number}"), move || applier.run(&queue))?;
+        Ok(tasks)
+    };
+    (0..APPLIERS).map(start).collect()
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), OpenError> {
+    std::thread::Builder::new().name(name.to_owned()).spawn(run)?;
+    Ok(())
+}
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
 
 use hooklug_types::GroupId;
 
@@ -33,11 +34,12 @@
     pub(crate) done: Done,
 }
 
-/// The log. Cheap to clone; the writer ends with the last handle.
-#[derive(Debug, Clone)]
+/// The log.
+#[derive(Debug)]
 pub struct Wal {
     queue: Sender<Append>,
     index: SharedIndex,
+    writer: JoinHandle<()>,
 }
 
 impl Wal {
@@ -55,11 +57,18 @@
         let (writer, recovered) = opening.open()?;
         let index = writer.index.clone();
         let (queue, appends) = channel();
-        std::thread::Builder::new()
+        let writer = std::thread::Builder::new()
             .name("wal-writer".to_owned())
             .spawn(move || writer.run(&appends))
             .map_err(|e| WalError::io("start the writer", folder, &e))?;
-        Ok((Self { queue, index }, recovered))
+        Ok((Self { queue, index, writer }, recovered))
+    }
+
+    /// Waits until all that is queued is written, and ends the writer.
+    pub fn close(self) {
+        drop(self.queue);
+        // A writer that panicked has acknowledged nothing more; there is nothing to add to that.
+        let _ = self.writer.join();
     }
 
     /// Queues records. `done` is told when they are written, and synced if `sync` is set. Appends are
--- a/crates/wal/tests/damage.rs
+++ b/crates/wal/tests/damage.rs
@@ -99,7 +99,7 @@
         write(&wal, vec![append(1, index..=index, 1)]).unwrap();
     }
     assert!(wal.segments() > 2);
-    drop(wal);
+    wal.close();
     let path = folder.path().join("0000000000000001.segment");
     let mut bytes = std::fs::read(&path).unwrap();
     bytes.pop();
@@ -115,7 +115,7 @@
     for index in 1..=30 {
         write(&wal, vec![append(1, index..=index, 1)]).unwrap();
     }
-    drop(wal);
+    wal.close();
     let middle = folder.path().join("0000000000000002.segment");
     std::fs::remove_file(&middle).unwrap();
     let refused = open(folder.path(), 200).map(|_| ());
--- a/crates/wal/tests/failures.rs
+++ b/crates/wal/tests/failures.rs
@@ -99,7 +99,7 @@
     assert!(write(&wal, vec![append(1, 5..=9, 1)]).is_err());
     files.faults.full.store(false, Ordering::SeqCst);
     assert!(write(&wal, vec![append(1, 10..=10, 1)]).is_err());
-    drop(wal);
+    wal.close();
     let (_, recovered) = open(folder.path(), 1 << 20).unwrap();
     assert_eq!(recovered.groups[&GroupId(1)].entries.len(), 4);
 }
--- a/crates/wal/tests/segments.rs
+++ b/crates/wal/tests/segments.rs
@@ -92,13 +92,13 @@
             records.push(made.clone());
             write(&wal, vec![made]).unwrap();
             if count % reopen_every == 0 {
-                drop(wal);
+                wal.close();
                 let (again, recovered) = open(folder.path(), 300).unwrap();
                 prop_assert_eq!(&recovered.groups, &replayed(&records));
                 wal = again;
             }
         }
-        drop(wal);
+        wal.close();
         let (_, recovered) = open(folder.path(), 300).unwrap();
         prop_assert_eq!(recovered.groups, replayed(&records));
     }
@@ -135,7 +135,7 @@
     write(&wal, vec![snapshot(2, 1, 1)]).unwrap();
     assert!(wal.segments() <= 2);
     assert!(wal.holders_of_oldest(0).len() <= 1);
-    drop(wal);
+    wal.close();
     let (_, recovered) = open(folder.path(), 400).unwrap();
     assert_eq!(recovered.groups[&GroupId(1)].entries, vec![support::entry(100, 1)]);
     assert_eq!(recovered.groups[&GroupId(2)].hard_state.commit, 1);
@@ -147,7 +147,7 @@
     let (wal, _) = open(folder.path(), 1 << 20).unwrap();
     write(&wal, vec![append(1, 1..=9, 1), snapshot(1, 5, 2)]).unwrap();
     write(&wal, vec![append(1, 6..=7, 2)]).unwrap();
-    drop(wal);
+    wal.close();
     let (_, recovered) = open(folder.path(), 1 << 20).unwrap();
     let entries = &recovered.groups[&GroupId(1)].entries;
     assert_eq!(entries, &vec![support::entry(6, 2), support::entry(7, 2)]);
@@ -159,7 +159,7 @@
     let (wal, _) = open(folder.path(), 1 << 20).unwrap();
     write(&wal, vec![hard_state(1, 7, 3), append(1, 1..=3, 7)]).unwrap();
     write(&wal, vec![record(1, Record::Removed)]).unwrap();
-    drop(wal);
+    wal.close();
     let (_, recovered) = open(folder.path(), 1 << 20).unwrap();
     let group = &recovered.groups[&GroupId(1)];
     assert!(group.removed && group.entries.is_empty());
