--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use hooklug_raft::{ConfChange, ConfState, Message, Role, SnapshotMeta};
+use hooklug_state::meta::{GroupPlacement, StoreRecord};
 use hooklug_types::{Digest, EngineIncarnation, FencingEpoch, GroupId, NodeId, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +39,13 @@
     /// The cluster is not formed yet.
     #[error("the cluster is not formed yet")]
     NotFormed,
+    /// The request does not decode, is not the caller's to make, or does not fit the group; sending it
+    /// again does not help.
+    #[error("refused: {reason}")]
+    Refused {
+        /// Why.
+        reason: String,
+    },
 }
 
 /// Applies a command of a group's state machine.
@@ -152,7 +160,20 @@
     const METHOD: Method = Method::SnapshotChunk;
 }
 
-/// First start: what a store has and knows.
+/// How a cluster is to begin. All its stores sync it before any of them acts on it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormationPlan {
+    /// The new cluster's id.
+    pub cluster: u64,
+    /// The store that collects the promises and alone may decide.
+    pub coordinator: NodeId,
+    /// The stores that form it.
+    pub stores: Vec<StoreRecord>,
+    /// Where the replicas of each group begin.
+    pub placements: Vec<(GroupId, GroupPlacement)>,
+}
+
+/// First start: what a store has and knows. Formed stores send it too, to learn each other's addresses.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FormationOffer {
     /// The asking store.
@@ -161,8 +182,10 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: ZoneName,
-    /// Cluster id that it proposes: set by the store with the lowest node id once `expect_stores` see each other.
+    /// Cluster id that it has promised to another coordinator: asks whether that plan still stands.
     pub propose: Option<u64>,
+    /// Plan that it proposes: set by the store with the lowest node id once `expect_stores` see each other.
+    pub plan: Option<FormationPlan>,
 }
 
 /// Answer to a formation offer.
@@ -176,7 +199,7 @@
     pub zone: ZoneName,
     /// Cluster that it is a member of; 0 while its disk is empty.
     pub cluster: u64,
-    /// Whether it has synced the proposed cluster id.
+    /// Whether it has synced the proposed plan, or, asked for a promised one, whether that still stands.
     pub accepted: bool,
     /// Other empty stores that it has heard of.
     pub heard: Vec<SocketAddr>,
