store: formation, leases, clock, client, placement, repair mechanics

Stores form one cluster by a two-phase plan, serve commands and reads through StoreClient, and survive kills and restarts of one and of all.

--- a/crates/replication/src/applier.rs
+++ b/crates/replication/src/applier.rs
@@ -98,7 +98,7 @@
             }
             ApplyTask::Digest(reply) => {
                 let (applied, digest) = (applied.meta.index, applied.machine.digest());
-                drop(reply.send(ReplicaDigest { applied, digest }));
+                let _ = reply.send(ReplicaDigest { applied, digest });
             }
         }
         Ok(())
--- a/crates/replication/src/handle.rs
+++ b/crates/replication/src/handle.rs
@@ -190,7 +190,7 @@
         chunk: SnapshotChunk,
     ) -> Result<SnapshotProgress, ReplicationError> {
         let (group, from, term) = (chunk.group, chunk.from, chunk.term);
-        let outcome = self.inbox.lock().unwrap_or_else(PoisonError::into_inner).take(chunk);
+        let outcome = self.inbox.lock().unwrap_or_else(PoisonError::into_inner).take(&chunk);
         let snapshot = match outcome {
             ChunkOutcome::Expect(next_offset) => return Ok(SnapshotProgress { next_offset }),
             ChunkOutcome::Whole(snapshot) => snapshot,
--- a/crates/replication/src/snapshot_inbox.rs
+++ b/crates/replication/src/snapshot_inbox.rs
@@ -34,7 +34,7 @@
 
 impl SnapshotInbox {
     /// Takes a piece. The first piece of another snapshot replaces one that is not whole.
-    pub(crate) fn take(&mut self, chunk: SnapshotChunk) -> ChunkOutcome {
+    pub(crate) fn take(&mut self, chunk: &SnapshotChunk) -> ChunkOutcome {
         let group = chunk.group;
         if chunk.offset == 0 {
             let partial = Partial {
--- /dev/null
+++ b/crates/store/src/clock_task.rs
@@ -0,0 +1,57 @@
+//! Proposes the steps of the clocks of the groups that this store leads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hooklug_raft::Role;
+use hooklug_state::encode;
+use hooklug_state::meta::MetaCommand;
+use hooklug_state::shard::ShardCommand;
+use hooklug_types::{GroupId, META_GROUP, UnixMillis};
+
+use crate::clock::ClockSteps;
+use crate::shared::Shared;
+
+/// Time between looks.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Runs for the life of the process.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut led: BTreeMap<GroupId, (u64, ClockSteps)> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let replicas = shared.replicator.status().await;
+        let leads = replicas.into_iter().filter(|replica| replica.role == Role::Leader);
+        let terms: BTreeMap<GroupId, u64> = leads.map(|r| (r.group, r.term)).collect();
+        led.retain(|group, (term, _)| terms.get(group) == Some(term));
+        for (group, term) in terms {
+            let Some(notes) = shared.notes.of(group) else { continue };
+            let (commands, now) = (notes.commands(), Instant::now());
+            let step = match led.get_mut(&group) {
+                Some((_, steps)) => steps.step(commands, now),
+                None => {
+                    let steps = ClockSteps::begin(notes.clock(), UnixMillis::now(), commands, now);
+                    led.insert(group, (term, steps));
+                    Some(steps.now(now))
+                }
+            };
+            if let Some(step) = step {
+                propose(&shared, group, step);
+            }
+        }
+    }
+}
+
+/// Proposes a step; one that is lost is made up for by the next.
+fn propose(shared: &Arc<Shared>, group: GroupId, now: UnixMillis) {
+    let command = if group == META_GROUP {
+        encode(&MetaCommand::AdvanceClock { now })
+    } else {
+        encode(&ShardCommand::AdvanceClock { now })
+    };
+    let replicator = shared.replicator.clone();
+    tokio::spawn(async move {
+        let _ = replicator.execute(group, command).await;
+    });
+}
--- /dev/null
+++ b/crates/store/src/error.rs
@@ -0,0 +1,43 @@
+//! Why a store cannot run.
+
+use std::path::PathBuf;
+
+use hooklug_replication::OpenError;
+use hooklug_types::NodeId;
+use hooklug_wal::WalError;
+
+/// Why a store cannot run. None of these is mended by starting again.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// A store needs a data folder.
+    #[error("data_folder is not set; a store needs one")]
+    NoDataFolder,
+    /// Another process uses the folder.
+    #[error("{} is in use by another process", folder.display())]
+    FolderInUse {
+        /// The folder.
+        folder: PathBuf,
+    },
+    /// A file of the folder is not what was written.
+    #[error("{}: {reason}", path.display())]
+    Damaged {
+        /// The file.
+        path: PathBuf,
+        /// What does not fit.
+        reason: String,
+    },
+    /// The identity names another node than the data folder does.
+    #[error("the data folder belongs to node {folder}, not to node {identity}")]
+    OtherNode {
+        /// Node id in the folder.
+        folder: NodeId,
+        /// Node id of the identity.
+        identity: NodeId,
+    },
+    /// The disk refused an operation.
+    #[error(transparent)]
+    Disk(#[from] WalError),
+    /// The groups could not be opened.
+    #[error(transparent)]
+    Groups(#[from] OpenError),
+}
--- /dev/null
+++ b/crates/store/src/lease_judge.rs
@@ -0,0 +1,124 @@
+//! Ends leases at the request of others, as the group's leader.
+
+use std::time::Instant;
+
+use hooklug_protocol::store::{ExpireLease, LeaseSubject, LeaseVerdict, StoreFault};
+use hooklug_state::meta::{MetaAnswer, MetaCommand, MetaQuery, MetaReply};
+use hooklug_state::shard::{ShardAnswer, ShardCommand, ShardQuery, ShardRefusal, ShardReply};
+use hooklug_state::{decode, encode};
+use hooklug_types::{EngineIncarnation, FencingEpoch, GroupId, META_GROUP, Renewal};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::leases::{Judgement, LEASE_MARGIN, LEASE_TIME, LeaseView, judge};
+use crate::shared::Shared;
+
+impl Shared {
+    /// Answers how long a lease is still held, or ends it.
+    pub(crate) async fn expire_lease(
+        &self,
+        request: ExpireLease,
+    ) -> Result<LeaseVerdict, StoreFault> {
+        match request.subject {
+            LeaseSubject::Engine(holder) => self.expire_engine(request.group, holder).await,
+            LeaseSubject::CoreLeader(epoch) => self.expire_core_leader(epoch).await,
+        }
+    }
+
+    async fn expire_engine(
+        &self,
+        group: GroupId,
+        holder: EngineIncarnation,
+    ) -> Result<LeaseVerdict, StoreFault> {
+        if group != hooklug_types::shard_of(holder.engine.as_str()) {
+            let reason = format!("{group} does not hold the lease of {}", holder.engine);
+            return Err(StoreFault::Refused { reason });
+        }
+        let query = ShardQuery::Lease(holder.clone());
+        let (answer, leading_since) = self.confirmed(group, &query).await?;
+        let ShardAnswer::Lease(Some(lease)) = answer else {
+            let end = ShardCommand::ExpireLease { holder, renewal: Renewal::default() };
+            return match self.proposed(group, &end).await? {
+                ShardReply::Lease(lease) if lease.expired => Ok(LeaseVerdict::Unknown),
+                _ => Ok(held_in_full()),
+            };
+        };
+        let notes = self.notes.of(group);
+        let renewed = notes.and_then(|n| n.engine_renewed(&holder, lease.renewal));
+        let (renewal, expired) = (lease.renewal, lease.expired);
+        let view = LeaseView { renewal, expired, renewed, leading_since };
+        let renewal = match judge(view, Instant::now()) {
+            Judgement::Expired => return Ok(LeaseVerdict::Expired),
+            Judgement::Held(left) => return Ok(held(left)),
+            Judgement::Propose(renewal) => renewal,
+        };
+        match self.proposed(group, &ShardCommand::ExpireLease { holder, renewal }).await? {
+            ShardReply::Lease(lease) if lease.expired => Ok(LeaseVerdict::Expired),
+            ShardReply::Refused(ShardRefusal::LeaseRenewed) => Ok(held_in_full()),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    async fn expire_core_leader(&self, epoch: FencingEpoch) -> Result<LeaseVerdict, StoreFault> {
+        let (answer, leading_since) = self.confirmed(META_GROUP, &MetaQuery::State).await?;
+        let MetaAnswer::State(state) = answer else { return Err(unexpected(&answer)) };
+        let Some(leader) = state.leader.filter(|leader| leader.epoch >= epoch) else {
+            return Ok(LeaseVerdict::Unknown);
+        };
+        if leader.epoch > epoch {
+            return Ok(LeaseVerdict::Expired);
+        }
+        let notes = self.notes.of(META_GROUP);
+        let renewed = notes.and_then(|n| n.core_leader_renewed(epoch, leader.renewal));
+        let (renewal, expired) = (leader.renewal, leader.expired);
+        let view = LeaseView { renewal, expired, renewed, leading_since };
+        let renewal = match judge(view, Instant::now()) {
+            Judgement::Expired => return Ok(LeaseVerdict::Expired),
+            Judgement::Held(left) => return Ok(held(left)),
+            Judgement::Propose(renewal) => renewal,
+        };
+        let end = MetaCommand::ExpireLeadership { epoch, renewal };
+        match self.proposed(META_GROUP, &end).await? {
+            MetaReply::Leader(leader) if leader.expired => Ok(LeaseVerdict::Expired),
+            MetaReply::Refused(_) => Ok(held_in_full()),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// A linearizable read, and since when this replica leads: a leader that was cut off or frozen is
+    /// found out by the read, so its old notes are never used.
+    async fn confirmed<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        group: GroupId,
+        query: &Q,
+    ) -> Result<(A, Instant), StoreFault> {
+        let read = self.replicator.read(group, encode(query)).await;
+        let read = read.map_err(|error| self.fault(group, error))?;
+        Ok((decoded(&read.answer)?, read.leading_since))
+    }
+
+    async fn proposed<C: Serialize, R: DeserializeOwned>(
+        &self,
+        group: GroupId,
+        command: &C,
+    ) -> Result<R, StoreFault> {
+        let reply = self.replicator.execute(group, encode(command)).await;
+        decoded(&reply.map_err(|error| self.fault(group, error))?)
+    }
+}
+
+fn decoded<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, StoreFault> {
+    decode("reply", bytes).map_err(|e| StoreFault::Refused { reason: e.to_string() })
+}
+
+fn unexpected(reply: &impl std::fmt::Debug) -> StoreFault {
+    StoreFault::Refused { reason: format!("unexpected reply {reply:?}") }
+}
+
+fn held(left: std::time::Duration) -> LeaseVerdict {
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    LeaseVerdict::Held { left_ms: left_ms.max(1) }
+}
+
+fn held_in_full() -> LeaseVerdict {
+    held(LEASE_TIME + LEASE_MARGIN)
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,7 +4,30 @@
 #![forbid(unsafe_code)]
 
 pub mod access;
+pub mod balance;
+mod begin;
+pub mod cleanup;
+mod client;
+pub mod clock;
+mod clock_task;
+mod data_folder;
+mod error;
+pub mod formation;
+mod gossip;
+mod lease_judge;
+pub mod leases;
 mod memory;
+mod meta_watch;
+mod observed;
+pub mod placement;
+mod service;
+mod shared;
+mod store;
 
 pub use access::{StateAccess, Unavailable};
+pub use client::StoreClient;
+pub use data_folder::{Membership, load_node_id};
+pub use error::StoreError;
+pub use leases::{LEASE_MARGIN, LEASE_TIME};
 pub use memory::MemoryState;
+pub use store::{Store, StoreHandle};
--- /dev/null
+++ b/crates/store/src/meta_watch.rs
@@ -0,0 +1,94 @@
+//! Keeps the newest meta state that this store knows, and the addresses in it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_state::meta::{MetaAnswer, MetaQuery, MetaState};
+use hooklug_state::{decode, encode};
+use hooklug_types::META_GROUP;
+use tokio::time::Instant;
+
+use crate::StateAccess;
+use crate::shared::Shared;
+
+/// Time between looks at a replica on this store.
+const LOCAL_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between questions to the meta group.
+const REMOTE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time for one question to the meta group.
+const QUESTION_TIME: Duration = Duration::from_secs(3);
+
+/// Runs for the life of the process.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    loop {
+        let pause = match local(&shared).await {
+            Some(meta) => {
+                publish(&shared, meta);
+                LOCAL_INTERVAL
+            }
+            None => {
+                if let Some(meta) = remote(&shared).await {
+                    publish(&shared, meta);
+                }
+                REMOTE_INTERVAL
+            }
+        };
+        publish_stores(&shared);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// The state of the replica here, if there is one that knows the cluster.
+async fn local(shared: &Shared) -> Option<MetaState> {
+    let query = encode(&MetaQuery::State);
+    let answer = shared.replicator.read_local(META_GROUP, query).await.ok()?;
+    match decode("meta answer", &answer).ok()? {
+        MetaAnswer::State(state) if state.cluster != 0 => Some(*state),
+        _ => None,
+    }
+}
+
+async fn remote(shared: &Shared) -> Option<MetaState> {
+    if !shared.is_member() {
+        return None;
+    }
+    let deadline = Instant::now() + QUESTION_TIME;
+    match shared.access.query_meta(&MetaQuery::State, deadline).await.ok()? {
+        MetaAnswer::State(state) => Some(*state),
+        _ => None,
+    }
+}
+
+fn publish(shared: &Shared, meta: MetaState) {
+    for store in &meta.stores {
+        shared.addresses.note(store.node, store.incarnation, store.address);
+    }
+    shared.meta.send_if_modified(|known| {
+        let differs = **known != meta;
+        if differs {
+            *known = Arc::new(meta);
+        }
+        differs
+    });
+}
+
+/// Tells the client which stores may be asked: this one first.
+fn publish_stores(shared: &Shared) {
+    let own = shared.identity.address.rpc;
+    let mut stores: Vec<SocketAddr> = vec![own];
+    let others = shared.addresses.all().into_iter().map(|(_, address)| address);
+    let candidates = shared.formation().candidates.clone();
+    for address in others.chain(candidates) {
+        if !stores.contains(&address) {
+            stores.push(address);
+        }
+    }
+    shared.stores.send_if_modified(|known| {
+        let differs = *known != stores;
+        if differs {
+            *known = stores;
+        }
+        differs
+    });
+}
--- /dev/null
+++ b/crates/store/src/placement/follow.rs
@@ -0,0 +1,53 @@
+//! From a group's members to its wanted placement, one membership change at a time.
+
+use std::collections::BTreeSet;
+
+use hooklug_protocol::store::ReplicaStatus;
+use hooklug_raft::ConfChange;
+use hooklug_state::meta::GroupPlacement;
+use hooklug_types::NodeId;
+
+/// Entries that a learner may lack and still count as up to date (ours); the raft leader checks again.
+const MAX_LAG_ENTRIES: u64 = 128;
+
+/// The next membership change of a group, as its leader sees the group.
+///
+/// A wanted voter is promoted before an unwanted one leaves, so that every commit stays on as many
+/// living stores as before; learners come before anything that waits for them.
+#[must_use]
+pub fn next_change(
+    wanted: &GroupPlacement,
+    leader: &ReplicaStatus,
+    alive: &BTreeSet<NodeId>,
+) -> Option<ConfChange> {
+    let conf = &leader.conf;
+    let unwanted_voter = conf.voters.iter().copied().find(|node| !wanted.voters.contains(node));
+    let missing_voter = wanted.voters.iter().copied().find(|node| !conf.voters.contains(node));
+    if let Some(node) = missing_voter
+        && conf.learners.contains(&node)
+        && is_up_to_date(leader, node)
+    {
+        return Some(ConfChange::PromoteVoter(node));
+    }
+    // With all wanted voters there, or a dead one beside them, the others may go.
+    if let Some(node) = unwanted_voter
+        && missing_voter.is_none()
+    {
+        return Some(ConfChange::Remove(node));
+    }
+    let members = wanted.voters.iter().chain(&wanted.learners).copied();
+    let missing = members.into_iter().find(|node| !conf.contains(*node) && alive.contains(node));
+    if let Some(node) = missing {
+        return Some(ConfChange::AddLearner(node));
+    }
+    let is_wanted = |node: &NodeId| wanted.learners.contains(node) || wanted.voters.contains(node);
+    let unwanted_learner = conf.learners.iter().copied().find(|node| !is_wanted(node));
+    unwanted_learner.filter(|_| missing_voter.is_none()).map(ConfChange::Remove)
+}
+
+/// Whether a member answers and lacks next to nothing.
+pub(crate) fn is_up_to_date(leader: &ReplicaStatus, node: NodeId) -> bool {
+    let progress = leader.progress.iter().find(|member| member.node == node);
+    progress
+        .is_some_and(|member| member.active && member.matched + MAX_LAG_ENTRIES >= leader.commit)
+}
--- /dev/null
+++ b/crates/store/src/service.rs
@@ -0,0 +1,135 @@
+//! The requests that a store answers.
+
+use std::sync::Arc;
+
+use hooklug_protocol::store::{
+    ChangeReplicas, Execute, ExpireLease, FormationOffer, GroupStatus, Query, RaftBatch,
+    SnapshotChunk, StoreFault,
+};
+use hooklug_rpc::{Peer, Router};
+use hooklug_state::decode;
+use hooklug_state::meta::MetaCommand;
+use hooklug_state::shard::ShardCommand;
+use hooklug_types::{GroupId, META_GROUP, NodeRole};
+
+use crate::gossip;
+use crate::shared::Shared;
+
+/// Handlers of all requests to stores.
+pub(crate) fn router(shared: &Arc<Shared>) -> Router {
+    Router::new()
+        .route(with(
+            shared,
+            |shared, _, request: Execute| async move { shared.execute(request).await },
+        ))
+        .route(with(shared, |shared, _, request: Query| async move { shared.query(request).await }))
+        .route(with(shared, |shared, _, request: ExpireLease| async move {
+            completed(async move { shared.expire_lease(request).await }).await
+        }))
+        .route(with(shared, |shared, peer, chunk: SnapshotChunk| async move {
+            completed(async move { shared.snapshot_chunk(&peer, chunk).await }).await
+        }))
+        .route(with(shared, |shared, _, request: ChangeReplicas| async move {
+            completed(async move { shared.change_replicas(request).await }).await
+        }))
+        .route(with(
+            shared,
+            |shared, _, _: GroupStatus| async move { shared.replicator.status().await },
+        ))
+        .route(with(shared, |shared, peer, offer: FormationOffer| async move {
+            let answer = move || gossip::answer(&shared, &peer, &offer);
+            // A promise is synced, which blocks; the reply is lost only with the process.
+            tokio::task::spawn_blocking(answer)
+                .await
+                .unwrap_or_else(|e| std::panic::resume_unwind(e.into_panic()))
+        }))
+        .route_inline::<RaftBatch, _>({
+            let shared = shared.clone();
+            move |peer, batch| shared.raft_batch(peer, batch)
+        })
+}
+
+fn with<R, Fut>(
+    shared: &Arc<Shared>,
+    handler: impl Fn(Arc<Shared>, Peer, R) -> Fut + Send + Sync + 'static,
+) -> impl Fn(Peer, R) -> Fut + Send + Sync + 'static {
+    let shared = shared.clone();
+    move |peer, request| handler(shared.clone(), peer, request)
+}
+
+/// Runs a request to its end even if its caller gives up.
+async fn completed<T: Send + 'static>(
+    work: impl Future<Output = Result<T, StoreFault>> + Send + 'static,
+) -> Result<T, StoreFault> {
+    tokio::spawn(work).await.unwrap_or(Err(StoreFault::Uncertain))
+}
+
+impl Shared {
+    /// Applies a command. Cancelling changes nothing: the replicas apply what was proposed.
+    async fn execute(&self, request: Execute) -> Result<Vec<u8>, StoreFault> {
+        check_command(request.group, &request.command)?;
+        let result = self.replicator.execute(request.group, request.command).await;
+        result.map_err(|error| self.fault(request.group, error))
+    }
+
+    async fn query(&self, request: Query) -> Result<Vec<u8>, StoreFault> {
+        let read = self.replicator.read(request.group, request.query).await;
+        read.map(|read| read.answer).map_err(|error| self.fault(request.group, error))
+    }
+
+    /// Takes raft messages; those for another node id are dropped, as are those of no store.
+    fn raft_batch(&self, peer: &Peer, batch: RaftBatch) {
+        if batch.to == self.node() && peer.role == NodeRole::Store && self.is_member() {
+            self.replicator.deliver(peer.node, batch.messages);
+        }
+    }
+
+    async fn snapshot_chunk(
+        &self,
+        peer: &Peer,
+        chunk: SnapshotChunk,
+    ) -> Result<hooklug_protocol::store::SnapshotProgress, StoreFault> {
+        if chunk.to != self.node() || chunk.from != peer.node || !self.is_member() {
+            let reason = "the snapshot is meant for another node".to_owned();
+            return Err(StoreFault::Refused { reason });
+        }
+        let group = chunk.group;
+        let progress = self.replicator.receive_chunk(chunk).await;
+        progress.map_err(|error| self.fault(group, error))
+    }
+
+    async fn change_replicas(&self, request: ChangeReplicas) -> Result<(), StoreFault> {
+        let known = self.meta.borrow().leader.as_ref().map(|leader| leader.epoch);
+        if known.is_some_and(|newest| request.epoch < newest) {
+            let reason = format!("fencing epoch {} is stale", request.epoch);
+            return Err(StoreFault::Refused { reason });
+        }
+        let changed = self.replicator.change_members(request.group, request.change).await;
+        changed.map_err(|error| self.fault(request.group, error))
+    }
+}
+
+/// Whether a command decodes and is a client's to make. A log must never hold one that no replica can
+/// apply, and what the leader judges by its own clock is not for others to propose.
+fn check_command(group: GroupId, command: &[u8]) -> Result<(), StoreFault> {
+    let refused = |reason: String| StoreFault::Refused { reason };
+    let is_leaders_own = if group == META_GROUP {
+        let command = decode("meta command", command).map_err(|e| refused(e.to_string()))?;
+        matches!(command, MetaCommand::ExpireLeadership { .. } | MetaCommand::AdvanceClock { .. })
+    } else {
+        let command = decode("shard command", command).map_err(|e| refused(e.to_string()))?;
+        is_leaders_own(&command)
+    };
+    if is_leaders_own {
+        return Err(refused("only the group's leader proposes this".to_owned()));
+    }
+    Ok(())
+}
+
+fn is_leaders_own(command: &ShardCommand) -> bool {
+    match command {
+        ShardCommand::ExpireLease { .. } | ShardCommand::AdvanceClock { .. } => true,
+        ShardCommand::Batch(commands) => commands.iter().any(is_leaders_own),
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/store/src/shared.rs
@@ -0,0 +1,155 @@
+//! What the parts of one store share.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use hooklug_protocol::store::{FormationOffer, StoreFault};
+use hooklug_replication::{AddressBook, ReplicationError, Replicator};
+use hooklug_rpc::{LocalIdentity, RpcClient};
+use hooklug_settings::Settings;
+use hooklug_state::meta::{MetaState, StoreRecord, StoreState};
+use hooklug_types::{GroupId, NodeId};
+use tokio::sync::watch;
+
+use crate::data_folder::{DataFolder, Membership};
+use crate::formation::FormationView;
+use crate::observed::Notes;
+use crate::{StoreClient, StoreError};
+
+/// Time that one store may take to answer another's question.
+pub(crate) const PEER_CALL_TIME: Duration = Duration::from_millis(1_000);
+
+/// State of one store process. Its parts hold it in an `Arc`.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) identity: LocalIdentity,
+    pub(crate) client: RpcClient,
+    pub(crate) folder: DataFolder,
+    pub(crate) addresses: AddressBook,
+    pub(crate) replicator: Replicator,
+    pub(crate) notes: Notes,
+    pub(crate) formation: Mutex<Formation>,
+    /// The newest meta state that this store knows; default before the cluster is formed.
+    pub(crate) meta: watch::Sender<Arc<MetaState>>,
+    /// Stores that may be asked, for the client.
+    pub(crate) stores: watch::Sender<Vec<SocketAddr>>,
+    pub(crate) access: StoreClient,
+}
+
+/// What the store is to the cluster, and what it has heard.
+#[derive(Debug)]
+pub(crate) struct Formation {
+    pub(crate) membership: Membership,
+    pub(crate) view: FormationView,
+    /// Stores to ask: seeds and who was heard of.
+    pub(crate) candidates: Vec<SocketAddr>,
+}
+
+impl Shared {
+    pub(crate) fn node(&self) -> NodeId {
+        self.identity.address.node
+    }
+
+    /// This store as others record it.
+    pub(crate) fn record(&self) -> StoreRecord {
+        own_record(&self.identity)
+    }
+
+    pub(crate) fn formation(&self) -> MutexGuard<'_, Formation> {
+        self.formation.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What the store is to the cluster.
+    pub(crate) fn membership(&self) -> Membership {
+        self.formation().membership.clone()
+    }
+
+    pub(crate) fn is_member(&self) -> bool {
+        matches!(self.formation().membership, Membership::Member { .. })
+    }
+
+    /// Changes what the store is to the cluster, on disk first. The lock is held over the sync: no offer
+    /// may be judged by what is not durable yet.
+    pub(crate) fn set_membership(
+        &self,
+        formation: &mut Formation,
+        membership: Membership,
+    ) -> Result<(), StoreError> {
+        self.folder.set_membership(&membership)?;
+        if membership.cluster() != 0 {
+            self.identity.set_cluster(membership.cluster());
+        }
+        formation.membership = membership;
+        Ok(())
+    }
+
+    /// Notes where a store listens, so that it is asked and called.
+    pub(crate) fn add_candidate(&self, address: SocketAddr) {
+        let mut formation = self.formation();
+        if address != self.identity.address.rpc && !formation.candidates.contains(&address) {
+            formation.candidates.push(address);
+        }
+    }
+
+    /// The offer that this store makes to others.
+    pub(crate) fn offer(&self) -> FormationOffer {
+        let propose = match &self.formation().membership {
+            Membership::Promised(plan) => Some(plan.cluster),
+            Membership::Empty | Membership::Member { .. } => None,
+        };
+        let address = &self.identity.address;
+        FormationOffer {
+            node: address.node,
+            address: address.rpc,
+            zone: address.zone.clone(),
+            propose,
+            plan: None,
+        }
+    }
+
+    /// An error of the groups as the caller is told it.
+    pub(crate) fn fault(&self, group: GroupId, error: ReplicationError) -> StoreFault {
+        match error {
+            ReplicationError::NotLeader { leader } => {
+                let leader = leader.and_then(|node| self.addresses.get(node));
+                StoreFault::NotLeader { leader }
+            }
+            ReplicationError::NoReplica(_) => self.no_replica(group),
+            ReplicationError::Uncertain => StoreFault::Uncertain,
+            ReplicationError::Busy(_) => StoreFault::Busy,
+            ReplicationError::Refused(reason) => StoreFault::Refused { reason },
+            ReplicationError::Failed(reason) => StoreFault::DiskFailed { reason },
+        }
+    }
+
+    fn no_replica(&self, group: GroupId) -> StoreFault {
+        if !self.is_member() {
+            return StoreFault::NotFormed;
+        }
+        let meta = self.meta.borrow().clone();
+        let placement = meta.placements.get(&group);
+        let voters = placement.into_iter().flat_map(|p| &p.voters);
+        let replicas = voters.filter_map(|node| self.addresses.get(*node)).collect();
+        StoreFault::NoReplica { replicas }
+    }
+}
+
+/// A store as others record it.
+pub(crate) fn own_record(identity: &LocalIdentity) -> StoreRecord {
+    let address = &identity.address;
+    StoreRecord {
+        node: address.node,
+        incarnation: address.incarnation,
+        address: address.rpc,
+        zone: address.zone.clone(),
+        state: StoreState::Active,
+    }
+}
+
+/// Nothing heard yet.
+pub(crate) fn empty_view(settings: &Settings, identity: &LocalIdentity) -> FormationView {
+    let expected = usize::try_from(settings.store.expect_stores).unwrap_or(usize::MAX);
+    FormationView::new(own_record(identity), expected, Instant::now())
+}
--- /dev/null
+++ b/crates/store/tests/cluster.rs
@@ -0,0 +1,65 @@
+//! A cluster forms, serves, and survives kills and restarts.
+
+mod support;
+
+use hooklug_state::meta::{MetaAnswer, MetaQuery};
+use hooklug_store::StateAccess;
+use hooklug_types::{GroupId, shard_of};
+use support::{TestCluster, fast_options, has_program, put_program, soon};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn three_stores_form_a_cluster_and_survive_kills() {
+    let mut cluster = TestCluster::formed(3, fast_options()).await;
+    let client = cluster.client();
+    for number in 0..40 {
+        put_program(&client, &format!("program-{number}")).await;
+    }
+    let victim = cluster.until_leader(shard_of("program-0")).await;
+    cluster.kill(victim).await;
+    for number in 40..80 {
+        put_program(&client, &format!("program-{number}")).await;
+    }
+    cluster.start(victim).await;
+    for number in 0..3 {
+        if number != victim {
+            cluster.kill(number).await;
+            cluster.start(number).await;
+        }
+    }
+    for number in 0..80 {
+        assert!(has_program(&client, &format!("program-{number}")).await, "program-{number}");
+    }
+    for group in GroupId::all() {
+        cluster.assert_equal_digests(group).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_new_cluster_knows_its_stores_and_placements() {
+    let cluster = TestCluster::formed(4, fast_options()).await;
+    let answer = cluster.client().query_meta(&MetaQuery::State, soon()).await.unwrap();
+    let MetaAnswer::State(meta) = answer else { panic!("{answer:?}") };
+    assert_eq!(meta.cluster, cluster.handle(0).cluster());
+    assert_eq!(meta.placements.len(), GroupId::all().count());
+    assert!(meta.placements.values().all(|p| p.voters.len() == 3));
+    assert!(meta.stores.iter().any(|store| store.address == cluster.stores[3].address));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn all_stores_killed_at_once_lose_nothing() {
+    let mut cluster = TestCluster::formed(3, fast_options()).await;
+    let client = cluster.client();
+    for number in 0..30 {
+        put_program(&client, &format!("program-{number}")).await;
+    }
+    for number in 0..3 {
+        cluster.kill(number).await;
+    }
+    for number in 0..3 {
+        cluster.start(number).await;
+    }
+    for number in 0..30 {
+        assert!(has_program(&client, &format!("program-{number}")).await, "program-{number}");
+    }
+    put_program(&client, "after").await;
+}
