--- /dev/null
+++ b/crates/store/examples/commit_bench.rs
@@ -0,0 +1,177 @@
+//! Measures commits of a three-store cluster on this machine against a plain append-and-sync loop on
+//! the same disk.
+//!
+//! `cargo run --release -p hooklug-store --example commit_bench`
+//!
+//! Prints, from one run: the loop's rate; commits a second and latencies of 1 and 16 groups with 1 to
+//! 256 clients, and their ratio to the loop; the time from a leader's stop to the next commit; and the
+//! time to replay 100,000 commands.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use hooklug_settings::StoreSettings;
+use hooklug_store::{StateAccess, StoreClient};
+use hooklug_types::{GroupId, SHARD_COUNT, shard_of};
+use support::{TestCluster, put, soon};
+
+/// Time of one measurement.
+const MEASURE_TIME: Duration = Duration::from_secs(2);
+/// Clients of the measurements.
+const CLIENTS: [usize; 5] = [1, 4, 16, 64, 256];
+/// Leaders stopped, one after another.
+const STOPS: usize = 10;
+/// Commands whose replay is timed.
+const REPLAYED_COMMANDS: usize = 100_000;
+
+#[tokio::main]
+async fn main() {
+    let loop_rate = append_and_sync_rate();
+    println!("append-and-sync loop: {loop_rate:.0}/s, {:.0} us each", 1e6 / loop_rate);
+    let mut cluster = TestCluster::formed(3, StoreSettings::default()).await;
+    println!("groups clients commits/s ratio p50_us p99_us");
+    for groups in [1, SHARD_COUNT as usize] {
+        for clients in CLIENTS {
+            let measured = measure(&cluster, groups, clients).await;
+            let (rate, latencies) = (measured.rate, measured.latencies);
+            let ratio = rate / loop_rate;
+            let (p50, p99) = (latencies.value_at_quantile(0.5), latencies.value_at_quantile(0.99));
+            println!("{groups:6} {clients:7} {rate:9.0} {ratio:5.2} {p50:6} {p99:6}");
+        }
+    }
+    leader_stops(&mut cluster).await;
+    replay(&mut cluster).await;
+}
+
+/// Appends of a command's size, each synced, one after another.
+fn append_and_sync_rate() -> f64 {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut file = std::fs::File::create(folder.path().join("loop")).expect("a file");
+    let bytes = hooklug_state::encode(&put("program-000000"));
+    let (started, mut count) = (Instant::now(), 0_u32);
+    while started.elapsed() < MEASURE_TIME {
+        file.write_all(&bytes).expect("a write");
+        file.sync_data().expect("a sync");
+        count += 1;
+    }
+    f64::from(count) / started.elapsed().as_secs_f64()
+}
+
+struct Measured {
+    rate: f64,
+    latencies: Histogram<u64>,
+}
+
+/// Clients that each send one command after another.
+async fn measure(cluster: &TestCluster, groups: usize, clients: usize) -> Measured {
+    static RUN: AtomicU64 = AtomicU64::new(0);
+    let run = RUN.fetch_add(1, Ordering::Relaxed);
+    let client = cluster.client();
+    let end = Instant::now() + MEASURE_TIME;
+    let names = Arc::new(names(groups));
+    let started = Instant::now();
+    let tasks: Vec<_> = (0..clients)
+        .map(|number| tokio::spawn(one_client(client.clone(), names.clone(), number, run, end)))
+        .collect();
+    let mut latencies = Histogram::new(3).expect("three digits");
+    for task in tasks {
+        latencies.add(task.await.expect("a client")).expect("same bounds");
+    }
+    let rate = latencies.len() as f64 / started.elapsed().as_secs_f64();
+    Measured { rate, latencies }
+}
+
+/// A name of each group, so that commands spread evenly.
+fn names(groups: usize) -> Vec<String> {
+    let of_group = |group: usize| {
+        let wanted = GroupId(u32::try_from(group + 1).expect("few groups"));
+        let mut names = (0..).map(|number| format!("bench-{number}"));
+        names.find(|name| shard_of(name) == wanted).expect("some name")
+    };
+    (0..groups).map(of_group).collect()
+}
+
+async fn one_client(
+    client: StoreClient,
+    names: Arc<Vec<String>>,
+    number: usize,
+    run: u64,
+    end: Instant,
+) -> Histogram<u64> {
+    let mut latencies = Histogram::new(3).expect("three digits");
+    let mut sent = 0_usize;
+    while Instant::now() < end {
+        let group = shard_of(&names[(number + sent) % names.len()]);
+        let command = put(&format!("p{run}-{number}-{}", sent % 64));
+        let started = Instant::now();
+        client.execute_shard(group, &command, soon()).await.expect("a commit");
+        latencies.record(started.elapsed().as_micros() as u64).expect("in bounds");
+        sent += 1;
+    }
+    latencies
+}
+
+/// Time from the stop of a group's leader, without a hand-over, to the next commit.
+async fn leader_stops(cluster: &mut TestCluster) {
+    let mut times = Histogram::<u64>::new(3).expect("three digits");
+    let client = cluster.client();
+    for stop in 0..STOPS {
+        let name = format!("stop-{stop}");
+        let leader = cluster.until_leader(shard_of(&name)).await;
+        client.execute_shard(shard_of(&name), &put(&name), soon()).await.expect("a commit");
+        let stopped = Instant::now();
+        cluster.kill(leader).await;
+        client.execute_shard(shard_of(&name), &put(&name), soon()).await.expect("a commit");
+        times.record(stopped.elapsed().as_millis() as u64).expect("in bounds");
+        cluster.start(leader).await;
+        cluster.until_formed().await;
+    }
+    let (p50, max) = (times.value_at_quantile(0.5), times.max());
+    println!("leader stop to next commit: p50 {p50} ms, max {max} ms of {STOPS}");
+}
+
+/// Time for one store to open its folder and apply a log of that many commands, without a snapshot.
+async fn replay(cluster: &mut TestCluster) {
+    cluster.options.snapshot_entries = u64::MAX;
+    for number in 0..3 {
+        cluster.kill(number).await;
+        cluster.start(number).await;
+    }
+    cluster.until_formed().await;
+    let client = cluster.client();
+    let group = GroupId(1);
+    let applied = async |cluster: &TestCluster| {
+        cluster.handle(0).digest(group).await.map_or(0, |digest| digest.applied)
+    };
+    let before = applied(cluster).await;
+    let tasks: Vec<_> = (0..200)
+        .map(|number| {
+            let client = client.clone();
+            tokio::spawn(async move {
+                for sent in 0..REPLAYED_COMMANDS / 200 {
+                    let command = put(&format!("r{number}-{}", sent % 64));
+                    client.execute_shard(group, &command, soon()).await.expect("a commit");
+                }
+            })
+        })
+        .collect();
+    for task in tasks {
+        task.await.expect("a client");
+    }
+    cluster.assert_equal_digests(group).await;
+    let target = applied(cluster).await;
+    cluster.kill(0).await;
+    let started = Instant::now();
+    cluster.start(0).await;
+    while applied(cluster).await < target {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let (time, commands) = (started.elapsed(), target - before);
+    println!("replay of {commands} commands (and what went before): {} ms", time.as_millis());
+}
