--- a/crates/store/src/formation.rs
+++ b/crates/store/src/formation.rs
@@ -144,13 +144,20 @@
     Dropped,
 }
 
-/// Judges a promise by an answer; only the coordinator's own word counts.
+/// Judges a promise by an answer; `asked` is the promised cluster that the question named. Only the
+/// coordinator's own word about this very plan drops it: an answer to a question that was asked before
+/// the promise was made says nothing of it.
 #[must_use]
-pub fn judge_promise(plan: &FormationPlan, reply: &FormationReply) -> PromiseFate {
+pub fn judge_promise(
+    plan: &FormationPlan,
+    asked: Option<u64>,
+    reply: &FormationReply,
+) -> PromiseFate {
     if reply.cluster == plan.cluster {
         return PromiseFate::Decided;
     }
-    if reply.node == plan.coordinator && !reply.accepted {
+    let is_word = reply.node == plan.coordinator && asked == Some(plan.cluster);
+    if is_word && !reply.accepted {
         return PromiseFate::Dropped;
     }
     PromiseFate::Stands
--- a/crates/store/src/gossip.rs
+++ b/crates/store/src/gossip.rs
@@ -34,8 +34,9 @@
 /// Runs for the life of the process.
 pub(crate) async fn run(shared: Arc<Shared>) {
     loop {
-        let heard = ask_all(&shared).await;
-        let outcome = act(&shared, &heard).await;
+        let offer = shared.offer();
+        let heard = ask_all(&shared, &offer).await;
+        let outcome = act(&shared, offer.propose, &heard).await;
         if let Err(error) = outcome {
             error!(%error, "the store cannot go on forming a cluster");
         }
@@ -45,15 +46,14 @@
 }
 
 /// Asks all known stores, and processes of other roles for stores that they know.
-async fn ask_all(shared: &Arc<Shared>) -> Vec<Heard> {
+async fn ask_all(shared: &Arc<Shared>, offer: &FormationOffer) -> Vec<Heard> {
     let mut candidates = shared.formation().candidates.clone();
     for (_, address) in shared.addresses.all() {
         if address != shared.identity.address.rpc && !candidates.contains(&address) {
             candidates.push(address);
         }
     }
-    let offer = shared.offer();
-    let asked = candidates.into_iter().map(|address| ask(shared, address, &offer));
+    let asked = candidates.into_iter().map(|address| ask(shared, address, offer));
     let heard: Vec<Heard> = join_all(asked).await.into_iter().flatten().collect();
     for Heard { reply, incarnation } in &heard {
         shared.addresses.note(reply.node, *incarnation, reply.address);
@@ -85,11 +85,15 @@
     }
 }
 
-async fn act(shared: &Arc<Shared>, heard: &[Heard]) -> Result<(), crate::StoreError> {
+async fn act(
+    shared: &Arc<Shared>,
+    asked: Option<u64>,
+    heard: &[Heard],
+) -> Result<(), crate::StoreError> {
     let membership = shared.membership();
     match membership {
         Membership::Member { .. } => Ok(()),
-        Membership::Promised(plan) => settle_promise(shared, &plan, heard),
+        Membership::Promised(plan) => settle_promise(shared, &plan, asked, heard),
         Membership::Empty => match heard.iter().find(|h| h.reply.cluster != 0) {
             Some(member) => join(shared, member.reply.cluster),
             None => propose(shared, heard).await,
@@ -110,12 +114,14 @@
 fn settle_promise(
     shared: &Shared,
     plan: &FormationPlan,
+    asked: Option<u64>,
     heard: &[Heard],
 ) -> Result<(), crate::StoreError> {
     if plan.coordinator == shared.node() {
         return Ok(());
     }
-    let fates: Vec<_> = heard.iter().map(|heard| judge_promise(plan, &heard.reply)).collect();
+    let fates: Vec<_> =
+        heard.iter().map(|heard| judge_promise(plan, asked, &heard.reply)).collect();
     let mut formation = shared.formation();
     if formation.membership != Membership::Promised(plan.clone()) {
         return Ok(());
--- /dev/null
+++ b/crates/store/tests/failures.rs
@@ -0,0 +1,189 @@
+//! Cuts, frozen and failing stores, power loss, restarts: nothing acknowledged is lost or older.
+
+mod support;
+
+use std::time::Duration;
+
+use hooklug_protocol::store::{Execute, LeaseSubject, LeaseVerdict, StoreFault};
+use hooklug_state::encode;
+use hooklug_state::shard::{ShardCommand, ShardQuery, ShardRefusal, ShardReply};
+use hooklug_store::StateAccess;
+use hooklug_types::{EngineId, EngineIncarnation, GroupId, Incarnation, UnixMillis, shard_of};
+use support::{TestCluster, fast_options, has_program, program, put_program, soon, until};
+use tokio::time::Instant;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leader_that_is_cut_off_serves_no_stale_read() {
+    let cluster = TestCluster::formed(3, fast_options()).await;
+    let group = shard_of("program");
+    let old = cluster.until_leader(group).await;
+    cluster.isolate(old, true);
+    let others: Vec<usize> = (0..3).filter(|number| *number != old).collect();
+    put_program(&cluster.client_of(&others), "program").await;
+    // The old leader may still believe that it leads; it must not say that there is no such program.
+    let cut_off = cluster.client_of(&[old]);
+    let query = ShardQuery::Program(program("program"));
+    let deadline = Instant::now() + Duration::from_millis(1_500);
+    let answer = cut_off.query_shard(group, &query, deadline).await;
+    assert!(answer.is_err(), "{answer:?}");
+    let deadline = Instant::now() + Duration::from_millis(500);
+    let refused = cut_off.execute_shard(group, &support::put("other"), deadline).await;
+    assert!(refused.is_err(), "{refused:?}");
+    cluster.isolate(old, false);
+    assert!(has_program(&cut_off, "program").await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn one_way_cuts_leave_the_group_serving() {
+    let cluster = TestCluster::formed(3, fast_options()).await;
+    let client = cluster.client();
+    for (number, hears) in [(0, true), (1, false), (2, true)] {
+        for other in (0..3).filter(|other| *other != number) {
+            let (from, to) = if hears { (number, other) } else { (other, number) };
+            cluster.cut(from, to, true);
+        }
+        for name in 0..6 {
+            put_program(&client, &format!("program-{number}-{name}")).await;
+        }
+        cluster.isolate(number, false);
+        for name in 0..6 {
+            assert!(has_program(&client, &format!("program-{number}-{name}")).await);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_majority_lost_claims_nothing_and_comes_back() {
+    let mut cluster = TestCluster::formed(3, fast_options()).await;
+    let client = cluster.client();
+    put_program(&client, "program").await;
+    cluster.kill(0).await;
+    cluster.kill(1).await;
+    let deadline = Instant::now() + Duration::from_secs(2);
+    let group = shard_of("program");
+    let query = ShardQuery::Program(program("program"));
+    assert!(client.query_shard(group, &query, deadline).await.is_err());
+    let deadline = Instant::now() + Duration::from_millis(500);
+    assert!(client.execute_shard(group, &support::put("other"), deadline).await.is_err());
+    cluster.start(0).await;
+    cluster.start(1).await;
+    assert!(has_program(&client, "program").await);
+    put_program(&client, "other").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_stop_in_order_leaves_every_group_led() {
+    let mut cluster = TestCluster::formed(3, fast_options()).await;
+    let client = cluster.client();
+    for number in 0..3 {
+        cluster.stop(number).await;
+        for name in 0..8 {
+            put_program(&client, &format!("program-{number}-{name}")).await;
+        }
+        cluster.start(number).await;
+        cluster.until_formed().await;
+    }
+}
+
+fn engine(name: &str) -> EngineIncarnation {
+    EngineIncarnation { engine: EngineId::new(name).unwrap(), incarnation: Incarnation(5) }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lease_is_held_until_its_time_is_over_on_the_present_leader() {
+    let mut cluster = TestCluster::formed(3, fast_options()).await;
+    let client = cluster.client();
+    let holder = engine("engine-1");
+    let group = shard_of("engine-1");
+    let subject = LeaseSubject::Engine(holder.clone());
+    let renew = ShardCommand::RenewLease { holder: holder.clone() };
+    client.execute_shard(group, &renew, soon()).await.unwrap();
+    let verdict = client.expire_lease(group, subject.clone(), soon()).await.unwrap();
+    assert!(matches!(verdict, LeaseVerdict::Held { .. }), "{verdict:?}");
+    let leader = cluster.until_leader(group).await;
+    cluster.kill(leader).await;
+    // The new leader has led for less than the lease's time, whatever went before.
+    let verdict = client.expire_lease(group, subject.clone(), soon()).await.unwrap();
+    assert!(matches!(verdict, LeaseVerdict::Held { .. }), "{verdict:?}");
+    until("the lease expires", async || {
+        let verdict = client.expire_lease(group, subject.clone(), soon()).await.unwrap();
+        verdict == LeaseVerdict::Expired
+    })
+    .await;
+    let reply = client.execute_shard(group, &renew, soon()).await.unwrap();
+    assert_eq!(reply, ShardReply::Refused(ShardRefusal::LeaseExpired));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lease_that_was_never_granted_is_ended_for_good() {
+    let cluster = TestCluster::formed(3, fast_options()).await;
+    let client = cluster.client();
+    let holder = engine("engine-2");
+    let group = shard_of("engine-2");
+    let subject = LeaseSubject::Engine(holder.clone());
+    let verdict = client.expire_lease(group, subject, soon()).await.unwrap();
+    assert_eq!(verdict, LeaseVerdict::Unknown);
+    let renew = ShardCommand::RenewLease { holder };
+    let reply = client.execute_shard(group, &renew, soon()).await.unwrap();
+    assert_eq!(reply, ShardReply::Refused(ShardRefusal::LeaseExpired));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn commands_that_no_replica_could_apply_or_only_leaders_propose_are_refused() {
+    let cluster = TestCluster::formed(3, fast_options()).await;
+    let rpc = support::rpc_client();
+    let group = GroupId(1);
+    let leader = cluster.stores[cluster.until_leader(group).await].address;
+    let clock = ShardCommand::AdvanceClock { now: UnixMillis(u64::MAX) };
+    let hidden = ShardCommand::Batch(vec![clock.clone()]);
+    for command in [vec![0xff; 9], encode(&clock), encode(&hidden)] {
+        let answer = rpc.call(leader, &Execute { group, command }, soon()).await.unwrap();
+        assert!(matches!(answer, Err(StoreFault::Refused { .. })), "{answer:?}");
+    }
+    put_program(&cluster.client(), "program").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_log_and_snapshots_stay_bounded_and_replicas_agree() {
+    let options = hooklug_settings::StoreSettings { snapshot_entries: 500, ..fast_options() };
+    let mut cluster = TestCluster::formed(3, options).await;
+    let client = cluster.client();
+    let group = shard_of("program");
+    // 300,000 commands in batches over a bounded set of programs.
+    let batches = (0..3_000_u32).map(|batch| {
+        let names = (0..100).map(move |n| format!("program-{}", (batch * 7 + n) % 200));
+        ShardCommand::Batch(names.map(|name| support::put(&name)).collect())
+    });
+    for batch in batches {
+        client.execute_shard(group, &batch, soon()).await.unwrap();
+    }
+    for number in 0..3 {
+        let bytes = folder_bytes(cluster.stores[number].folder.path());
+        assert!(bytes < 100 << 20, "store {number} holds {bytes} bytes");
+        let snapshots = cluster.stores[number].folder.path().join("groups/snapshots");
+        let of_group = |name: &str| name.starts_with(&format!("{:05}-", group.0));
+        until("old snapshots are removed", async || {
+            let names = std::fs::read_dir(&snapshots).unwrap();
+            let names = names.map(|e| e.unwrap().file_name().into_string().unwrap());
+            names.filter(|name| of_group(name)).count() <= 2
+        })
+        .await;
+    }
+    cluster.assert_equal_digests(group).await;
+    for number in 0..3 {
+        cluster.kill(number).await;
+        cluster.start(number).await;
+    }
+    cluster.assert_equal_digests(group).await;
+}
+
+fn folder_bytes(folder: &std::path::Path) -> u64 {
+    let entries = std::fs::read_dir(folder).unwrap().map(Result::unwrap);
+    let size = |entry: std::fs::DirEntry| match entry.metadata() {
+        Ok(metadata) if metadata.is_dir() => folder_bytes(&entry.path()),
+        Ok(metadata) => metadata.len(),
+        // Removed meanwhile.
+        Err(_) => 0,
+    };
+    entries.map(size).sum()
+}
--- /dev/null
+++ b/crates/store/tests/repair.rs
@@ -0,0 +1,122 @@
+//! Lost, replaced, added and retired stores, repaired as the core leader would.
+
+#[path = "support/repair.rs"]
+mod repairer;
+mod support;
+
+use std::collections::BTreeSet;
+
+use hooklug_protocol::store::{ChangeReplicas, StoreFault};
+use hooklug_raft::ConfChange;
+use hooklug_state::meta::StoreState;
+use hooklug_types::{FencingEpoch, GroupId, NodeId};
+use repairer::Repairer;
+use support::{TestCluster, fast_options, has_program, put_program, rpc_client, soon, until};
+
+async fn put_programs(cluster: &TestCluster, names: std::ops::Range<u32>) {
+    let client = cluster.client();
+    for number in names {
+        put_program(&client, &format!("program-{number}")).await;
+    }
+}
+
+async fn assert_programs(cluster: &TestCluster, names: std::ops::Range<u32>) {
+    let client = cluster.client();
+    for number in names {
+        assert!(has_program(&client, &format!("program-{number}")).await, "program-{number}");
+    }
+}
+
+/// Whether a store holds no replica.
+async fn is_empty(cluster: &TestCluster, number: usize) -> bool {
+    cluster.handle(number).replicas().await.is_empty()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lost_disk_at_the_same_address_is_a_new_node_and_a_second_loss_is_survived() {
+    let mut cluster = TestCluster::formed(4, fast_options()).await;
+    let repairer = Repairer::new(&cluster).await;
+    repairer.settle(&cluster).await;
+    put_programs(&cluster, 0..30).await;
+    let lost = cluster.node(1);
+    cluster.kill(1).await;
+    cluster.lose_disk(1);
+    put_programs(&cluster, 30..40).await;
+    cluster.start(1).await;
+    cluster.until_formed().await;
+    assert_ne!(cluster.node(1), lost);
+    repairer.settle(&cluster).await;
+    let meta = repairer.meta().await;
+    assert!(meta.placements.values().all(|p| p.voters.len() == 3 && !p.voters.contains(&lost)));
+    until("the lost node is removed", async || {
+        repairer.settle(&cluster).await;
+        let stores = repairer.meta().await.stores;
+        stores.iter().any(|s| s.node == lost && s.state == StoreState::Removed)
+    })
+    .await;
+    // The second loss, right after the repair.
+    cluster.kill(0).await;
+    cluster.lose_disk(0);
+    assert_programs(&cluster, 0..40).await;
+    put_programs(&cluster, 40..50).await;
+    repairer.settle(&cluster).await;
+    assert_programs(&cluster, 0..50).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_added_store_takes_its_share_and_a_retired_one_is_emptied() {
+    let mut cluster = TestCluster::formed(4, fast_options()).await;
+    let repairer = Repairer::new(&cluster).await;
+    put_programs(&cluster, 0..30).await;
+    let added = cluster.add().await;
+    cluster.start(added).await;
+    until("the new store is registered", async || repairer.meta().await.stores.len() == 5).await;
+    repairer.settle(&cluster).await;
+    assert!(cluster.handle(added).replicas().await.len() >= 12);
+    let retired = cluster.node(0);
+    repairer.retire(retired).await;
+    repairer.settle(&cluster).await;
+    let states = repairer.meta().await.stores;
+    assert!(states.iter().any(|s| s.node == retired && s.state == StoreState::Removed));
+    until("the retired store is empty", async || is_empty(&cluster, 0).await).await;
+    cluster.kill(0).await;
+    assert_programs(&cluster, 0..30).await;
+    put_programs(&cluster, 30..40).await;
+    for group in GroupId::all() {
+        cluster.assert_equal_digests(group).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_empty_machine_joins_the_cluster_and_never_forms_its_own() {
+    let mut cluster = TestCluster::formed(3, fast_options()).await;
+    let formed = cluster.handle(0).cluster();
+    for _ in 0..3 {
+        let number = cluster.add().await;
+        cluster.start(number).await;
+    }
+    cluster.until_formed().await;
+    let clusters: BTreeSet<u64> = (0..6).map(|n| cluster.handle(n).cluster()).collect();
+    assert_eq!(clusters, [formed].into());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_stale_core_leader_changes_no_replicas() {
+    let cluster = TestCluster::formed(3, fast_options()).await;
+    let _leader = Repairer::new(&cluster).await;
+    let group = GroupId(1);
+    let leader = cluster.until_leader(group).await;
+    until("the store knows the core leader", async || {
+        cluster.handle(leader).watch_meta().borrow().leader.is_some()
+    })
+    .await;
+    let change = ConfChange::Remove(cluster.node((leader + 1) % 3));
+    let request = ChangeReplicas { group, change, epoch: FencingEpoch(0) };
+    let address = cluster.stores[leader].address;
+    let answer = rpc_client().call(address, &request, soon()).await.unwrap();
+    assert!(matches!(answer, Err(StoreFault::Refused { .. })), "{answer:?}");
+    let replicas = cluster.handle(leader).replicas().await;
+    let conf = &replicas.iter().find(|r| r.group == group).unwrap().conf;
+    assert_eq!(conf.voters.len(), 3);
+    assert!(!conf.contains(NodeId(0)));
+}
--- a/crates/store/tests/support/mod.rs
+++ b/crates/store/tests/support/mod.rs
@@ -312,7 +312,8 @@
 
 /// Puts a program and waits for the acknowledgement.
 pub async fn put_program(client: &StoreClient, name: &str) {
-    let reply = client.execute_shard(shard_of(name), &put(name), soon()).await.unwrap();
+    let reply = client.execute_shard(shard_of(name), &put(name), soon()).await;
+    let reply = reply.unwrap_or_else(|error| panic!("{name}: {error}"));
     assert!(matches!(reply, ShardReply::Program(_)), "{reply:?}");
 }
 
--- /dev/null
+++ b/crates/store/tests/support/repair.rs
@@ -0,0 +1,96 @@
+//! What a core leader does for the stores, as far as tests need it.
+
+use std::collections::BTreeSet;
+
+use hooklug_protocol::store::{ChangeReplicas, GroupStatus};
+use hooklug_rpc::RpcClient;
+use hooklug_state::meta::{MetaAnswer, MetaCommand, MetaQuery, MetaReply, MetaState, StoreState};
+use hooklug_store::placement::{PlannedChange, StoreReport, plan};
+use hooklug_store::{StateAccess, StoreClient};
+use hooklug_types::{FencingEpoch, Incarnation, NodeId};
+
+use crate::support::{TestCluster, rpc_client, soon, until};
+
+/// A core leader that plans and makes changes.
+pub struct Repairer {
+    access: StoreClient,
+    rpc: RpcClient,
+    epoch: FencingEpoch,
+}
+
+impl Repairer {
+    /// Takes the core leadership of a cluster that has no core yet.
+    pub async fn new(cluster: &TestCluster) -> Self {
+        let (access, rpc) = (cluster.client(), rpc_client());
+        let acquire = MetaCommand::AcquireLeadership {
+            core: NodeId(77),
+            incarnation: Incarnation(1),
+            address: "127.0.0.1:1".parse().unwrap(),
+            seen: FencingEpoch(0),
+        };
+        let reply = access.execute_meta(&acquire, soon()).await.unwrap();
+        let MetaReply::Leader(leader) = reply else { panic!("{reply:?}") };
+        Self { access, rpc, epoch: leader.epoch }
+    }
+
+    pub async fn meta(&self) -> MetaState {
+        let answer = self.access.query_meta(&MetaQuery::State, soon()).await.unwrap();
+        let MetaAnswer::State(state) = answer else { panic!("{answer:?}") };
+        *state
+    }
+
+    pub async fn retire(&self, node: NodeId) {
+        let (epoch, state) = (self.epoch, StoreState::Retiring);
+        let command = MetaCommand::SetStoreState { epoch, node, state };
+        let reply = self.access.execute_meta(&command, soon()).await.unwrap();
+        assert_eq!(reply, MetaReply::Done);
+    }
+
+    /// Plans and makes changes until nothing is left to do; stores that do not run count as lost.
+    pub async fn settle(&self, cluster: &TestCluster) {
+        until("the cluster is repaired", async || self.round(cluster).await == 0).await;
+    }
+
+    async fn round(&self, cluster: &TestCluster) -> usize {
+        let meta = self.meta().await;
+        let mut reports = Vec::new();
+        for store in cluster.stores.iter().filter(|store| store.running.is_some()) {
+            let Ok(replicas) = self.rpc.call(store.address, &GroupStatus, soon()).await else {
+                return 1;
+            };
+            let node = store.running.as_ref().unwrap().identity.address.node;
+            reports.push(StoreReport { node, replicas });
+        }
+        let alive: BTreeSet<NodeId> = reports.iter().map(|report| report.node).collect();
+        let led = |group| {
+            let replicas = reports.iter().flat_map(|report| &report.replicas);
+            replicas.filter(|r| r.group == group).any(|r| r.role == hooklug_raft::Role::Leader)
+        };
+        let unled = meta.placements.keys().filter(|group| !led(**group)).count();
+        let changes = plan(&meta, &reports, &alive);
+        for change in &changes {
+            self.make(&meta, change).await;
+        }
+        changes.len() + unled
+    }
+
+    /// Makes a change; one that is refused now is planned again.
+    async fn make(&self, meta: &MetaState, change: &PlannedChange) {
+        let epoch = self.epoch;
+        let command = match change.clone() {
+            PlannedChange::SetPlacement { group, expected, placement } => {
+                MetaCommand::SetPlacement { epoch, group, expected, placement }
+            }
+            PlannedChange::RemoveStore { node } => {
+                MetaCommand::SetStoreState { epoch, node, state: StoreState::Removed }
+            }
+            PlannedChange::ChangeReplicas { group, leader, change } => {
+                let store = meta.stores.iter().find(|store| store.node == leader).unwrap();
+                let request = ChangeReplicas { group, change, epoch };
+                let _ = self.rpc.call(store.address, &request, soon()).await;
+                return;
+            }
+        };
+        self.access.execute_meta(&command, soon()).await.unwrap();
+    }
+}
