--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -69,7 +69,9 @@
 
     fn ask_for_votes(&mut self, ballot: Ballot) {
         self.votes.clear();
-        self.votes.insert(self.config.id, true);
+        if ballot == Ballot::PreVote {
+            self.votes.insert(self.config.id, true);
+        }
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         let own = self.config.id;
         let voters = self.log.conf().voters.iter().copied();
@@ -88,6 +90,15 @@
         self.count_votes();
     }
 
+    /// Counts a candidate's vote for itself once it is on disk. Otherwise a sole voter could crash
+    /// and lead the same term a second time, with other entries.
+    pub(crate) fn count_own_vote(&mut self, synced_term: u64) {
+        if self.role == Role::Candidate && synced_term == self.term {
+            self.votes.insert(self.config.id, true);
+            self.count_votes();
+        }
+    }
+
     fn count_votes(&mut self) {
         let won = self.log.conf().is_quorum(|voter| self.votes.get(&voter) == Some(&true));
         let lost = self.log.conf().is_quorum(|voter| self.votes.get(&voter) == Some(&false));
--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -162,7 +162,7 @@
 
     /// Only an entry of the own term is committed by counting (Raft, section 5.4.2).
     fn may_commit(&self, index: u64) -> bool {
-        #[cfg(feature = "simulation")]
+        #[cfg(any(test, feature = "simulation"))]
         if self.broken_rule == Some(crate::simulation::BrokenRule::CommitOlderTermByCounting) {
             return true;
         }
@@ -207,7 +207,7 @@
             None => 0,
         };
         let confirmed_round = self.log.conf().quorum_value(acked);
-        #[cfg(feature = "simulation")]
+        #[cfg(any(test, feature = "simulation"))]
         let confirmed_round = match self.broken_rule {
             Some(crate::simulation::BrokenRule::ReadWithoutRound) => newest,
             _ => confirmed_round,
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod read_only;
 pub mod ready;
 mod replication;
-#[cfg(feature = "simulation")]
+#[cfg(any(test, feature = "simulation"))]
 pub mod simulation;
 pub mod status;
 mod step;
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -48,8 +48,8 @@
     pub(crate) heartbeat_elapsed: u32,
     election_timeout: u32,
     random: ChaCha8Rng,
-    /// Hard state that is on disk.
-    persisted: HardState,
+    /// Term that is on disk, with the vote given in it.
+    persisted_term: u64,
     /// Hard state that was handed out last.
     handed_out_state: HardState,
     handed_out: Option<HandedOut>,
@@ -60,7 +60,7 @@
     pub(crate) lost_reads: Vec<u64>,
     pub(crate) snapshots_wanted: Vec<NodeId>,
     /// Rule broken on purpose, to show that the simulator notices.
-    #[cfg(feature = "simulation")]
+    #[cfg(any(test, feature = "simulation"))]
     pub(crate) broken_rule: Option<crate::simulation::BrokenRule>,
 }
 
@@ -90,7 +90,7 @@
             election_elapsed: 0,
             heartbeat_elapsed: 0,
             election_timeout: 0,
-            persisted: hard_state,
+            persisted_term: hard_state.term,
             handed_out_state: hard_state,
             handed_out: None,
             applied_conf,
@@ -99,7 +99,7 @@
             confirmed_reads: Vec::new(),
             lost_reads: Vec::new(),
             snapshots_wanted: Vec::new(),
-            #[cfg(feature = "simulation")]
+            #[cfg(any(test, feature = "simulation"))]
             broken_rule: None,
             config,
         };
@@ -146,11 +146,11 @@
             reads: std::mem::take(&mut self.confirmed_reads),
             reads_lost: std::mem::take(&mut self.lost_reads),
             snapshots_wanted: std::mem::take(&mut self.snapshots_wanted),
+            messages_before_sync: std::mem::take(&mut self.outbox_before_sync),
             messages: std::mem::take(&mut self.outbox),
             ..Ready::default()
         };
         self.hand_out_hard_state(&mut ready);
-        self.hand_out_early_messages(&mut ready);
         if let Some(snapshot) = &ready.snapshot {
             self.applied_conf = snapshot.meta.conf.clone();
         }
@@ -167,7 +167,7 @@
     pub fn advance(&mut self) {
         let Some(done) = self.handed_out.take() else { return };
         if let Some(hard_state) = done.hard_state {
-            self.persisted = hard_state;
+            self.persisted_term = hard_state.term;
         }
         if let Some((index, term)) = done.last_entry {
             self.log.stable_to(index, term);
@@ -175,6 +175,7 @@
         if let Some(index) = done.applied {
             self.log.applied_to(index);
         }
+        self.count_own_vote(self.persisted_term);
         self.note_own_progress();
     }
 
@@ -216,7 +217,8 @@
         self.outbox.push(Message { from: self.config.id, to, term, body });
     }
 
-    /// Queues a leader's message, which rests on nothing but its term.
+    /// Queues a leader's message. It rests on nothing but the leader's term, which has been on
+    /// disk since before the election was won.
     pub(crate) fn send_before_sync(&mut self, to: NodeId, body: MessageBody) {
         let message = Message { from: self.config.id, to, term: self.term, body };
         self.outbox_before_sync.push(message);
@@ -244,17 +246,6 @@
             self.handed_out_state = state;
         }
     }
-
-    /// A leader's message may go out before the sync only if its term is on disk: a sole voter
-    /// that lost the term in a crash would lead it a second time, with other entries.
-    fn hand_out_early_messages(&mut self, ready: &mut Ready) {
-        let queued = std::mem::take(&mut self.outbox_before_sync);
-        let synced_term = self.persisted.term;
-        let (early, late): (Vec<_>, Vec<_>) =
-            queued.into_iter().partition(|message| message.term <= synced_term);
-        ready.messages_before_sync = early;
-        ready.messages.extend(late);
-    }
 }
 
 /// Hard state that fits the log: entries of a newer term than the one on disk come from a write
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -152,19 +152,19 @@
     /// Notes a refusal of the append after `rejected_index`; the logs may agree up to `hint`.
     /// Gives `false` for a refusal that is out of date.
     pub fn rejected(&mut self, rejected_index: u64, hint: u64) -> bool {
+        // A refusal at a place that matched before is out of date, or the replica has lost synced
+        // entries; answering that with another probe would go round without end.
+        if rejected_index <= self.matched {
+            return false;
+        }
         match self.state {
             ProgressState::Snapshot => false,
             ProgressState::Replicate => {
-                if rejected_index <= self.matched {
-                    return false;
-                }
                 self.become_probe(self.matched + 1);
                 true
             }
+            ProgressState::Probe if self.next != rejected_index + 1 => false,
             ProgressState::Probe => {
-                if self.next != rejected_index + 1 {
-                    return false;
-                }
                 self.become_probe(rejected_index.min(hint + 1).max(self.matched + 1));
                 true
             }
