emulator: model server, application engine and engine list with faults and ledgers

Cause: nothing plays the back ends that docs/BACKENDS.md describes. Change: three stand-ins as processes and as a library; faults by rule while they run; ledgers of what really ran; docs/TESTING.md describes them.

--- /dev/null
+++ b/crates/emulator/src/application.rs
@@ -0,0 +1,234 @@
+//! A plain application engine. It runs every request that reaches it: keeping a call from running
+//! twice is its callers' affair, and the ledger shows whether they managed.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hooklug_types::{EngineId, Incarnation, ServiceName, ServiceVersion};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde_json::Value;
+use tokio::sync::Semaphore;
+
+use crate::core::{Core, RequestId, header_text};
+use crate::faults::Hit;
+use crate::headers;
+use crate::http::{Answer, Body, Unanswered, cut, json, read_json, text, whole};
+use crate::identity::{BackendKind, Identity};
+use crate::ledger::{Ledger, LedgerEntry};
+use crate::stand_in::{Backend, StandIn};
+
+const JSON: &str = "application/json";
+
+/// How an application engine is started.
+#[derive(Debug, Clone)]
+pub struct ApplicationOptions {
+    /// Where it listens; port 0 draws one.
+    pub listen: SocketAddr,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Its name.
+    pub engine: EngineId,
+    /// Version that it runs.
+    pub version: ServiceVersion,
+    /// How long a call takes.
+    pub run_time: Duration,
+    /// Calls that it runs at once; more wait.
+    pub slots: u32,
+    /// File that the ledger is added to.
+    pub ledger: Option<PathBuf>,
+}
+
+/// Starts application engines.
+#[derive(Debug)]
+pub struct ApplicationEngine {
+    core: Arc<Core>,
+    run_time: Duration,
+    slots: Semaphore,
+    memory: Mutex<Memory>,
+}
+
+/// What the process knows of its calls until it restarts.
+#[derive(Debug, Default)]
+struct Memory {
+    calls: BTreeMap<String, CallMemory>,
+    last_answer: Option<Finished>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct CallMemory {
+    times: u32,
+    answer: Option<Value>,
+}
+
+/// An answer that is ready to go out.
+#[derive(Debug, Clone)]
+struct Finished {
+    id: RequestId,
+    body: Bytes,
+}
+
+/// Answer to a look-up.
+#[derive(Debug, Serialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+enum LookUp {
+    Done { status: u16, body: Value },
+    Running,
+    Never,
+}
+
+impl ApplicationEngine {
+    /// Starts one.
+    ///
+    /// # Errors
+    /// When it can't listen, or can't open its ledger's file.
+    pub async fn start(options: ApplicationOptions) -> io::Result<StandIn> {
+        let identity = Identity {
+            service: options.service,
+            engine: options.engine,
+            incarnation: Incarnation::at_start(),
+            version: options.version,
+            kind: BackendKind::Application,
+        };
+        let ledger = Ledger::open(options.ledger.as_deref())?;
+        let core = Arc::new(Core::new(identity, ledger, options.slots));
+        let engine = Arc::new(Self {
+            core: core.clone(),
+            run_time: options.run_time,
+            slots: Semaphore::new(options.slots as usize),
+            memory: Mutex::default(),
+        });
+        StandIn::start(options.listen, core, engine).await
+    }
+
+    async fn call(self: Arc<Self>, tool: String, request: Request<Incoming>) -> Answer {
+        let headers = request.headers().clone();
+        let (id, hit) = match self.core.admit(&headers, &tool) {
+            Ok(admitted) => admitted,
+            Err(refusal) => return Ok(*refusal),
+        };
+        let arguments: Value = match read_json(request).await {
+            Ok(arguments) => arguments,
+            Err(refusal) => return Ok(self.core.signed(&id, *refusal)),
+        };
+        // A task of its own: the call runs to its end also when the caller goes away.
+        let running = tokio::spawn(self.clone().run(tool, id, headers, arguments, hit));
+        let finished = running.await.map_err(|_| Unanswered)?;
+        self.send(finished, hit).await
+    }
+
+    async fn run(
+        self: Arc<Self>,
+        tool: String,
+        id: RequestId,
+        headers: HeaderMap,
+        arguments: Value,
+        hit: Hit,
+    ) -> Finished {
+        let _running = self.core.enter();
+        let _slot = self.slots.acquire().await;
+        let named = |name| header_text(&headers, name).unwrap_or_default().to_owned();
+        let call = named(headers::CALL);
+        let times = self.begin(&call);
+        self.core.record(LedgerEntry::CallRan {
+            call: call.clone(),
+            attempt: named(headers::ATTEMPT),
+            tool: tool.clone(),
+            request: id.0.clone(),
+            times,
+        });
+        tokio::time::sleep(self.run_time + hit.delay).await;
+        let answer = serde_json::json!({
+            "tool": tool, "call": call, "times": times, "arguments": arguments,
+            "engine": self.core.identity().engine,
+        });
+        self.end(&call, &answer);
+        Finished { id, body: serde_json::to_vec(&answer).unwrap_or_default().into() }
+    }
+
+    fn begin(&self, call: &str) -> u32 {
+        let mut memory = self.memory();
+        let known = memory.calls.entry(call.to_owned()).or_default();
+        known.times += 1;
+        known.times
+    }
+
+    fn end(&self, call: &str, answer: &Value) {
+        if let Some(known) = self.memory().calls.get_mut(call) {
+            known.answer = Some(answer.clone());
+        }
+    }
+
+    async fn send(&self, own: Finished, hit: Hit) -> Answer {
+        if hit.stall {
+            std::future::pending::<()>().await;
+        }
+        if hit.lose_answer {
+            return Err(Unanswered);
+        }
+        let before = self.memory().last_answer.replace(own.clone());
+        let Finished { id, body } = if hit.cross { before.unwrap_or(own) } else { own };
+        let answer = if hit.cut_short {
+            cut(JSON, &body)
+        } else if hit.garble {
+            whole(StatusCode::OK, JSON, garbled(&body))
+        } else {
+            whole(StatusCode::OK, JSON, body)
+        };
+        Ok(self.core.signed(&id, answer))
+    }
+
+    fn look_up(&self, query: &str) -> Response<Body> {
+        if self.core.faults.get().no_lookup {
+            return text(StatusCode::NOT_FOUND, "no look-up here");
+        }
+        let Some(call) = query.split('&').find_map(|pair| pair.strip_prefix("call=")) else {
+            return text(StatusCode::BAD_REQUEST, "call is missing");
+        };
+        let call = call.replace("%2F", "/").replace("%2f", "/").replace("%3A", ":");
+        let state = match self.memory().calls.get(&call).cloned() {
+            None => LookUp::Never,
+            Some(CallMemory { answer: None, .. }) => LookUp::Running,
+            Some(CallMemory { answer: Some(body), .. }) => LookUp::Done { status: 200, body },
+        };
+        json(StatusCode::OK, &state)
+    }
+
+    fn memory(&self) -> MutexGuard<'_, Memory> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// As long as the answer, but no JSON.
+fn garbled(body: &Bytes) -> Bytes {
+    body.iter().map(|byte| byte ^ 0x15).collect::<Vec<u8>>().into()
+}
+
+impl Backend for ApplicationEngine {
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Pin<Box<dyn Future<Output = Answer> + Send>> {
+        let path = request.uri().path().to_owned();
+        let tool = path.strip_prefix("/calls/").filter(|tool| !tool.is_empty());
+        match (request.method().clone(), tool) {
+            (Method::POST, Some(tool)) => Box::pin(self.call(tool.to_owned(), request)),
+            (Method::GET, None) if path == "/calls" => {
+                Box::pin(async move { Ok(self.look_up(request.uri().query().unwrap_or_default())) })
+            }
+            _ => Box::pin(async { Ok(text(StatusCode::NOT_FOUND, "no such path")) }),
+        }
+    }
+
+    fn forget(&self) {
+        *self.memory() = Memory::default();
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/core.rs
@@ -0,0 +1,137 @@
+//! What all back-end stand-ins share: identity, faults, ledger, load, and the checks of the contract.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+
+use crate::faults::{FaultSwitches, Hit};
+use crate::headers;
+use crate::http::{Body, text};
+use crate::identity::Identity;
+use crate::ledger::{Ledger, LedgerEntry};
+
+/// Shared by all requests of a stand-in, over its restarts.
+#[derive(Debug)]
+pub(crate) struct Core {
+    identity: RwLock<Identity>,
+    pub(crate) faults: FaultSwitches,
+    pub(crate) ledger: Ledger,
+    running: AtomicU32,
+    pub(crate) slots: u32,
+}
+
+impl Core {
+    pub(crate) fn new(identity: Identity, ledger: Ledger, slots: u32) -> Self {
+        let core = Self {
+            identity: RwLock::new(identity),
+            faults: FaultSwitches::default(),
+            ledger,
+            running: AtomicU32::new(0),
+            slots,
+        };
+        core.record(LedgerEntry::Started);
+        core
+    }
+
+    pub(crate) fn identity(&self) -> Identity {
+        self.identity.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn set_identity(&self, identity: Identity) {
+        *self.identity.write().unwrap_or_else(PoisonError::into_inner) = identity;
+        self.record(LedgerEntry::Started);
+    }
+
+    pub(crate) fn record(&self, entry: LedgerEntry) {
+        self.ledger.add(&self.identity(), entry);
+    }
+
+    pub(crate) fn running(&self) -> u32 {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as running until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> Running {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        Running { core: self.clone() }
+    }
+
+    /// Checks what every request for work must carry, and draws its faults.
+    pub(crate) fn admit(
+        &self,
+        request: &HeaderMap,
+        route: &str,
+    ) -> Result<(RequestId, Hit), Box<Response<Body>>> {
+        let id = RequestId::of(request)
+            .ok_or_else(|| text(StatusCode::BAD_REQUEST, "x-hooklug-request is missing"))?;
+        let identity = self.identity();
+        let expected = header_text(request, headers::EXPECT);
+        if expected.is_some_and(|e| e != identity.to_string()) {
+            return Err(Box::new(self.refusal(&id, StatusCode::CONFLICT, "identity")));
+        }
+        if self.faults.get().draining {
+            return Err(Box::new(self.refusal(&id, StatusCode::SERVICE_UNAVAILABLE, "draining")));
+        }
+        let hit = self.faults.draw(route, self.running());
+        if hit.refuse {
+            return Err(Box::new(self.refusal(&id, StatusCode::SERVICE_UNAVAILABLE, "overloaded")));
+        }
+        if hit.fail {
+            let failed = text(StatusCode::INTERNAL_SERVER_ERROR, "failed on purpose");
+            return Err(Box::new(self.signed(&id, failed)));
+        }
+        Ok((id, hit))
+    }
+
+    /// The explicit refusal: not run.
+    pub(crate) fn refusal(
+        &self,
+        id: &RequestId,
+        status: StatusCode,
+        reason: &'static str,
+    ) -> Response<Body> {
+        let mut answer = text(status, reason);
+        answer.headers_mut().insert(headers::REFUSED, HeaderValue::from_static(reason));
+        self.signed(id, answer)
+    }
+
+    /// Adds the echoed request id and the identity.
+    pub(crate) fn signed(&self, id: &RequestId, mut answer: Response<Body>) -> Response<Body> {
+        let names =
+            [(headers::REQUEST, id.0.clone()), (headers::ENGINE, self.identity().to_string())];
+        for (name, value) in names {
+            if let Ok(value) = HeaderValue::from_str(&value) {
+                answer.headers_mut().insert(name, value);
+            }
+        }
+        answer
+    }
+}
+
+/// Id of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct RequestId(pub(crate) String);
+
+impl RequestId {
+    fn of(request: &HeaderMap) -> Option<Self> {
+        header_text(request, headers::REQUEST).map(|id| Self(id.to_owned()))
+    }
+}
+
+/// A request counted as running.
+#[derive(Debug)]
+pub(crate) struct Running {
+    core: Arc<Core>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.core.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A header as text.
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
--- /dev/null
+++ b/crates/emulator/src/http.rs
@@ -0,0 +1,143 @@
+//! HTTP/1.1 with the means to break an answer: bodies that end early, connections closed unanswered.
+
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Longest request body, in bytes (ours); contexts of long sessions are large.
+const BODY_BYTES: usize = 64 << 20;
+
+/// Time for the first half of a cut answer to be written (ours).
+pub(crate) const CUT_PAUSE: Duration = Duration::from_millis(20);
+
+pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// The connection is closed without an answer.
+#[derive(Debug, thiserror::Error)]
+#[error("closed without an answer")]
+pub(crate) struct Unanswered;
+
+pub(crate) type Answer = Result<Response<Body>, Unanswered>;
+
+/// Serves connections until the run ends; then all of them are closed at once.
+pub(crate) async fn serve<H, F>(listener: TcpListener, run: CancellationToken, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = run.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        if let Ok((stream, _)) = accepted {
+            connections.spawn(serve_connection(stream, run.clone(), handler.clone()));
+        }
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, run: CancellationToken, handler: Arc<H>)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    // Small lines must not wait for an acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| handler(request));
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        () = run.cancelled() => {}
+        _ = connection => {}
+    }
+}
+
+/// The whole body of a request as JSON.
+pub(crate) async fn read_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, Box<Response<Body>>> {
+    let body = Limited::new(request.into_body(), BODY_BYTES).collect().await;
+    let bytes = body.map_err(|e| bad_request(&e.to_string()))?.to_bytes();
+    serde_json::from_slice(&bytes).map_err(|e| bad_request(&e.to_string()))
+}
+
+fn bad_request(words: &str) -> Box<Response<Body>> {
+    Box::new(text(StatusCode::BAD_REQUEST, words))
+}
+
+/// A whole JSON answer.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    whole(status, "application/json", Bytes::from(bytes))
+}
+
+/// A whole answer in words.
+pub(crate) fn text(status: StatusCode, words: &str) -> Response<Body> {
+    whole(status, "text/plain", Bytes::copy_from_slice(words.as_bytes()))
+}
+
+/// A whole answer.
+pub(crate) fn whole(status: StatusCode, content_type: &str, bytes: Bytes) -> Response<Body> {
+    let body = Full::new(bytes).map_err(|never| match never {}).boxed_unsync();
+    build(status, content_type, body)
+}
+
+/// An answer that declares all bytes, sends half of them and breaks the connection.
+pub(crate) fn cut(content_type: &str, bytes: &Bytes) -> Response<Body> {
+    let (sender, pieces) = mpsc::channel(1);
+    let half = bytes.slice(..bytes.len() / 2);
+    tokio::spawn(async move {
+        let _ = sender.send(Ok(half)).await;
+        // Without a pause the connection may close before the half is written.
+        tokio::time::sleep(CUT_PAUSE).await;
+        let _ = sender.send(Err(broken())).await;
+    });
+    let mut answer = stream(content_type, pieces);
+    answer.headers_mut().insert(header::CONTENT_LENGTH, bytes.len().into());
+    answer
+}
+
+/// An answer whose pieces come as they are made; an error breaks the connection.
+pub(crate) fn stream(
+    content_type: &str,
+    pieces: mpsc::Receiver<Result<Bytes, io::Error>>,
+) -> Response<Body> {
+    let frames = ReceiverStream::new(pieces).map(|piece| piece.map(Frame::data));
+    build(StatusCode::OK, content_type, StreamBody::new(frames).boxed_unsync())
+}
+
+/// The error that breaks a connection in the middle of a body.
+pub(crate) fn broken() -> io::Error {
+    io::Error::other("cut short on purpose")
+}
+
+fn build(status: StatusCode, content_type: &str, body: Body) -> Response<Body> {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = status;
+    if let Ok(value) = content_type.parse() {
+        answer.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,27 @@
+//! Stand-ins for the systems around hooklug: model servers, application engines and the platform's
+//! list of engines, as `docs/BACKENDS.md` wants them.
+//!
+//! Each keeps a ledger of all that it really ran, and misbehaves on demand while it runs: see the
+//! section "Stand-ins" of `docs/TESTING.md`. Tests start them in their own process on port 0.
+
+#![deny(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod application;
+mod core;
+pub mod faults;
+mod headers;
+mod http;
+pub mod identity;
+pub mod ledger;
+pub mod model;
+pub mod platform;
+mod stand_in;
+
+pub use application::{ApplicationEngine, ApplicationOptions};
+pub use faults::{FaultKind, FaultRule, Faults};
+pub use identity::{Identity, Restart};
+pub use ledger::{Ledger, LedgerEntry, LedgerLine};
+pub use model::{ModelOptions, ModelServer};
+pub use platform::{EngineList, ListedEngine, PlatformList, PlatformOptions};
+pub use stand_in::StandIn;
--- /dev/null
+++ b/crates/emulator/src/model/generation.rs
@@ -0,0 +1,228 @@
+//! One generation: waits for a slot, then streams its lines at the model's pace.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde_json::Value;
+use tokio::sync::mpsc::Sender;
+
+use super::text::{count_tokens, plan_answer};
+use super::{Generate, ModelServer};
+use crate::core::{RequestId, Running};
+use crate::faults::Hit;
+use crate::http::{CUT_PAUSE, broken};
+use crate::ledger::LedgerEntry;
+
+type Pieces = Sender<Result<Bytes, io::Error>>;
+
+/// One line of an answer, without its request and place.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(untagged)]
+enum LineBody {
+    Text { text: String, tokens: u64 },
+    Tool { tool: ToolRequest },
+    End { end: &'static str, tokens_total: u64, events: u64 },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize)]
+struct ToolRequest {
+    name: String,
+    arguments: Value,
+}
+
+#[derive(Debug, Serialize)]
+struct Line<'a> {
+    request: &'a str,
+    seq: u64,
+    #[serde(flatten)]
+    body: &'a LineBody,
+}
+
+/// A whole answer as it would go out.
+#[derive(Debug, Clone)]
+pub(super) struct Lines {
+    pub request: RequestId,
+    bodies: Vec<LineBody>,
+}
+
+impl Lines {
+    fn planned(request: RequestId, seed: u64, body: &Generate) -> Self {
+        let plan = plan_answer(seed, &body.context, &body.input, body.max_tokens);
+        let total = plan.tokens.len() as u64;
+        let mut bodies: Vec<LineBody> =
+            plan.tokens.into_iter().map(|text| LineBody::Text { text, tokens: 1 }).collect();
+        if let Some(name) = plan.tool {
+            let tool = ToolRequest { name, arguments: serde_json::json!({"turn": body.turn}) };
+            bodies.insert(bodies.len().min(1), LineBody::Tool { tool });
+        }
+        let end = if plan.limited { "length" } else { "stop" };
+        let events = bodies.len() as u64;
+        bodies.push(LineBody::End { end, tokens_total: total, events });
+        Self { request, bodies }
+    }
+
+    fn encoded(&self, place: usize) -> Vec<u8> {
+        let line =
+            Line { request: &self.request.0, seq: place as u64 + 1, body: &self.bodies[place] };
+        let mut bytes = serde_json::to_vec(&line).unwrap_or_default();
+        bytes.push(b'\n');
+        bytes
+    }
+}
+
+/// A generation that is about to run.
+pub(super) struct Generation {
+    server: Arc<ModelServer>,
+    body: Generate,
+    hit: Hit,
+    /// What goes out: its own lines, or another request's when answers are crossed.
+    lines: Lines,
+    record: Record,
+}
+
+/// Writes the end of a generation into the ledger, also when its reader went away.
+struct Record {
+    server: Arc<ModelServer>,
+    request: RequestId,
+    session: String,
+    turn: String,
+    text: String,
+    tokens: u64,
+    end: &'static str,
+    _running: Running,
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        self.server.core.record(LedgerEntry::GenerationEnded {
+            request: self.request.0.clone(),
+            session: std::mem::take(&mut self.session),
+            turn: std::mem::take(&mut self.turn),
+            text: std::mem::take(&mut self.text),
+            tokens: self.tokens,
+            end: self.end.to_owned(),
+        });
+    }
+}
+
+/// The reader is gone, or the fault ended the stream.
+struct Ended;
+
+impl Generation {
+    pub(super) fn new(
+        server: Arc<ModelServer>,
+        body: Generate,
+        request: RequestId,
+        hit: Hit,
+        crossed: Option<Lines>,
+    ) -> Self {
+        let own = Lines::planned(request.clone(), server.options.seed, &body);
+        *server.last_answer() = Some(own.clone());
+        let record = Record {
+            request,
+            session: body.session.clone(),
+            turn: body.turn.clone(),
+            text: String::new(),
+            tokens: 0,
+            end: "aborted",
+            _running: server.core.enter(),
+            server: server.clone(),
+        };
+        Self { server, body, hit, lines: crossed.unwrap_or(own), record }
+    }
+
+    /// Runs to the end, or until the reader goes away.
+    pub(super) async fn run(mut self, pieces: Pieces) {
+        let slots = self.server.slots.clone();
+        let slot = tokio::select! {
+            slot = slots.acquire_owned() => slot,
+            () = pieces.closed() => return,
+        };
+        let first_token = self.look_up();
+        let streamed = tokio::select! {
+            streamed = self.stream(&pieces, first_token) => streamed,
+            () = pieces.closed() => Err(Ended),
+        };
+        drop(slot);
+        if streamed.is_ok() {
+            self.record.end = match self.lines.bodies.last() {
+                Some(LineBody::End { end, .. }) => end,
+                _ => "stop",
+            };
+        }
+    }
+
+    /// Uses the cache; the time to the first token follows from what it holds.
+    fn look_up(&self) -> Duration {
+        let body = &self.body;
+        let context: u64 = body.context.iter().map(|item| count_tokens(&item.text)).sum();
+        let found = self.server.cache().use_for(
+            body.prefix.as_deref(),
+            &body.session,
+            context + count_tokens(&body.input),
+        );
+        self.server.core.record(LedgerEntry::GenerationBegan {
+            request: self.record.request.0.clone(),
+            session: body.session.clone(),
+            turn: body.turn.clone(),
+            prefix: body.prefix.clone(),
+            prefix_hit: found.prefix_hit,
+            uncached_tokens: found.uncached_tokens,
+        });
+        let options = &self.server.options;
+        let uncached = u32::try_from(found.uncached_tokens).unwrap_or(u32::MAX);
+        options.first_token + options.per_uncached_token.saturating_mul(uncached) + self.hit.delay
+    }
+
+    async fn stream(&mut self, pieces: &Pieces, first_token: Duration) -> Result<(), Ended> {
+        tokio::time::sleep(first_token).await;
+        let half = self.lines.bodies.len() / 2;
+        for place in 0..self.lines.bodies.len() {
+            if place > 0 {
+                tokio::time::sleep(self.gap()).await;
+            }
+            if place == half {
+                self.break_off(pieces).await?;
+            }
+            let mut bytes = self.lines.encoded(place);
+            if self.hit.garble && place == half {
+                bytes.iter_mut().for_each(|byte| *byte ^= 0x15);
+            }
+            self.count(place);
+            pieces.send(Ok(bytes.into())).await.map_err(|_| Ended)?;
+        }
+        Ok(())
+    }
+
+    /// Faults that strike in the middle of a stream.
+    async fn break_off(&self, pieces: &Pieces) -> Result<(), Ended> {
+        if self.hit.stall {
+            pieces.closed().await;
+            return Err(Ended);
+        }
+        if self.hit.cut_short {
+            tokio::time::sleep(CUT_PAUSE).await;
+            let _ = pieces.send(Err(broken())).await;
+            return Err(Ended);
+        }
+        Ok(())
+    }
+
+    fn count(&mut self, place: usize) {
+        if let LineBody::Text { text, tokens } = &self.lines.bodies[place] {
+            self.record.text.push_str(text);
+            self.record.tokens += tokens;
+        }
+    }
+
+    /// Time between tokens at the present load.
+    fn gap(&self) -> Duration {
+        let options = &self.server.options;
+        let others = self.server.core.running().saturating_sub(1).min(options.slots);
+        let share = f64::from(others) / f64::from(options.slots.max(1));
+        options.between_tokens.mul_f64(1.0 + options.load_factor * share) + self.hit.gap
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/model/mod.rs
@@ -0,0 +1,182 @@
+//! A model server: streams deterministic text, slower when its cache misses and under load.
+
+mod cache;
+mod generation;
+pub mod text;
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hooklug_types::{EngineId, Incarnation, ServiceName, ServiceVersion};
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use tokio::sync::{Semaphore, mpsc};
+
+use crate::core::{Core, RequestId};
+use crate::faults::Hit;
+use crate::http::{Answer, Unanswered, read_json, stream, text as words};
+use crate::identity::{BackendKind, Identity};
+use crate::ledger::Ledger;
+use crate::stand_in::{Backend, StandIn};
+use cache::KvCache;
+use generation::{Generation, Lines};
+use text::ContextItem;
+
+/// Prefixes held by the cache (ours).
+const CACHED_PREFIXES: usize = 16;
+/// Session histories held by the cache (ours).
+const CACHED_HISTORIES: usize = 256;
+/// Lines that may wait for a slow reader (ours).
+const WAITING_LINES: usize = 16;
+
+/// How a model server is started.
+#[derive(Debug, Clone)]
+pub struct ModelOptions {
+    /// Where it listens; port 0 draws one.
+    pub listen: SocketAddr,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Its name.
+    pub engine: EngineId,
+    /// Version that it runs.
+    pub version: ServiceVersion,
+    /// Seed of its text.
+    pub seed: u64,
+    /// Generations that it runs at once.
+    pub slots: u32,
+    /// Generations that wait for a slot before it refuses as overloaded.
+    pub queue: u32,
+    /// Time to the first token when all is cached.
+    pub first_token: Duration,
+    /// Time to compute one token of context that is not cached.
+    pub per_uncached_token: Duration,
+    /// Tokens of a shared prefix.
+    pub prefix_tokens: u64,
+    /// Time between tokens when nothing else runs.
+    pub between_tokens: Duration,
+    /// How much longer that is with all slots taken: 0.5 means half as long again.
+    pub load_factor: f64,
+    /// File that the ledger is added to.
+    pub ledger: Option<PathBuf>,
+}
+
+/// Body of `POST /generate`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Generate {
+    session: String,
+    turn: String,
+    #[serde(default)]
+    prefix: Option<String>,
+    max_tokens: u64,
+    #[serde(default)]
+    context: Vec<ContextItem>,
+    input: String,
+}
+
+/// Starts model servers.
+#[derive(Debug)]
+pub struct ModelServer {
+    core: Arc<Core>,
+    options: ModelOptions,
+    slots: Arc<Semaphore>,
+    cache: Mutex<KvCache>,
+    last_answer: Mutex<Option<Lines>>,
+}
+
+impl ModelServer {
+    /// Starts one.
+    ///
+    /// # Errors
+    /// When it can't listen, or can't open its ledger's file.
+    pub async fn start(options: ModelOptions) -> io::Result<StandIn> {
+        let identity = Identity {
+            service: options.service.clone(),
+            engine: options.engine.clone(),
+            incarnation: Incarnation::at_start(),
+            version: options.version.clone(),
+            kind: BackendKind::Model,
+        };
+        let ledger = Ledger::open(options.ledger.as_deref())?;
+        let core = Arc::new(Core::new(identity, ledger, options.slots));
+        let listen = options.listen;
+        let server = Arc::new(Self {
+            core: core.clone(),
+            slots: Arc::new(Semaphore::new(options.slots as usize)),
+            cache: Mutex::new(new_cache(&options)),
+            last_answer: Mutex::default(),
+            options,
+        });
+        StandIn::start(listen, core, server).await
+    }
+
+    async fn generate(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let headers = request.headers().clone();
+        let body: Generate = match read_json(request).await {
+            Ok(body) => body,
+            Err(refusal) => return Ok(*refusal),
+        };
+        let route = body.prefix.clone().unwrap_or_default();
+        let (id, hit) = match self.core.admit(&headers, &route) {
+            Ok(admitted) => admitted,
+            Err(refusal) => return Ok(*refusal),
+        };
+        if self.core.running() >= self.options.slots + self.options.queue {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Ok(self.core.refusal(&id, status, "overloaded"));
+        }
+        self.begin(body, id, hit).await
+    }
+
+    async fn begin(self: Arc<Self>, body: Generate, id: RequestId, hit: Hit) -> Answer {
+        let (sender, pieces) = mpsc::channel(WAITING_LINES);
+        let crossed = if hit.cross { self.last_answer().clone() } else { None };
+        let shown = crossed.as_ref().map_or_else(|| id.clone(), |lines| lines.request.clone());
+        let generation = Generation::new(self.clone(), body, id, hit, crossed);
+        if hit.lose_answer {
+            // Runs unread to its end; nothing of it goes out.
+            let (unread, mut lines) = mpsc::channel(WAITING_LINES);
+            let running = tokio::spawn(generation.run(unread));
+            while lines.recv().await.is_some() {}
+            let _ = running.await;
+            return Err(Unanswered);
+        }
+        tokio::spawn(generation.run(sender));
+        Ok(self.core.signed(&shown, stream("application/x-ndjson", pieces)))
+    }
+
+    fn cache(&self) -> MutexGuard<'_, KvCache> {
+        self.cache.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn last_answer(&self) -> MutexGuard<'_, Option<Lines>> {
+        self.last_answer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn new_cache(options: &ModelOptions) -> KvCache {
+    KvCache::new(options.prefix_tokens, CACHED_PREFIXES, CACHED_HISTORIES)
+}
+
+impl Backend for ModelServer {
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Pin<Box<dyn Future<Output = Answer> + Send>> {
+        match (request.method().clone(), request.uri().path()) {
+            (Method::POST, "/generate") => Box::pin(self.generate(request)),
+            _ => Box::pin(async { Ok(words(StatusCode::NOT_FOUND, "no such path")) }),
+        }
+    }
+
+    fn forget(&self) {
+        *self.cache() = new_cache(&self.options);
+        *self.last_answer() = None;
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/model/text.rs
@@ -0,0 +1,91 @@
+//! Text that follows from the seed and the whole context alone, never from a cache.
+
+use serde::{Deserialize, Serialize};
+
+const WORDS: [&str; 32] = [
+    "vent", "heat", "the", "house", "before", "dawn", "frost", "is", "near", "check", "valve",
+    "seven", "and", "sensor", "four", "then", "open", "roof", "by", "ten", "percent", "hold",
+    "humidity", "below", "eighty", "wait", "for", "wind", "to", "drop", "or", "ask",
+];
+/// Shortest and longest answer when the input does not ask for a length, in tokens (ours).
+const LENGTHS: std::ops::Range<u64> = 8..33;
+
+/// A piece of the context.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContextItem {
+    /// `user`, `assistant` or `tool`.
+    pub role: String,
+    /// What was said.
+    pub text: String,
+}
+
+/// What a model answers: known before the first token goes out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedAnswer {
+    /// Its tokens, one word each.
+    pub tokens: Vec<String>,
+    /// A tool that it asks for after its first token.
+    pub tool: Option<String>,
+    /// Whether the token limit cuts it.
+    pub limited: bool,
+}
+
+/// The answer to an input after a context.
+///
+/// An input with `[tokens N]` asks for that many tokens, one with `[tool NAME]` for a tool call.
+#[must_use]
+pub fn plan_answer(
+    seed: u64,
+    context: &[ContextItem],
+    input: &str,
+    max_tokens: u64,
+) -> PlannedAnswer {
+    let mut words = WordSource::new(seed, context, input);
+    let drawn = LENGTHS.start + words.draw() % (LENGTHS.end - LENGTHS.start);
+    let asked = directive(input, "tokens").and_then(|n| n.parse().ok());
+    let wanted = asked.unwrap_or(drawn);
+    let tokens = (0..wanted.min(max_tokens)).map(|_| words.word()).collect();
+    let tool = directive(input, "tool").map(str::to_owned);
+    PlannedAnswer { tokens, tool, limited: wanted > max_tokens }
+}
+
+/// Tokens of a text, as this model counts them: its words.
+#[must_use]
+pub fn count_tokens(text: &str) -> u64 {
+    text.split_whitespace().count() as u64
+}
+
+fn directive<'a>(input: &'a str, name: &str) -> Option<&'a str> {
+    let rest = input.split_once(&format!("[{name} "))?.1;
+    rest.split_once(']').map(|(value, _)| value.trim())
+}
+
+struct WordSource {
+    bytes: blake3::OutputReader,
+}
+
+impl WordSource {
+    fn new(seed: u64, context: &[ContextItem], input: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&seed.to_le_bytes());
+        for item in context {
+            for part in [&item.role, &item.text] {
+                hasher.update(&(part.len() as u64).to_le_bytes());
+                hasher.update(part.as_bytes());
+            }
+        }
+        hasher.update(input.as_bytes());
+        Self { bytes: hasher.finalize_xof() }
+    }
+
+    fn draw(&mut self) -> u64 {
+        let mut bytes = [0; 8];
+        self.bytes.fill(&mut bytes);
+        u64::from_le_bytes(bytes)
+    }
+
+    fn word(&mut self) -> String {
+        let place = self.draw() % WORDS.len() as u64;
+        format!("{} ", WORDS[place as usize])
+    }
+}
