bundle: canonical form, sections, validation, signatures and diff

Cause: every other crate needs one byte form and digest per bundle, and operators need every fault at once.

--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -6,9 +6,23 @@
 #![deny(rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod canonical;
+mod diff;
 pub mod model;
+mod parse;
+mod signature;
+mod validate;
+
+pub use canonical::{
+    BundleHeader, DecodeError, canonical_bytes, decode, digest, from_sections, section_digests,
+    sections, tenant_section,
+};
+pub use diff::{BundleChange, diff};
 
 pub use model::{
     Bundle, HarmThresholds, Route, RouteMatch, Service, ServiceKind, Tenant, TenantLimits,
     VersionEntry, VersionState, Window,
 };
+pub use parse::{ParseError, TextFormat, parse};
+pub use signature::{KeyPair, SignatureFault, check_public_key, generate_key_pair, sign, verify};
+pub use validate::{BundleFault, validate};
--- /dev/null
+++ b/crates/bundle/src/validate/tenants.rs
@@ -0,0 +1,42 @@
+//! Faults of tenants.
+
+use std::collections::BTreeSet;
+
+use super::Faults;
+use crate::{Bundle, Tenant};
+
+/// Length of a BLAKE3 digest in hexadecimal.
+const DIGEST_DIGITS: usize = 64;
+
+pub(super) fn check(bundle: &Bundle, faults: &mut Faults) {
+    for (id, tenant) in &bundle.tenants {
+        let path = format!("tenants.{id}");
+        check_keys(&path, tenant, faults);
+        let rate = tenant.limits.requests_per_second;
+        faults.require(
+            rate > 0.0 && rate.is_finite(),
+            format!("{path}.limits.requests_per_second"),
+            format!("is {rate}, must be above 0"),
+        );
+        faults.require(
+            tenant.limits.concurrency > 0,
+            format!("{path}.limits.concurrency"),
+            "is 0, must be at least 1",
+        );
+    }
+}
+
+fn check_keys(path: &str, tenant: &Tenant, faults: &mut Faults) {
+    let mut seen = BTreeSet::new();
+    for (index, digest) in tenant.key_digests.iter().enumerate() {
+        let path = format!("{path}.key_digests[{index}]");
+        let hexadecimal = |c: char| matches!(c, '0'..='9' | 'a'..='f');
+        let sound = digest.len() == DIGEST_DIGITS && digest.chars().all(hexadecimal);
+        faults.require(
+            sound,
+            path.as_str(),
+            format!("is {digest:?}, must be {DIGEST_DIGITS} lower-case hexadecimal digits"),
+        );
+        faults.require(seen.insert(digest), path, "is listed a second time");
+    }
+}
