settings: read file, variables and flags, report every fault at once

Cause: a process must not start half configured, and operators must see all faults in one go. Change: a table of all settings with kind, unit, default and origin; values are checked against it with their source, then required ones by role, then those that depend on each other.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,8 +4,14 @@
 #![deny(rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod check;
+mod fault;
+mod load;
 pub mod model;
+pub mod schema;
 
+pub use fault::SettingFault;
+pub use load::{Overrides, VARIABLE_PREFIX};
 pub use model::{
     CoreSettings, EngineSettings, GatewayMode, GatewaySettings, OperatorSettings, Secret, Settings,
     StoreSettings,
--- /dev/null
+++ b/crates/settings/src/schema.rs
@@ -0,0 +1,217 @@
+//! The table of settings: kind, unit, default and origin of each key. The loader checks against it,
+//! and the operations page is checked to name every key of it.
+
+/// What values a setting takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Kind {
+    /// `ip:port` that other processes can reach.
+    Address,
+    /// At most so many of them.
+    Addresses(usize),
+    /// An identifier.
+    Name,
+    /// A path of the file system.
+    Path,
+    /// A text of at least so many characters, never shown.
+    Secret(usize),
+    /// A whole number in a range.
+    Integer(u64, u64),
+    /// A number in a range.
+    Number(f64, f64),
+    /// `true` or `false`.
+    Switch,
+    /// One of some words.
+    Choice(&'static [&'static str]),
+    /// The platform's list of engines: an `http://ip:port/path` or a file's path.
+    Source,
+    /// BLAKE3 digests in hexadecimal.
+    Digests,
+    /// Public keys in hexadecimal by operator.
+    PublicKeys,
+}
+
+/// One setting.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Setting {
+    /// Key, dotted as in the file.
+    pub key: &'static str,
+    /// What it takes.
+    pub kind: Kind,
+    /// Unit, where there is one.
+    pub unit: &'static str,
+    /// Default as written in the file; `None` when there is none.
+    pub default: Option<&'static str>,
+    /// Whether it must be given (with its section, for those inside `[engine]`).
+    pub required: bool,
+    /// Where the default comes from: `brief` or `ours`.
+    pub origin: &'static str,
+    /// What it is for.
+    pub meaning: &'static str,
+}
+
+const fn required(key: &'static str, kind: Kind, meaning: &'static str) -> Setting {
+    Setting { key, kind, unit: "", default: None, required: true, origin: "brief", meaning }
+}
+
+const fn optional(
+    key: &'static str,
+    kind: Kind,
+    (unit, default): (&'static str, Option<&'static str>),
+    meaning: &'static str,
+) -> Setting {
+    Setting { key, kind, unit, default, required: false, origin: "ours", meaning }
+}
+
+/// Fewest characters of a cluster secret.
+pub const LEAST_SECRET_CHARACTERS: usize = 16;
+
+/// Most seeds (brief: three seed addresses).
+pub const MOST_SEEDS: usize = 3;
+
+/// Longest time in milliseconds that any setting takes: a week.
+const WEEK_MS: u64 = 604_800_000;
+
+/// All settings, in the order of the file.
+pub const SETTINGS: &[Setting] = &[
+    required("rpc", Kind::Address, "address for other processes"),
+    required("http", Kind::Address, "address for callers, operators, readiness and metrics"),
+    required("zone", Kind::Name, "zone of this machine"),
+    optional("region", Kind::Name, ("", Some("\"local\"")), "region of the zone"),
+    optional(
+        "seeds",
+        Kind::Addresses(MOST_SEEDS),
+        ("", Some("[]")),
+        "rpc addresses of other processes, of any role",
+    ),
+    optional("data_folder", Kind::Path, ("", None), "folder for all files; required for stores"),
+    required(
+        "cluster_secret",
+        Kind::Secret(LEAST_SECRET_CHARACTERS),
+        "secret that all processes of the cluster share",
+    ),
+    optional(
+        "grace_ms",
+        Kind::Integer(100, WEEK_MS),
+        ("ms", Some("10000")),
+        "time the platform leaves between stop and kill",
+    ),
+    optional(
+        "enable_faults",
+        Kind::Switch,
+        ("", Some("false")),
+        "opens the switches of failure tests",
+    ),
+    optional(
+        "store.expect_stores",
+        Kind::Integer(1, 64),
+        ("stores", Some("3")),
+        "empty stores that must see each other before they form a cluster",
+    ),
+    optional("store.tick_ms", Kind::Integer(5, 10_000), ("ms", Some("50")), "one Raft tick"),
+    optional(
+        "store.election_ticks",
+        Kind::Integer(3, 1_000),
+        ("ticks", Some("10")),
+        "ticks without a leader before an election, drawn from one to two times this",
+    ),
+    optional(
+        "store.snapshot_entries",
+        Kind::Integer(16, 100_000_000),
+        ("entries", Some("20000")),
+        "log entries of a group after which it is compacted into a snapshot",
+    ),
+    optional(
+        "store.keep_seconds",
+        Kind::Integer(1, 31_536_000),
+        ("s", Some("86400")),
+        "how long finished turns, calls and forgotten programs are kept",
+    ),
+    required("engine.id", Kind::Name, "engine's name, as the platform lists it"),
+    required("engine.service", Kind::Name, "service that it serves"),
+    required("engine.version", Kind::Name, "version that it runs"),
+    required("engine.model_server", Kind::Address, "address of its model server"),
+    optional(
+        "engine.slots",
+        Kind::Integer(1, 100_000),
+        ("turns", Some("16")),
+        "turns that it runs at once",
+    ),
+    optional(
+        "engine.drain_bound_ms",
+        Kind::Integer(0, WEEK_MS),
+        ("ms", Some("900000")),
+        "longest drain before sessions move between turns",
+    ),
+    optional(
+        "engine.unconnected_keep_ms",
+        Kind::Integer(0, WEEK_MS),
+        ("ms", Some("600000")),
+        "how long a session without clients is kept open",
+    ),
+    optional(
+        "gateway.body_bytes",
+        Kind::Integer(1_024, 1 << 30),
+        ("bytes", Some("1048576")),
+        "longest request body",
+    ),
+    optional(
+        "gateway.retry_share",
+        Kind::Number(0.0, 1.0),
+        ("share", Some("0.2")),
+        "share of live traffic that may be retried",
+    ),
+    optional(
+        "gateway.mode",
+        Kind::Choice(&["full", "plain"]),
+        ("", Some("\"full\"")),
+        "`plain` is a baseline for measurements: round robin, no limits, blind retries",
+    ),
+    optional(
+        "core.platform_list",
+        Kind::Source,
+        ("", None),
+        "the platform's list of engines; none: no application engines",
+    ),
+    optional("operators.keys", Kind::PublicKeys, ("", Some("{}")), "operators' public keys"),
+    optional(
+        "operators.required_signatures",
+        Kind::Integer(0, 64),
+        ("signatures", Some("0")),
+        "signatures by different operators that a bundle needs",
+    ),
+    optional(
+        "operators.admin_key_digests",
+        Kind::Digests,
+        ("", Some("[]")),
+        "digests of keys that open the operators' API; empty leaves it open on loopback only",
+    ),
+];
+
+impl Kind {
+    /// What is allowed, in words.
+    #[must_use]
+    pub fn allowed(&self) -> String {
+        match self {
+            Self::Address => "an ip:port that others can reach".to_owned(),
+            Self::Addresses(most) => format!("at most {most} different ip:port"),
+            Self::Name => "1 to 96 letters, digits, '.', '_', '-' or ':'".to_owned(),
+            Self::Path => "a path".to_owned(),
+            Self::Secret(least) => format!("a text of at least {least} characters"),
+            Self::Integer(least, most) => format!("a whole number from {least} to {most}"),
+            Self::Number(least, most) => format!("a number from {least} to {most}"),
+            Self::Switch => "true or false".to_owned(),
+            Self::Choice(words) => format!("one of {}", words.join(", ")),
+            Self::Source => "http://ip:port/path or a file's path".to_owned(),
+            Self::Digests => "a list of 64 lower-case hexadecimal digits each".to_owned(),
+            Self::PublicKeys => {
+                "a table of operator = \"64 lower-case hexadecimal digits\"".to_owned()
+            }
+        }
+    }
+}
+
+/// The setting of a key.
+#[must_use]
+pub fn setting(key: &str) -> Option<&'static Setting> {
+    SETTINGS.iter().find(|s| s.key == key)
+}
