contract: VersionFigures asks the core leader what gateways saw of each version

Cause: operators see roll-outs with figures at any node, and only the core leader adds them up. Change: one request at the end of the method list.

--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -233,3 +233,12 @@
     type Reply = ();
     const METHOD: Method = Method::ReportHarm;
 }
+
+/// Asks the core leader what gateways saw of each version over the last minute, for operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionFigures;
+
+impl Request for VersionFigures {
+    type Reply = Vec<VersionStatistics>;
+    const METHOD: Method = Method::VersionFigures;
+}
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -47,6 +47,8 @@
     ChangeReplicas,
     /// For tests of the transport.
     Echo,
+    /// `control::VersionFigures`.
+    VersionFigures,
 }
 
 /// A request with one reply.
