--- /dev/null
+++ b/crates/control/src/agent/discovery.rs
@@ -0,0 +1,71 @@
+//! Finds the other processes: asks the seeds first, then goes on asking those that it has found.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use hooklug_protocol::control::{Discover, NodeAddress};
+use hooklug_types::NodeRole;
+use rand::seq::IndexedRandom;
+
+use super::Shared;
+
+/// Pause between rounds while no core or no store is known (ours).
+const SEARCH_PAUSE: Duration = Duration::from_millis(200);
+
+/// Pause between rounds from then on (ours).
+const STEADY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Processes asked in a round, beside seeds and a store (ours).
+const ASKED_IN_A_ROUND: usize = 2;
+
+pub(super) async fn run(shared: Arc<Shared>) {
+    loop {
+        let targets = targets(&shared);
+        join_all(targets.into_iter().map(|target| ask(&shared, target))).await;
+        shared.publish_stores();
+        let pause = if found_enough(&shared) { STEADY_PAUSE } else { SEARCH_PAUSE };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn found_enough(shared: &Shared) -> bool {
+    let peers = shared.peers();
+    let knows = |role| !peers.addresses(role).is_empty();
+    knows(NodeRole::Core) && knows(NodeRole::Store)
+}
+
+/// Whom to ask in this round: seeds that are not known yet, a store (which tells that one is within
+/// reach), and a few others at random.
+fn targets(shared: &Shared) -> Vec<SocketAddr> {
+    let others = shared.peers().others();
+    let stores = shared.peers().addresses(NodeRole::Store);
+    let own = shared.identity.address.rpc;
+    let mut rng = rand::rng();
+    let unknown = |seed: &&SocketAddr| !others.iter().any(|o| o.rpc == **seed);
+    let mut targets: Vec<SocketAddr> = shared.seeds.iter().filter(unknown).copied().collect();
+    let store_count = if shared.reach.core_answers() { 1 } else { stores.len() };
+    targets.extend(stores.sample(&mut rng, store_count));
+    targets.extend(others.sample(&mut rng, ASKED_IN_A_ROUND).map(|o| o.rpc));
+    targets.retain(|target| *target != own);
+    targets.sort_unstable();
+    targets.dedup();
+    targets
+}
+
+async fn ask(shared: &Shared, target: SocketAddr) {
+    let request = Discover { from: shared.identity.address.clone() };
+    let Ok(answer) = shared.client.call(target, &request, shared.deadline()).await else { return };
+    let mut peers = shared.peers();
+    let answering = answer.iter().find(|a| a.rpc == target).cloned();
+    answer.into_iter().for_each(|address| peers.learn(address));
+    drop(peers);
+    note_answer(shared, answering.as_ref());
+}
+
+fn note_answer(shared: &Shared, answering: Option<&NodeAddress>) {
+    if answering.is_some_and(|a| a.role == NodeRole::Store) {
+        shared.reach.store_answered();
+    }
+}
--- /dev/null
+++ b/crates/control/src/agent/harm.rs
@@ -0,0 +1,39 @@
+//! Tells the core leader of harm that this node found by its own evidence.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_protocol::control::ReportHarm;
+use hooklug_state::meta::HarmReport;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tracing::warn;
+
+use super::{Shared, heartbeat};
+
+/// How long a report is worth sending (ours).
+const WORTH_TIME: Duration = Duration::from_secs(30);
+
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+pub(super) async fn run(shared: Arc<Shared>, mut harm: mpsc::Receiver<HarmReport>) {
+    while let Some(report) = harm.recv().await {
+        tell(&shared, report).await;
+    }
+    // Without a sender there is nothing left to tell; the other tasks go on.
+    std::future::pending::<()>().await;
+}
+
+async fn tell(shared: &Shared, harm: HarmReport) {
+    let until = Instant::now() + WORTH_TIME;
+    let request = ReportHarm { harm };
+    while Instant::now() < until {
+        for core in heartbeat::cores_in_order(shared) {
+            if shared.client.call(core, &request, shared.deadline()).await.is_ok() {
+                return;
+            }
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    warn!(service = %request.harm.service, version = %request.harm.version, "no core took the report of harm");
+}
--- /dev/null
+++ b/crates/control/src/agent/heartbeat.rs
@@ -0,0 +1,71 @@
+//! Tells a core each second, and at once after a change, that this node lives and how it is.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_protocol::control::{Heartbeat, HeartbeatReply};
+use hooklug_types::NodeRole;
+use rand::seq::SliceRandom;
+use tokio::sync::watch;
+
+use super::Shared;
+use crate::handle::NodeReport;
+
+/// Pause between heartbeats (design, section 4: 1 s).
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Least pause between two heartbeats, however much changes (ours).
+const LEAST_PAUSE: Duration = Duration::from_millis(50);
+
+pub(super) async fn run(shared: Arc<Shared>, mut report: watch::Receiver<NodeReport>) {
+    loop {
+        let current = report.borrow_and_update().clone();
+        beat(&shared, current).await;
+        tokio::time::sleep(LEAST_PAUSE).await;
+        tokio::select! {
+            () = tokio::time::sleep(INTERVAL - LEAST_PAUSE) => {}
+            () = shared.heartbeat_due.notified() => {}
+            Ok(()) = report.changed() => {}
+        }
+    }
+}
+
+async fn beat(shared: &Shared, report: NodeReport) {
+    let mut heartbeat = Heartbeat {
+        from: shared.identity.address.clone(),
+        bundle: shared.identity.bundles.installed(),
+        engine: report.engine,
+        load: report.load,
+        statistics: shared.statistics.take(),
+    };
+    for core in cores_in_order(shared) {
+        match shared.client.call(core, &heartbeat, shared.deadline()).await {
+            Ok(reply) => {
+                answered(shared, core, &reply);
+                return;
+            }
+            // A core that may have counted the statistics must not be followed by one that counts them again.
+            Err(error) if !error.is_not_sent() => heartbeat.statistics.clear(),
+            Err(_) => {}
+        }
+    }
+    shared.statistics.restore(heartbeat.statistics);
+}
+
+fn answered(shared: &Shared, core: SocketAddr, reply: &HeartbeatReply) {
+    shared.reach.core_answered();
+    shared.note_leader(Some(reply.leader.unwrap_or(core)));
+    if let Some(record) = &reply.bundle {
+        shared.heard_of(record);
+    }
+}
+
+/// Cores to ask, the leader first, the others in random order.
+pub(super) fn cores_in_order(shared: &Shared) -> Vec<SocketAddr> {
+    let leader = *shared.leader.borrow();
+    let mut cores = shared.peers().addresses(NodeRole::Core);
+    cores.retain(|core| Some(*core) != leader);
+    cores.shuffle(&mut rand::rng());
+    leader.into_iter().chain(cores).collect()
+}
--- /dev/null
+++ b/crates/control/src/agent/installer.rs
@@ -0,0 +1,164 @@
+//! Installs bundles: whenever a newer record is heard of, fetches the sections whose digest is new and
+//! switches over in one step. Never installs an older one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::try_join_all;
+use hooklug_bundle::{BundleHeader, DecodeError};
+use hooklug_protocol::control::FetchSection;
+use hooklug_state::meta::{BundleRecord, MetaAnswer, MetaQuery};
+use hooklug_types::{BundleVersion, Digest};
+use rand::seq::IndexedRandom;
+use tracing::{info, warn};
+
+use super::{Shared, heartbeat};
+use crate::handle::InstalledBundle;
+
+/// Name of this reason for not being ready.
+pub(super) const COMPONENT: &str = "bundle";
+
+/// Pause after a bundle could not be fetched (ours).
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause before a quorum is asked again, when it could not be reached at the start (ours).
+const ASK_PAUSE: Duration = Duration::from_millis(250);
+
+/// Peers asked for a section before the stores (ours).
+const PEERS_ASKED: usize = 2;
+
+/// Why a bundle could not be installed now.
+#[derive(Debug, thiserror::Error)]
+enum InstallError {
+    #[error("no node within reach has section {name} ({digest})")]
+    Missing { name: String, digest: Digest },
+    #[error("bundle {version} has another digest than its record")]
+    WrongDigest { version: BundleVersion },
+    #[error(transparent)]
+    Decode(#[from] DecodeError),
+}
+
+pub(super) async fn run(shared: Arc<Shared>) {
+    tokio::join!(ask_quorum_at_start(&shared), follow_news(&shared), install_heard(&shared));
+}
+
+/// Until this node has the newest bundle that a quorum knew at its start, it is not ready.
+async fn ask_quorum_at_start(shared: &Shared) {
+    let newest = loop {
+        if let Some(newest) = ask_quorum(shared).await {
+            break newest;
+        }
+        tokio::time::sleep(ASK_PAUSE).await;
+    };
+    if let Some(record) = newest {
+        let reason = format!("bundle {} is not installed yet", record.version);
+        shared.readiness.unready(COMPONENT, reason);
+        let mut installed = shared.bundle.subscribe();
+        let wanted = record.version;
+        // The sender lives as long as `shared`, so the wait only ends by the condition.
+        let _ =
+            installed.wait_for(|b| b.as_ref().is_some_and(|b| b.record.version >= wanted)).await;
+    }
+    shared.readiness.ready(COMPONENT);
+    shared.newest_bundle.send_replace(true);
+}
+
+/// The newest bundle by a linearizable read; `None` when no quorum answered.
+async fn ask_quorum(shared: &Shared) -> Option<Option<BundleRecord>> {
+    let answer = shared.state.query_meta(&MetaQuery::NewestBundle, shared.deadline()).await.ok()?;
+    let MetaAnswer::NewestBundle(newest) = answer else { return None };
+    shared.reach.store_answered();
+    if let Some(record) = &newest {
+        shared.heard_of(record);
+    }
+    Some(newest)
+}
+
+/// Peers name versions on each frame; a newer one is looked up at a quorum.
+async fn follow_news(shared: &Shared) {
+    let mut news = shared.identity.bundles.watch_newest();
+    loop {
+        let named = *news.borrow_and_update();
+        let heard = shared.heard.borrow().as_ref().map_or(BundleVersion(0), |r| r.version);
+        if named > heard {
+            ask_quorum(shared).await;
+            tokio::time::sleep(RETRY_PAUSE).await;
+        } else if news.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn install_heard(shared: &Shared) {
+    let mut heard = shared.heard.subscribe();
+    loop {
+        let record = heard.borrow_and_update().clone();
+        let installed = shared.identity.bundles.installed();
+        match record.filter(|record| record.version > installed) {
+            Some(record) => {
+                if let Err(error) = install(shared, record).await {
+                    warn!(%error, "bundle not installed yet");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+            None if heard.changed().await.is_err() => return,
+            None => {}
+        }
+    }
+}
+
+async fn install(shared: &Shared, record: BundleRecord) -> Result<(), InstallError> {
+    let fetches = record.sections.iter().map(|(name, digest)| async move {
+        let bytes = fetch(shared, digest).await;
+        let missing = || InstallError::Missing { name: name.clone(), digest: *digest };
+        Ok::<_, InstallError>((name.clone(), bytes.ok_or_else(missing)?))
+    });
+    let sections: BTreeMap<String, Vec<u8>> = try_join_all(fetches).await?.into_iter().collect();
+    let header = BundleHeader { version: record.version, base: record.base };
+    let bundle = hooklug_bundle::from_sections(header, &sections)?;
+    if hooklug_bundle::digest(&bundle) != record.digest {
+        return Err(InstallError::WrongDigest { version: record.version });
+    }
+    let by_digest = sections.into_values().map(|bytes| (Digest::of(&bytes), bytes)).collect();
+    shared.sections().replace(by_digest);
+    let version = record.version;
+    shared.bundle.send_replace(Some(Arc::new(InstalledBundle { record, bundle })));
+    shared.identity.bundles.set_installed(version);
+    shared.heartbeat_due.notify_one();
+    info!(%version, "bundle in force");
+    Ok(())
+}
+
+/// A section from this node, a core, a few peers, or the stores, whoever has it first; always checked.
+async fn fetch(shared: &Shared, digest: &Digest) -> Option<Vec<u8>> {
+    if let Some(bytes) = shared.sections().get(digest) {
+        return Some(bytes);
+    }
+    for peer in sources(shared) {
+        let request = FetchSection { digest: *digest };
+        let answer = shared.client.call(peer, &request, shared.deadline()).await;
+        if let Ok(Some(bytes)) = answer
+            && Digest::of(&bytes) == *digest
+        {
+            return Some(bytes);
+        }
+    }
+    let query = MetaQuery::Section(*digest);
+    let answer = shared.state.query_meta(&query, shared.deadline()).await;
+    match answer {
+        Ok(MetaAnswer::Section(Some(bytes))) if Digest::of(&bytes) == *digest => Some(bytes),
+        _ => None,
+    }
+}
+
+fn sources(shared: &Shared) -> Vec<SocketAddr> {
+    let own = shared.identity.address.rpc;
+    let mut sources: Vec<SocketAddr> =
+        heartbeat::cores_in_order(shared).into_iter().take(1).collect();
+    let others = shared.peers().others();
+    sources.extend(others.sample(&mut rand::rng(), PEERS_ASKED).map(|o| o.rpc));
+    sources.retain(|source| *source != own);
+    sources
+}
--- /dev/null
+++ b/crates/control/src/agent/mod.rs
@@ -0,0 +1,214 @@
+//! The part of every process that takes part in the cluster: finds the others, follows the view, tells
+//! of itself, and installs bundles.
+
+mod discovery;
+mod harm;
+mod heartbeat;
+mod installer;
+mod peers;
+mod reach;
+mod sections;
+mod watch;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hooklug_protocol::control::{ClusterView, Discover, FetchSection};
+use hooklug_rpc::{LocalIdentity, Router, RpcClient};
+use hooklug_settings::Settings;
+use hooklug_state::meta::BundleRecord;
+use hooklug_store::StateAccess;
+use hooklug_types::NodeRole;
+use tokio::sync::{Notify, watch as channel};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::handle::{InstalledBundle, NodeFeeds, NodeReport, Reach, Readiness, Statistics};
+pub use peers::Peers;
+use reach::ReachClock;
+use sections::SectionCache;
+
+/// Longest wait for one answer of a peer (ours).
+const CALL_TIME: Duration = Duration::from_secs(1);
+
+/// What the agent's tasks share.
+#[derive(Debug)]
+struct Shared {
+    identity: LocalIdentity,
+    client: RpcClient,
+    state: Arc<dyn StateAccess>,
+    seeds: Vec<SocketAddr>,
+    statistics: Statistics,
+    readiness: Readiness,
+    peers: Mutex<Peers>,
+    sections: Mutex<SectionCache>,
+    reach: ReachClock,
+    /// The newest bundle record heard of, installed or not.
+    heard: channel::Sender<Option<BundleRecord>>,
+    /// Whether a quorum has been asked for the newest bundle and it is installed.
+    newest_bundle: channel::Sender<bool>,
+    /// Where the core leader is, as far as known.
+    leader: channel::Sender<Option<SocketAddr>>,
+    /// Set when the node's own report or bundle changed.
+    heartbeat_due: Notify,
+    view: channel::Sender<Arc<ClusterView>>,
+    bundle: channel::Sender<Option<Arc<InstalledBundle>>>,
+    stores: channel::Sender<Vec<SocketAddr>>,
+    reach_feed: channel::Sender<Reach>,
+}
+
+impl Shared {
+    fn peers(&self) -> MutexGuard<'_, Peers> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn sections(&self) -> MutexGuard<'_, SectionCache> {
+        self.sections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes a bundle record; the installer fetches it when it is newer than what is installed.
+    fn heard_of(&self, record: &BundleRecord) {
+        self.heard.send_if_modified(|heard| {
+            let newer = heard.as_ref().is_none_or(|h| h.version < record.version);
+            if newer {
+                *heard = Some(record.clone());
+            }
+            newer
+        });
+    }
+
+    /// Changes the view; readers are woken only by a real change.
+    fn change_view(&self, change: impl FnOnce(&mut ClusterView) -> bool) {
+        let changed = self.view.send_if_modified(|view| {
+            let mut next = ClusterView::clone(view);
+            let changed = change(&mut next);
+            if changed {
+                *view = Arc::new(next);
+            }
+            changed
+        });
+        if changed {
+            self.view_changed();
+        }
+    }
+
+    fn view_changed(&self) {
+        let view = self.view.borrow().clone();
+        if view.meta.cluster != 0 {
+            self.identity.set_cluster(view.meta.cluster);
+        }
+        if let Some(record) = &view.meta.bundle {
+            self.heard_of(record);
+        }
+        self.peers().follow_view(&view);
+        self.publish_stores();
+        let leader = view.meta.leader.as_ref().filter(|l| !l.expired).map(|l| l.address);
+        if leader.is_some() {
+            self.note_leader(leader);
+        }
+    }
+
+    fn note_leader(&self, leader: Option<SocketAddr>) {
+        self.leader.send_if_modified(|known| {
+            let changed = *known != leader;
+            *known = leader;
+            changed
+        });
+    }
+
+    fn publish_stores(&self) {
+        let stores = self.peers().addresses(NodeRole::Store);
+        self.stores.send_if_modified(|known| {
+            let changed = *known != stores;
+            *known = stores;
+            changed
+        });
+    }
+
+    fn deadline(&self) -> Instant {
+        Instant::now() + CALL_TIME
+    }
+}
+
+/// A process's part in the cluster.
+#[derive(Debug)]
+pub struct NodeAgent {
+    shared: Arc<Shared>,
+    report: channel::Receiver<NodeReport>,
+    harm: tokio::sync::mpsc::Receiver<hooklug_state::meta::HarmReport>,
+}
+
+impl NodeAgent {
+    /// An agent that feeds a [`crate::NodeHandle`]'s other ends.
+    #[must_use]
+    pub fn new(
+        settings: &Settings,
+        identity: LocalIdentity,
+        client: RpcClient,
+        state: Arc<dyn StateAccess>,
+        feeds: NodeFeeds,
+        statistics: Statistics,
+        readiness: Readiness,
+    ) -> Self {
+        readiness.unready(reach::COMPONENT, "no core and no store has answered yet");
+        readiness.unready(installer::COMPONENT, "the newest bundle is not known yet");
+        let shared = Shared {
+            peers: Mutex::new(Peers::new(identity.address.clone())),
+            identity,
+            client,
+            state,
+            seeds: settings.seeds.clone(),
+            statistics,
+            readiness,
+            sections: Mutex::default(),
+            reach: ReachClock::default(),
+            heard: channel::Sender::new(None),
+            newest_bundle: channel::Sender::new(false),
+            leader: channel::Sender::new(None),
+            heartbeat_due: Notify::new(),
+            view: feeds.view,
+            bundle: feeds.bundle,
+            stores: feeds.stores,
+            reach_feed: feeds.reach,
+        };
+        Self { shared: Arc::new(shared), report: feeds.report, harm: feeds.harm }
+    }
+
+    /// Answers to peers: which others this node knows, and bundle sections that it holds.
+    #[must_use]
+    pub fn rpc_router(&self) -> Router {
+        let (discovering, fetching) = (self.shared.clone(), self.shared.clone());
+        Router::new()
+            .route_inline(move |_peer, request: Discover| {
+                let mut peers = discovering.peers();
+                peers.learn(request.from);
+                let known = peers.known();
+                drop(peers);
+                discovering.publish_stores();
+                known
+            })
+            .route_inline(move |_peer, request: FetchSection| {
+                fetching.sections().get(&request.digest)
+            })
+    }
+
+    /// Takes part in the cluster until stopped.
+    pub async fn run(self, stop: CancellationToken) {
+        let shared = self.shared;
+        let tasks = async {
+            tokio::join!(
+                discovery::run(shared.clone()),
+                watch::run(shared.clone()),
+                heartbeat::run(shared.clone(), self.report),
+                installer::run(shared.clone()),
+                reach::run(shared.clone()),
+                harm::run(shared.clone(), self.harm),
+            );
+        };
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = tasks => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/agent/reach.rs
@@ -0,0 +1,76 @@
+//! Whether cores and stores are within reach; without either for long the node is not ready.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Shared;
+use crate::handle::Reach;
+
+/// Name of this reason for not being ready.
+pub(super) const COMPONENT: &str = "reach";
+
+/// Silence of all cores and all stores after which a node is not ready (design, section 4: 2 s).
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// An answer counts as "lately" for so long: two rounds of asking and a slow answer (ours).
+const LATELY: Duration = Duration::from_secs(3);
+
+const CHECK_PAUSE: Duration = Duration::from_millis(100);
+
+/// When cores and stores answered last.
+#[derive(Debug, Default)]
+pub(super) struct ReachClock {
+    core: Mutex<Option<Instant>>,
+    store: Mutex<Option<Instant>>,
+}
+
+fn set(at: &Mutex<Option<Instant>>) {
+    *at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+}
+
+fn within(at: &Mutex<Option<Instant>>, span: Duration) -> bool {
+    let at = *at.lock().unwrap_or_else(PoisonError::into_inner);
+    at.is_some_and(|at| at.elapsed() < span)
+}
+
+impl ReachClock {
+    pub(super) fn core_answered(&self) {
+        set(&self.core);
+    }
+
+    pub(super) fn store_answered(&self) {
+        set(&self.store);
+    }
+
+    pub(super) fn core_answers(&self) -> bool {
+        within(&self.core, SILENCE)
+    }
+
+    fn anyone_answers(&self) -> bool {
+        self.core_answers() || within(&self.store, SILENCE)
+    }
+}
+
+pub(super) async fn run(shared: Arc<Shared>) {
+    loop {
+        let reach = Reach {
+            core: within(&shared.reach.core, LATELY),
+            store: within(&shared.reach.store, LATELY),
+            newest_bundle: *shared.newest_bundle.borrow(),
+        };
+        shared.reach_feed.send_if_modified(|known| {
+            let changed = *known != reach;
+            *known = reach;
+            changed
+        });
+        if shared.reach.anyone_answers() {
+            shared.readiness.ready(COMPONENT);
+        } else {
+            let reason = format!("no core and no store has answered for {} s", SILENCE.as_secs());
+            shared.readiness.unready(COMPONENT, reason);
+        }
+        tokio::time::sleep(CHECK_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/control/src/agent/watch.rs
@@ -0,0 +1,111 @@
+//! Follows the cluster view from a core; without one within reach, reads what the stores know.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_protocol::control::{ViewItem, WatchView};
+use hooklug_state::meta::{MetaAnswer, MetaQuery, MetaState};
+use hooklug_types::NodeRole;
+use rand::seq::SliceRandom;
+use tokio::time::timeout;
+use tracing::{debug, info};
+
+use super::Shared;
+use crate::view::{Applied, apply_item};
+
+/// Pause before the next core is tried (ours).
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Silence of a core after which another is followed; cores send an empty item each second (ours).
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Pause between reads of the stores' state while no core serves the view (ours).
+const POLL_PAUSE: Duration = Duration::from_millis(500);
+
+pub(super) async fn run(shared: Arc<Shared>) {
+    tokio::join!(follow_cores(&shared), poll_stores(&shared));
+}
+
+async fn follow_cores(shared: &Shared) {
+    loop {
+        for core in cores(shared) {
+            follow(shared, core).await;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Cores to follow, in random order, so that nodes spread over them.
+fn cores(shared: &Shared) -> Vec<SocketAddr> {
+    let mut cores = shared.peers().addresses(NodeRole::Core);
+    cores.shuffle(&mut rand::rng());
+    cores
+}
+
+/// Follows one core until it ends the stream or is gone.
+async fn follow(shared: &Shared, core: SocketAddr) {
+    let request = WatchView { from: shared.identity.address.clone() };
+    let opened = shared.client.open(core, &request, shared.deadline()).await;
+    let Ok(mut items) = opened else { return };
+    loop {
+        let Ok(next) = timeout(SILENCE, items.next()).await else {
+            info!(%core, "the core that served the view has gone silent");
+            return;
+        };
+        match next {
+            Ok(Some(item)) => {
+                shared.reach.core_answered();
+                if !take(shared, item) {
+                    debug!(%core, "view has a gap, following anew");
+                    return;
+                }
+            }
+            Ok(None) => return,
+            Err(error) => {
+                info!(%core, %error, "lost the core that served the view");
+                return;
+            }
+        }
+    }
+}
+
+/// Takes an item; false when it does not follow what is known.
+fn take(shared: &Shared, item: ViewItem) -> bool {
+    let mut applied = Applied::Old;
+    shared.change_view(|view| {
+        applied = apply_item(view, item);
+        applied == Applied::Changed
+    });
+    applied != Applied::Gap
+}
+
+async fn poll_stores(shared: &Shared) {
+    loop {
+        if !shared.reach.core_answers() {
+            poll(shared).await;
+        }
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+}
+
+/// Reads the meta state from the stores. Members and engines stay as last heard.
+async fn poll(shared: &Shared) {
+    let answer = shared.state.query_meta(&MetaQuery::State, shared.deadline()).await;
+    let Ok(MetaAnswer::State(state)) = answer else { return };
+    shared.reach.store_answered();
+    shared.change_view(|view| {
+        let changed = is_later(&state, &view.meta) && view.meta != *state;
+        if changed {
+            view.meta = *state;
+        }
+        changed
+    });
+}
+
+/// Whether a state read from a quorum is not older than one heard of before.
+fn is_later(read: &MetaState, known: &MetaState) -> bool {
+    let version = |state: &MetaState| state.bundle.as_ref().map(|b| b.version);
+    let epoch = |state: &MetaState| state.leader.as_ref().map(|l| (l.epoch, l.renewal));
+    version(read) >= version(known) && epoch(read) >= epoch(known)
+}
--- /dev/null
+++ b/crates/control/src/core/follower.rs
@@ -0,0 +1,49 @@
+//! While another core leads, this one follows its view and serves it on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hooklug_protocol::control::{ClusterView, WatchView};
+use tokio::time::{Instant, timeout};
+use tracing::debug;
+
+use super::Shared;
+use crate::view::{Applied, apply_item};
+
+/// Silence of the leader after which it is followed anew; it sends an empty item each second (ours).
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+const OPEN_TIME: Duration = Duration::from_secs(1);
+
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+pub(super) async fn run(shared: &Shared) {
+    loop {
+        if let Some(leader) = shared.other_leader() {
+            let mut known = shared.leadership.watch_leader();
+            known.mark_unchanged();
+            let moved =
+                known.wait_for(|l| l.as_ref().is_none_or(|l| l.expired || l.address != leader));
+            tokio::select! {
+                () = follow(shared, leader) => {}
+                _ = moved => {}
+            }
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn follow(shared: &Shared, leader: SocketAddr) {
+    let request = WatchView { from: shared.ctx.identity.address.clone() };
+    let opened = shared.ctx.client.open(leader, &request, Instant::now() + OPEN_TIME).await;
+    let Ok(mut items) = opened else { return };
+    let mut view = ClusterView::default();
+    while let Ok(Ok(Some(item))) = timeout(SILENCE, items.next()).await {
+        if apply_item(&mut view, item) == Applied::Gap {
+            debug!(%leader, "the leader's view has a gap, following anew");
+            return;
+        }
+        shared.published.publish(view.clone());
+        shared.published.refresh();
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/leader.rs
@@ -0,0 +1,228 @@
+//! What the core leader does: gathers heartbeats, probes and the meta state into the view, and runs the
+//! controllers. All of it ends with its lease.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use hooklug_protocol::control::{ApplicationEngine, ClusterView, Member, MemberHealth};
+use hooklug_state::meta::{MetaAnswer, MetaQuery, MetaState};
+use hooklug_types::{FencingEpoch, Renewal};
+use tokio::sync::watch;
+
+use super::engines::EngineTable;
+use super::members::MemberTable;
+use super::{Shared, discovery, rollout};
+use crate::judge::JudgedVersion;
+use crate::view::first_revision;
+
+/// Pause between two looks at members and engines (ours).
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause between reads of the meta state, when nothing tells that it changed (ours).
+const META_PAUSE: Duration = Duration::from_millis(500);
+
+const META_TIME: Duration = Duration::from_secs(1);
+
+/// A leader that followed no view before gathers heartbeats for so long before it shows its own (ours: the
+/// time between heartbeats, and some).
+const WARM_UP: Duration = Duration::from_millis(1_500);
+
+/// An engine that was lost counts as "lately" for so long (ours).
+const LOST_LATELY: Duration = Duration::from_secs(10);
+
+/// Silence of an engine's node that counts as a loss before the node is even suspected (ours).
+const SILENCE_OF_LOSS: Duration = Duration::from_millis(1_500);
+
+/// What the controllers of one leadership share.
+#[derive(Debug)]
+pub(super) struct Leading {
+    pub(super) epoch: FencingEpoch,
+    pub(super) meta: watch::Sender<Option<Arc<MetaState>>>,
+    engines: Mutex<EngineTable>,
+    lost: Mutex<VecDeque<(Instant, JudgedVersion)>>,
+}
+
+impl Leading {
+    pub(super) fn engines(&self) -> MutexGuard<'_, EngineTable> {
+        self.engines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Versions that lost an engine lately.
+    pub(super) fn lost_lately(&self, now: Instant) -> BTreeSet<JudgedVersion> {
+        let mut lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
+        lost.retain(|(at, _)| now.saturating_duration_since(*at) < LOST_LATELY);
+        lost.iter().map(|(_, version)| version.clone()).collect()
+    }
+
+    fn note_lost(&self, versions: Vec<JudgedVersion>, now: Instant) {
+        let mut lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
+        lost.extend(versions.into_iter().map(|version| (now, version)));
+    }
+}
+
+/// Leads whenever this core holds the lease.
+pub(super) async fn run(shared: &Arc<Shared>) {
+    let mut epochs = shared.leadership.watch_epoch();
+    loop {
+        let epoch = *epochs.borrow_and_update();
+        if let Some(epoch) = epoch {
+            tokio::select! {
+                () = lead(shared, epoch) => {}
+                _ = epochs.changed() => {}
+            }
+        } else if epochs.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Runs all controllers under one epoch, until the lease is lost.
+async fn lead(shared: &Arc<Shared>, epoch: FencingEpoch) {
+    let now = Instant::now();
+    let inherited = shared.published.view();
+    let leading = Leading {
+        epoch,
+        meta: watch::Sender::new(None),
+        engines: Mutex::new(EngineTable::take_over(&inherited.engines, now)),
+        lost: Mutex::default(),
+    };
+    let controllers = async {
+        tokio::join!(
+            refresh_meta(shared, &leading),
+            discovery::run(shared, &leading),
+            rollout::run(shared, &leading),
+        );
+    };
+    tokio::select! {
+        () = controllers => {}
+        () = keep_view(shared, &leading, &inherited) => {}
+    }
+}
+
+/// Reads the meta state again and again, at once when a newer bundle is heard of.
+async fn refresh_meta(shared: &Shared, leading: &Leading) {
+    let mut news = shared.ctx.identity.bundles.watch_newest();
+    loop {
+        let deadline = tokio::time::Instant::now() + META_TIME;
+        if let Ok(MetaAnswer::State(state)) =
+            shared.ctx.state.query_meta(&MetaQuery::State, deadline).await
+        {
+            let state = Some(Arc::new(without_renewal(*state)));
+            leading.meta.send_if_modified(|known| {
+                let changed = *known != state;
+                *known = state;
+                changed
+            });
+        }
+        tokio::select! {
+            () = tokio::time::sleep(META_PAUSE) => {}
+            Ok(()) = news.changed() => {}
+        }
+    }
+}
+
+/// Renewals of the leader's lease are no change of the view.
+fn without_renewal(mut state: MetaState) -> MetaState {
+    if let Some(leader) = &mut state.leader {
+        leader.renewal = Renewal(0);
+    }
+    state
+}
+
+/// Keeps the view up to date; returns when the lease is lost.
+async fn keep_view(shared: &Shared, leading: &Leading, inherited: &ClusterView) {
+    let started = Instant::now();
+    let warm_up = if inherited.revision.0 == 0 { WARM_UP } else { Duration::ZERO };
+    let mut members = MemberTable::take_over(&inherited.members, started);
+    let mut shown = ClusterView::clone(inherited);
+    shown.revision = shown.revision.max(first_revision(leading.epoch));
+    let mut meta = leading.meta.subscribe();
+    while shared.leadership.epoch() == Some(leading.epoch) {
+        let now = Instant::now();
+        take_inbox(shared, &mut members, now);
+        members.look(now);
+        let next = assemble(leading, &members, now);
+        leading.note_lost(lost_versions(&shown, &next, &members, now), now);
+        if let Some(next) = next.filter(|_| started.elapsed() >= warm_up) {
+            show(shared, &mut shown, next);
+        }
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_PAUSE) => {}
+            () = shared.inbox.arrived() => {}
+            _ = meta.changed() => {}
+        }
+    }
+}
+
+fn take_inbox(shared: &Shared, members: &mut MemberTable, now: Instant) {
+    let received = shared.inbox.take();
+    for heartbeat in received.heartbeats.values() {
+        members.heard(heartbeat, now);
+    }
+    shared.judge().observe(&received.statistics, now);
+    for harm in received.harm {
+        shared.judge().report(harm);
+    }
+}
+
+/// The parts of a view, when the meta state is known.
+struct Parts {
+    members: BTreeMap<hooklug_types::NodeId, Member>,
+    engines: BTreeMap<hooklug_types::EngineId, ApplicationEngine>,
+    meta: Arc<MetaState>,
+}
+
+fn assemble(leading: &Leading, members: &MemberTable, now: Instant) -> Option<Parts> {
+    let meta = leading.meta.borrow().clone()?;
+    let mut engines = leading.engines();
+    engines.look(now);
+    Some(Parts { members: members.members(), engines: engines.engines(), meta })
+}
+
+/// Publishes the view when it changed.
+fn show(shared: &Shared, shown: &mut ClusterView, next: Parts) {
+    let same =
+        shown.members == next.members && shown.engines == next.engines && shown.meta == *next.meta;
+    if !same || shared.published.view().revision < shown.revision {
+        *shown = ClusterView {
+            revision: shown.revision.next(),
+            members: next.members,
+            engines: next.engines,
+            meta: MetaState::clone(&next.meta),
+        };
+        shared.published.publish(shown.clone());
+    }
+    shared.published.refresh();
+}
+
+/// Versions of engines that were well in the shown view and are not now, or whose node is silent.
+fn lost_versions(
+    shown: &ClusterView,
+    next: &Option<Parts>,
+    members: &MemberTable,
+    now: Instant,
+) -> Vec<JudgedVersion> {
+    let Some(next) = next else { return Vec::new() };
+    let mut lost = Vec::new();
+    for (id, engine) in shown.engines.iter().filter(|(_, e)| e.healthy && !e.draining) {
+        let well = |e: &&ApplicationEngine| e.healthy && e.incarnation == engine.incarnation;
+        if next.engines.get(id).filter(well).is_none() {
+            lost.push(judged(&engine.service, &engine.version));
+        }
+    }
+    for (id, member) in shown.members.iter().filter(|(_, m)| m.health == MemberHealth::Alive) {
+        let silent = members.silence(*id, now).is_none_or(|s| s >= SILENCE_OF_LOSS);
+        if let Some(engine) = member.engine.as_ref().filter(|e| e.ready && silent) {
+            lost.push(judged(&engine.service, &engine.version));
+        }
+    }
+    lost
+}
+
+fn judged(
+    service: &hooklug_types::ServiceName,
+    version: &hooklug_types::ServiceVersion,
+) -> JudgedVersion {
+    JudgedVersion { service: service.clone(), version: version.clone() }
+}
--- /dev/null
+++ b/crates/control/src/core/leadership.rs
@@ -0,0 +1,169 @@
+//! The core leader's lease: renewed each half second, given up by the leader's own clock before any
+//! other core can have taken it.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use hooklug_protocol::store::{LeaseSubject, LeaseVerdict};
+use hooklug_state::meta::{CoreLeader, MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply};
+use hooklug_types::{FencingEpoch, META_GROUP};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tracing::{info, warn};
+
+use crate::NodeContext;
+
+/// Lease of the core leader, counted on its own clock from sending the last accepted renewal (design,
+/// section 3: 3 s; stores wait for longer before they let another core take it).
+pub const LEASE_TIME: Duration = Duration::from_secs(3);
+
+/// Pause between renewals (ours).
+const RENEW_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest pause before a core that follows looks again whether the lease has run out (ours).
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest wait for one answer of the stores (ours).
+const CALL_TIME: Duration = Duration::from_secs(1);
+
+/// Leadership of this core, as far as its own clock lets it claim it.
+#[derive(Debug)]
+pub struct Leadership {
+    epoch: watch::Sender<Option<FencingEpoch>>,
+    /// The leader as last read from the stores.
+    known: watch::Sender<Option<CoreLeader>>,
+    accepted_at: Mutex<Option<Instant>>,
+}
+
+impl Default for Leadership {
+    fn default() -> Self {
+        Self {
+            epoch: watch::Sender::new(None),
+            known: watch::Sender::new(None),
+            accepted_at: Mutex::new(None),
+        }
+    }
+}
+
+impl Leadership {
+    /// The epoch that this core leads under, if its lease is fresh.
+    #[must_use]
+    pub fn epoch(&self) -> Option<FencingEpoch> {
+        let accepted = *self.accepted_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let fresh = accepted.is_some_and(|at| at.elapsed() < LEASE_TIME);
+        self.epoch.borrow().filter(|_| fresh)
+    }
+
+    /// Follows changes of this core's epoch.
+    #[must_use]
+    pub fn watch_epoch(&self) -> watch::Receiver<Option<FencingEpoch>> {
+        self.epoch.subscribe()
+    }
+
+    /// The leader as last read from the stores, this core or another.
+    #[must_use]
+    pub fn watch_leader(&self) -> watch::Receiver<Option<CoreLeader>> {
+        self.known.subscribe()
+    }
+
+    fn accept(&self, leader: CoreLeader, sent: Instant) {
+        *self.accepted_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(sent);
+        let epoch = leader.epoch;
+        self.known.send_replace(Some(leader));
+        self.epoch.send_if_modified(|held| {
+            let changed = *held != Some(epoch);
+            *held = Some(epoch);
+            changed
+        });
+    }
+
+    fn give_up(&self) {
+        *self.accepted_at.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        self.epoch.send_if_modified(|held| held.take().is_some());
+    }
+
+    /// Takes, renews and loses the leadership, for ever.
+    pub async fn run(&self, ctx: &NodeContext) {
+        loop {
+            let pause = match self.held_epoch() {
+                Some(epoch) => self.renew(ctx, epoch).await,
+                None => self.try_to_take(ctx).await,
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    fn held_epoch(&self) -> Option<FencingEpoch> {
+        *self.epoch.borrow()
+    }
+
+    async fn renew(&self, ctx: &NodeContext, epoch: FencingEpoch) -> Duration {
+        let sent = Instant::now();
+        let command = MetaCommand::RenewLeadership { epoch };
+        match ctx.state.execute_meta(&command, sent + CALL_TIME).await {
+            Ok(MetaReply::Leader(leader)) if leader.epoch == epoch => self.accept(leader, sent),
+            Ok(reply) => {
+                warn!(%epoch, ?reply, "no longer the core leader");
+                self.give_up();
+            }
+            Err(error) if self.epoch().is_none() => {
+                warn!(%epoch, %error, "lease of the core leader has run out");
+                self.give_up();
+            }
+            Err(_) => {}
+        }
+        RENEW_PAUSE
+    }
+
+    async fn try_to_take(&self, ctx: &NodeContext) -> Duration {
+        let answer = ctx.state.query_meta(&MetaQuery::State, Instant::now() + CALL_TIME).await;
+        let Ok(MetaAnswer::State(state)) = answer else { return LOOK_PAUSE };
+        if state.cluster == 0 {
+            return LOOK_PAUSE;
+        }
+        self.known.send_replace(state.leader.clone());
+        let seen = match state.leader {
+            Some(leader) if !leader.expired => match expire(ctx, leader.epoch).await {
+                Ok(()) => leader.epoch,
+                Err(pause) => return pause,
+            },
+            Some(leader) => leader.epoch,
+            None => FencingEpoch(0),
+        };
+        self.take(ctx, seen).await
+    }
+
+    async fn take(&self, ctx: &NodeContext, seen: FencingEpoch) -> Duration {
+        let own = &ctx.identity.address;
+        let command = MetaCommand::AcquireLeadership {
+            core: own.node,
+            incarnation: own.incarnation,
+            address: own.rpc,
+            seen,
+        };
+        let sent = Instant::now();
+        match ctx.state.execute_meta(&command, sent + CALL_TIME).await {
+            Ok(MetaReply::Leader(leader)) if leader.core == own.node => {
+                info!(epoch = %leader.epoch, "leads the cores");
+                self.accept(leader, sent);
+                RENEW_PAUSE
+            }
+            Ok(MetaReply::Refused(MetaRefusal::LeaderAlive { leader })) => {
+                self.known.send_replace(Some(leader));
+                LOOK_PAUSE
+            }
+            _ => LOOK_PAUSE,
+        }
+    }
+}
+
+/// Has a lease ended by the stores; otherwise how long to wait before asking again.
+async fn expire(ctx: &NodeContext, epoch: FencingEpoch) -> Result<(), Duration> {
+    let subject = LeaseSubject::CoreLeader(epoch);
+    let deadline = Instant::now() + CALL_TIME;
+    match ctx.state.expire_lease(META_GROUP, subject, deadline).await {
+        Ok(LeaseVerdict::Expired | LeaseVerdict::Unknown) => Ok(()),
+        Ok(LeaseVerdict::Held { left_ms }) => Err(Duration::from_millis(left_ms).min(LOOK_PAUSE)),
+        Err(_) => Err(LOOK_PAUSE),
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/mod.rs
@@ -0,0 +1,177 @@
+//! The core process: one leader by lease runs the controllers, every core serves the view.
+//!
+//! Cores remember nothing that matters: what must last is in the meta group, and each write of a
+//! controller carries the fencing epoch of the leader.
+
+mod discovery;
+pub mod engines;
+mod follower;
+mod inbox;
+mod leader;
+pub mod leadership;
+pub mod members;
+pub mod platform;
+pub mod probe;
+mod published;
+mod rollout;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_protocol::control::{
+    Heartbeat, HeartbeatReply, ReportHarm, VersionFigures, VersionStatistics, WatchView,
+};
+use hooklug_rpc::Router;
+use hooklug_types::NodeRole;
+use tokio::time::Instant;
+
+use crate::NodeContext;
+use crate::judge::Judge;
+use inbox::Inbox;
+use leadership::Leadership;
+use published::Published;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Longest wait of a core for the core leader, inside the time that a node waits for the core (ours).
+const FORWARD_TIME: Duration = Duration::from_millis(700);
+
+/// Time over which the figures for operators are added up (ours).
+const FIGURES_INTERVAL: Duration = Duration::from_secs(60);
+
+/// What the tasks of a core share.
+#[derive(Debug)]
+struct Shared {
+    ctx: NodeContext,
+    leadership: Leadership,
+    published: Published,
+    inbox: Inbox,
+    judge: Mutex<Judge>,
+}
+
+impl Shared {
+    fn judge(&self) -> MutexGuard<'_, Judge> {
+        self.judge.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Where the core leader is, when it is another one.
+    fn other_leader(&self) -> Option<std::net::SocketAddr> {
+        let leader = self.leadership.watch_leader().borrow().clone()?;
+        let own = self.ctx.identity.address.node;
+        (!leader.expired && leader.core != own).then_some(leader.address)
+    }
+}
+
+/// A core process.
+#[derive(Debug)]
+pub struct Core {
+    shared: Arc<Shared>,
+}
+
+impl Core {
+    /// A core that does nothing yet.
+    #[must_use]
+    pub fn new(ctx: NodeContext) -> Self {
+        let shared = Shared {
+            ctx,
+            leadership: Leadership::default(),
+            published: Published::default(),
+            inbox: Inbox::default(),
+            judge: Mutex::default(),
+        };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// Answers to nodes.
+    #[must_use]
+    pub fn rpc_router(&self) -> Router {
+        let (beating, watching) = (self.shared.clone(), self.shared.clone());
+        let (reporting, showing) = (self.shared.clone(), self.shared.clone());
+        Router::new()
+            .route(move |peer, heartbeat: Heartbeat| {
+                let shared = beating.clone();
+                async move { take_heartbeat(&shared, heartbeat, peer.role).await }
+            })
+            .stream(move |_peer, _request: WatchView, sink| {
+                let shared = watching.clone();
+                async move { shared.published.serve(sink).await }
+            })
+            .route(move |peer, report: ReportHarm| {
+                let shared = reporting.clone();
+                async move { take_harm(&shared, report, peer.role).await }
+            })
+            .route(move |peer, request: VersionFigures| {
+                let shared = showing.clone();
+                async move { figures(&shared, request, peer.role).await }
+            })
+    }
+
+    /// Runs the core until the process is stopped.
+    pub async fn run(self) {
+        let shared = self.shared;
+        let tasks = async {
+            tokio::join!(
+                shared.leadership.run(&shared.ctx),
+                leader::run(&shared),
+                follower::run(&shared),
+            );
+        };
+        tokio::select! {
+            () = shared.ctx.stop.cancelled() => {}
+            () = tasks => {}
+        }
+    }
+}
+
+async fn take_heartbeat(shared: &Shared, heartbeat: Heartbeat, from: NodeRole) -> HeartbeatReply {
+    shared.ctx.identity.bundles.saw(heartbeat.bundle);
+    let leads = shared.leadership.epoch().is_some();
+    // A heartbeat that a core forwarded is kept where it is: cores that disagree must not send it round.
+    let forwarded = from == NodeRole::Core && heartbeat.from.role != NodeRole::Core;
+    if !leads
+        && !forwarded
+        && let Some(leader) = shared.other_leader()
+    {
+        let deadline = Instant::now() + FORWARD_TIME;
+        if let Ok(mut reply) = shared.ctx.client.call(leader, &heartbeat, deadline).await {
+            reply.leader = Some(leader);
+            return reply;
+        }
+    }
+    shared.inbox.put_heartbeat(heartbeat);
+    let view = shared.published.view();
+    HeartbeatReply {
+        revision: view.revision,
+        bundle: view.meta.bundle.clone(),
+        leader: shared.other_leader().filter(|_| !leads),
+    }
+}
+
+async fn take_harm(shared: &Shared, report: ReportHarm, from: NodeRole) {
+    let leads = shared.leadership.epoch().is_some();
+    if !leads
+        && from != NodeRole::Core
+        && let Some(leader) = shared.other_leader()
+    {
+        let deadline = Instant::now() + FORWARD_TIME;
+        if shared.ctx.client.call(leader, &report, deadline).await.is_ok() {
+            return;
+        }
+    }
+    shared.inbox.put_harm(report.harm);
+}
+
+async fn figures(
+    shared: &Shared,
+    request: VersionFigures,
+    from: NodeRole,
+) -> Vec<VersionStatistics> {
+    let leads = shared.leadership.epoch().is_some();
+    if !leads
+        && from != NodeRole::Core
+        && let Some(leader) = shared.other_leader()
+    {
+        let deadline = Instant::now() + FORWARD_TIME;
+        return shared.ctx.client.call(leader, &request, deadline).await.unwrap_or_default();
+    }
+    shared.judge().figures(FIGURES_INTERVAL, std::time::Instant::now())
+}
--- /dev/null
+++ b/crates/control/src/core/published.rs
@@ -0,0 +1,107 @@
+//! The view that this core serves: made here when it leads, followed from the leader when it does not.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hooklug_protocol::control::{ClusterView, ViewChange, ViewItem, WatchView};
+use hooklug_rpc::ItemSink;
+use hooklug_types::Revision;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout};
+
+use crate::view::changes;
+
+/// Age of the last sign of the core leader at which a view is no longer served (ours).
+const STALE_AFTER: Duration = Duration::from_secs(4);
+
+/// An empty item is sent after so long without changes, as a sign of life (ours).
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// Changes are gathered for so long before they are sent (design, section 7: 100 ms).
+const BATCH_TIME: Duration = Duration::from_millis(100);
+
+/// A view and the step that led to it.
+#[derive(Debug, Clone, Default)]
+struct Step {
+    view: Arc<ClusterView>,
+    from: Revision,
+    changes: Arc<Vec<ViewChange>>,
+}
+
+/// The view that this core serves.
+#[derive(Debug)]
+pub struct Published {
+    step: watch::Sender<Step>,
+    fresh_at: Mutex<Option<Instant>>,
+}
+
+impl Default for Published {
+    fn default() -> Self {
+        Self { step: watch::Sender::new(Step::default()), fresh_at: Mutex::new(None) }
+    }
+}
+
+impl Published {
+    /// The view as it is.
+    #[must_use]
+    pub fn view(&self) -> Arc<ClusterView> {
+        self.step.borrow().view.clone()
+    }
+
+    /// Notes a sign of the core leader: the view is as it should be.
+    pub fn refresh(&self) {
+        *self.fresh_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+
+    fn is_fresh(&self) -> bool {
+        let at = *self.fresh_at.lock().unwrap_or_else(PoisonError::into_inner);
+        at.is_some_and(|at| at.elapsed() < STALE_AFTER)
+    }
+
+    /// Publishes a newer view; an older one changes nothing.
+    pub fn publish(&self, next: ClusterView) {
+        self.step.send_if_modified(|step| {
+            if next.revision <= step.view.revision {
+                return false;
+            }
+            let changes = Arc::new(changes(&step.view, &next));
+            *step = Step { from: step.view.revision, view: Arc::new(next), changes };
+            true
+        });
+    }
+
+    /// Serves a follower until it is gone or the view is stale.
+    pub async fn serve(
+        &self,
+        sink: ItemSink<<WatchView as hooklug_protocol::StreamRequest>::Item>,
+    ) {
+        let mut steps = self.step.subscribe();
+        let mut sent: Option<Arc<ClusterView>> = None;
+        while self.is_fresh() {
+            let step = steps.borrow_and_update().clone();
+            let item = next_item(sent.as_deref(), &step);
+            sent = Some(step.view);
+            if sink.send(&item).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(BATCH_TIME).await;
+            if !matches!(timeout(KEEP_ALIVE, steps.changed()).await, Ok(Ok(())) | Err(_)) {
+                return;
+            }
+        }
+    }
+}
+
+/// What leads a follower from what it was sent to the present step.
+fn next_item(sent: Option<&ClusterView>, step: &Step) -> ViewItem {
+    let Some(sent) = sent else { return ViewItem::Whole(Box::new(ClusterView::clone(&step.view))) };
+    let to = step.view.revision;
+    let changes = if sent.revision == to {
+        Vec::new()
+    } else if sent.revision == step.from {
+        step.changes.to_vec()
+    } else {
+        changes(sent, &step.view)
+    };
+    ViewItem::Changes { from: sent.revision, to, changes }
+}
--- /dev/null
+++ b/crates/control/src/judge/counts.rs
@@ -0,0 +1,115 @@
+//! What was seen of one version on one route, and figures drawn from it. Pure.
+
+use hooklug_protocol::control::{LATENCY_BUCKETS, VersionStatistics};
+
+/// Requests of one version on one route in one interval.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests that ended well.
+    pub successes: u64,
+    /// Requests that ended badly.
+    pub failures: u64,
+    /// Requests by latency; bucket `i` counts those below `2^i` ms.
+    pub latency: [u64; LATENCY_BUCKETS],
+}
+
+impl From<&VersionStatistics> for Counts {
+    fn from(statistics: &VersionStatistics) -> Self {
+        Self {
+            successes: statistics.successes,
+            failures: statistics.failures,
+            latency: statistics.latency,
+        }
+    }
+}
+
+impl Counts {
+    /// Adds another interval or gateway.
+    pub fn add(&mut self, other: &Self) {
+        self.successes += other.successes;
+        self.failures += other.failures;
+        self.latency.iter_mut().zip(other.latency).for_each(|(own, more)| *own += more);
+    }
+
+    /// Halves all counts, so that the past weighs less than the present.
+    pub fn halve(&mut self) {
+        self.successes /= 2;
+        self.failures /= 2;
+        self.latency.iter_mut().for_each(|count| *count /= 2);
+    }
+
+    /// All requests.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.successes + self.failures
+    }
+
+    /// Share of requests that ended badly.
+    #[must_use]
+    pub fn error_share(&self) -> f64 {
+        share(self.failures, self.total())
+    }
+
+    /// The bucket that holds the 95th percentile of latency, and the percentile in milliseconds, taken
+    /// linearly inside the bucket. `None` without samples.
+    #[must_use]
+    pub fn p95(&self) -> Option<Percentile> {
+        let total: u64 = self.latency.iter().sum();
+        if total == 0 {
+            return None;
+        }
+        let wanted = 0.95 * total as f64;
+        let mut below = 0_u64;
+        for (bucket, count) in self.latency.iter().enumerate() {
+            let reached = (below + count) as f64;
+            if *count > 0 && reached >= wanted {
+                let inside = (wanted - below as f64) / *count as f64;
+                let (low, high) = bounds(bucket);
+                return Some(Percentile { bucket, millis: low + inside * (high - low) });
+            }
+            below += count;
+        }
+        None
+    }
+
+    /// Requests slower than a bucket's upper bound.
+    #[must_use]
+    pub fn slower_than(&self, bucket: usize) -> u64 {
+        self.latency.iter().skip(bucket + 1).sum()
+    }
+}
+
+/// A percentile of latency.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Percentile {
+    /// The bucket that holds it.
+    pub bucket: usize,
+    /// Its value, in milliseconds.
+    pub millis: f64,
+}
+
+/// Lower and upper bound of a bucket, in milliseconds.
+fn bounds(bucket: usize) -> (f64, f64) {
+    let high = (1_u64 << bucket) as f64;
+    (if bucket == 0 { 0.0 } else { high / 2.0 }, high)
+}
+
+/// A part as a share of a whole; 0 without a whole.
+#[must_use]
+pub fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+}
+
+/// How many standard errors a share lies above another, both counted, under the assumption that they are
+/// equal (two-proportion z test).
+#[must_use]
+pub fn standard_errors_above(new: (u64, u64), old: (u64, u64)) -> f64 {
+    let ((new_part, new_whole), (old_part, old_whole)) = (new, old);
+    if new_whole == 0 || old_whole == 0 {
+        return 0.0;
+    }
+    let pooled = share(new_part + old_part, new_whole + old_whole);
+    let spread = pooled * (1.0 - pooled) * (1.0 / new_whole as f64 + 1.0 / old_whole as f64);
+    let difference = share(new_part, new_whole) - share(old_part, old_whole);
+    if spread > 0.0 { difference / spread.sqrt() } else { 0.0 }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,8 +3,14 @@
 #![deny(rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod agent;
+pub mod core;
 pub mod handle;
+pub mod judge;
+pub mod view;
 
+pub use self::core::Core;
+pub use agent::NodeAgent;
 pub use handle::{
     InstalledBundle, NodeContext, NodeFeeds, NodeHandle, NodeReport, Reach, Readiness, Statistics,
     latency_bucket,
--- /dev/null
+++ b/crates/control/src/view.rs
@@ -0,0 +1,93 @@
+//! Differences between two cluster views, and applying them.
+
+use hooklug_protocol::control::{ClusterView, ViewChange, ViewItem};
+use hooklug_types::{FencingEpoch, Revision};
+
+/// Bits of a revision that count changes under one core leader; the bits above are its fencing epoch.
+const COUNT_BITS: u32 = 32;
+
+/// The first revision under a core leader; higher than all under earlier ones.
+#[must_use]
+pub fn first_revision(epoch: FencingEpoch) -> Revision {
+    Revision(epoch.0 << COUNT_BITS)
+}
+
+/// The fencing epoch that a revision was made under.
+#[must_use]
+pub fn revision_epoch(revision: Revision) -> FencingEpoch {
+    FencingEpoch(revision.0 >> COUNT_BITS)
+}
+
+/// What leads from one view to another, revisions apart.
+#[must_use]
+pub fn changes(before: &ClusterView, after: &ClusterView) -> Vec<ViewChange> {
+    let mut changes = Vec::new();
+    for (id, member) in &after.members {
+        if before.members.get(id) != Some(member) {
+            changes.push(ViewChange::Member(member.clone()));
+        }
+    }
+    let gone = before.members.keys().filter(|id| !after.members.contains_key(id));
+    changes.extend(gone.map(|id| ViewChange::MemberGone(*id)));
+    for (id, engine) in &after.engines {
+        if before.engines.get(id) != Some(engine) {
+            changes.push(ViewChange::Engine(engine.clone()));
+        }
+    }
+    let gone = before.engines.keys().filter(|id| !after.engines.contains_key(id));
+    changes.extend(gone.map(|id| ViewChange::EngineGone(id.clone())));
+    if before.meta != after.meta {
+        changes.push(ViewChange::Meta(Box::new(after.meta.clone())));
+    }
+    changes
+}
+
+/// Applies one change.
+pub fn apply_change(view: &mut ClusterView, change: ViewChange) {
+    match change {
+        ViewChange::Member(member) => {
+            view.members.insert(member.address.node, member);
+        }
+        ViewChange::MemberGone(id) => {
+            view.members.remove(&id);
+        }
+        ViewChange::Engine(engine) => {
+            view.engines.insert(engine.engine.clone(), engine);
+        }
+        ViewChange::EngineGone(id) => {
+            view.engines.remove(&id);
+        }
+        ViewChange::Meta(meta) => view.meta = *meta,
+    }
+}
+
+/// What came of an item of the view's stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// The view changed.
+    Changed,
+    /// The item is not newer than the view; nothing changed.
+    Old,
+    /// Changes that do not follow the view; the stream must be opened again.
+    Gap,
+}
+
+/// Applies an item of the stream to a view. Revisions never go back.
+pub fn apply_item(view: &mut ClusterView, item: ViewItem) -> Applied {
+    match item {
+        ViewItem::Whole(whole) if whole.revision > view.revision => {
+            *view = *whole;
+            Applied::Changed
+        }
+        ViewItem::Whole(_) => Applied::Old,
+        ViewItem::Changes { to, .. } if to <= view.revision => Applied::Old,
+        ViewItem::Changes { from, .. } if from != view.revision => Applied::Gap,
+        ViewItem::Changes { to, changes, .. } => {
+            for change in changes {
+                apply_change(view, change);
+            }
+            view.revision = to;
+            Applied::Changed
+        }
+    }
+}
