--- /dev/null
+++ b/crates/admin/src/bundles.rs
@@ -0,0 +1,191 @@
+//! Submitting and reading bundles.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::{Path, Query, State};
+use hooklug_bundle::SignatureFault;
+use hooklug_protocol::control::{ClusterView, MemberHealth};
+use hooklug_state::meta::{
+    BundleRecord, MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply, SubmitBundle,
+};
+use hooklug_types::{BundleVersion, OperatorName};
+use http::StatusCode;
+use serde::Deserialize;
+use tokio::time::{Instant, timeout_at};
+
+use crate::AdminContext;
+use crate::answers::{BundleAnswer, BundleContent, Submission, SubmitAnswer};
+use crate::problem::Problem;
+
+type Admin = State<Arc<AdminContext>>;
+
+/// Longest wait for the commit of a bundle (ours).
+const COMMIT_TIME: Duration = Duration::from_secs(5);
+
+/// Longest wait for all live nodes to have the bundle in force (brief: about 2 s).
+const INSTALL_TIME: Duration = Duration::from_secs(2);
+
+/// Longest wait for a read (ours).
+const READ_TIME: Duration = Duration::from_secs(3);
+
+/// Records that a history names when not asked for another number (ours).
+const HISTORY_RECORDS: u32 = 64;
+
+/// Takes a bundle at any node; the answer comes after its commit.
+pub(crate) async fn submit(
+    State(admin): Admin,
+    body: Bytes,
+) -> Result<Json<SubmitAnswer>, Problem> {
+    let submission = parse(&body)?;
+    hooklug_bundle::validate(&submission.bundle).map_err(|f| Problem::invalid_bundle(&f))?;
+    let signed_by = verify(&admin, &submission)?;
+    let command = MetaCommand::SubmitBundle(SubmitBundle {
+        version: submission.bundle.version,
+        base: submission.bundle.base,
+        bytes: hooklug_bundle::canonical_bytes(&submission.bundle),
+        signed_by,
+    });
+    let state = admin.context.state.clone();
+    // A caller that gives up must not stop a commit half way.
+    let committing =
+        tokio::spawn(
+            async move { state.execute_meta(&command, Instant::now() + COMMIT_TIME).await },
+        );
+    let reply = committing.await.map_err(|_| unexpected())??;
+    let record = committed(reply)?;
+    admin.context.identity.bundles.saw(record.version);
+    let (live_nodes, installed_nodes) = wait_until_installed(&admin, record.version).await;
+    Ok(Json(SubmitAnswer { bundle: BundleAnswer::from(&record), live_nodes, installed_nodes }))
+}
+
+fn parse(body: &[u8]) -> Result<Submission, Problem> {
+    let mut reader = serde_json::Deserializer::from_slice(body);
+    let submission = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
+        Problem::new(StatusCode::BAD_REQUEST, "bad_json", "the body does not decode")
+            .field(e.path().to_string())
+            .detail(e.inner().to_string())
+    })?;
+    reader.end().map_err(|e| {
+        Problem::new(StatusCode::BAD_REQUEST, "bad_json", "the body does not decode")
+            .detail(e.to_string())
+    })?;
+    Ok(submission)
+}
+
+fn verify(admin: &AdminContext, submission: &Submission) -> Result<Vec<OperatorName>, Problem> {
+    let operators = &admin.context.settings.operators;
+    let digest = hooklug_bundle::digest(&submission.bundle);
+    hooklug_bundle::verify(
+        &digest,
+        &submission.signatures,
+        &operators.keys,
+        operators.required_signatures,
+    )
+    .map_err(|fault| {
+        let code = match fault {
+            SignatureFault::TooFew { .. } => "signatures_missing",
+            _ => "bad_signature",
+        };
+        Problem::new(StatusCode::FORBIDDEN, code, "the bundle is not signed off")
+            .field("signatures")
+            .detail(fault.to_string())
+    })
+}
+
+fn committed(reply: MetaReply) -> Result<BundleRecord, Problem> {
+    let refusal = match reply {
+        MetaReply::Bundle(record) => return Ok(record),
+        MetaReply::Refused(refusal) => refusal,
+        _ => return Err(unexpected()),
+    };
+    let (status, code, title) = match &refusal {
+        MetaRefusal::VersionTaken { .. } => {
+            (StatusCode::CONFLICT, "version_taken", "the version has other content")
+        }
+        MetaRefusal::StaleBase { .. } => {
+            (StatusCode::CONFLICT, "stale_base", "the base is not the newest version")
+        }
+        MetaRefusal::InvalidBundle { .. } => {
+            (StatusCode::UNPROCESSABLE_ENTITY, "invalid_bundle", "the bundle is not valid")
+        }
+        MetaRefusal::NotFormed => {
+            (StatusCode::SERVICE_UNAVAILABLE, "try_again", "the cluster is not formed yet")
+        }
+        _ => return Err(unexpected()),
+    };
+    let problem = Problem::new(status, code, title).detail(refusal.to_string());
+    Err(match refusal {
+        MetaRefusal::VersionTaken { digest, .. } => {
+            problem.field("version").with("digest", digest.to_string())
+        }
+        MetaRefusal::StaleBase { newest } => problem.field("base").with("newest", newest.0),
+        _ => problem,
+    })
+}
+
+fn unexpected() -> Problem {
+    Problem::new(
+        StatusCode::INTERNAL_SERVER_ERROR,
+        "unexpected",
+        "the stores answered unexpectedly",
+    )
+}
+
+/// Waits until all live nodes of the view have the version in force, for a while; then counts.
+async fn wait_until_installed(admin: &AdminContext, version: BundleVersion) -> (usize, usize) {
+    let mut view = admin.context.node.view.clone();
+    let all = view.wait_for(|view| {
+        let (live, installed) = count(view, version);
+        live > 0 && live == installed
+    });
+    // A view that never shows it is counted as it is.
+    let _ = timeout_at(Instant::now() + INSTALL_TIME, all).await;
+    count(&view.borrow(), version)
+}
+
+fn count(view: &ClusterView, version: BundleVersion) -> (usize, usize) {
+    let live = view.members.values().filter(|m| m.health == MemberHealth::Alive);
+    let installed = live.clone().filter(|m| m.bundle >= version).count();
+    (live.count(), installed)
+}
+
+/// Query of the history.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct HistoryQuery {
+    limit: Option<u32>,
+}
+
+pub(crate) async fn history(
+    State(admin): Admin,
+    Query(query): Query<HistoryQuery>,
+) -> Result<Json<Vec<BundleAnswer>>, Problem> {
+    let query = MetaQuery::History(query.limit.unwrap_or(HISTORY_RECORDS));
+    match admin.context.state.query_meta(&query, Instant::now() + READ_TIME).await? {
+        MetaAnswer::History(records) => Ok(Json(records.iter().map(BundleAnswer::from).collect())),
+        _ => Err(unexpected()),
+    }
+}
+
+/// `current`, or a version number.
+pub(crate) async fn show(
+    State(admin): Admin,
+    Path(version): Path<String>,
+) -> Result<Json<BundleContent>, Problem> {
+    let wanted = match version.as_str() {
+        "current" => None,
+        number => Some(BundleVersion(number.parse().map_err(|_| {
+            Problem::bad_field("version", format!("is {number:?}, must be a number or current"))
+        })?)),
+    };
+    let query = MetaQuery::BundleBytes(wanted);
+    let answer = admin.context.state.query_meta(&query, Instant::now() + READ_TIME).await?;
+    let MetaAnswer::BundleBytes(found) = answer else { return Err(unexpected()) };
+    let (record, bytes) =
+        found.ok_or_else(|| Problem::not_found("no_bundle", "there is no such bundle"))?;
+    let bundle = hooklug_bundle::decode(&bytes).map_err(|e| unexpected().detail(e.to_string()))?;
+    Ok(Json(BundleContent { record: BundleAnswer::from(&record), bundle }))
+}
--- /dev/null
+++ b/crates/admin/src/shards.rs
@@ -0,0 +1,116 @@
+//! Groups and their replicas, and retiring a store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::extract::{Path, State};
+use futures::future::join_all;
+use hooklug_protocol::store::{GroupStatus, ReplicaStatus};
+use hooklug_raft::Role;
+use hooklug_state::meta::{
+    MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply, MetaState, StoreState,
+};
+use hooklug_types::{GroupId, NodeId};
+use http::StatusCode;
+use tokio::time::Instant;
+
+use crate::AdminContext;
+use crate::answers::{ReplicaAnswer, ShardAnswer};
+use crate::problem::Problem;
+
+type Admin = State<Arc<AdminContext>>;
+
+/// Longest wait for one store (ours).
+const STORE_TIME: Duration = Duration::from_secs(1);
+
+/// Longest wait for the meta group (ours).
+const META_TIME: Duration = Duration::from_secs(3);
+
+pub(crate) async fn shards(State(admin): Admin) -> Json<Vec<ShardAnswer>> {
+    let meta = admin.context.node.view.borrow().meta.clone();
+    let statuses = ask_stores(&admin, &meta).await;
+    Json(GroupId::all().map(|group| shard_answer(group, &meta, &statuses)).collect())
+}
+
+type Statuses = BTreeMap<GroupId, Vec<(NodeId, ReplicaStatus)>>;
+
+async fn ask_stores(admin: &AdminContext, meta: &MetaState) -> Statuses {
+    let stores = meta.stores.iter().filter(|s| s.state != StoreState::Removed);
+    let asked = stores.map(|store| async move {
+        let deadline = Instant::now() + STORE_TIME;
+        let answer = admin.client().call(store.address, &GroupStatus, deadline).await;
+        answer.unwrap_or_default().into_iter().map(|status| (store.node, status)).collect()
+    });
+    let answers: Vec<Vec<(NodeId, ReplicaStatus)>> = join_all(asked).await;
+    let mut statuses = Statuses::new();
+    for (store, status) in answers.into_iter().flatten() {
+        statuses.entry(status.group).or_default().push((store, status));
+    }
+    statuses
+}
+
+fn shard_answer(group: GroupId, meta: &MetaState, statuses: &Statuses) -> ShardAnswer {
+    let replicas = statuses.get(&group).map(Vec::as_slice).unwrap_or_default();
+    let leader =
+        replicas.iter().filter(|(_, s)| s.role == Role::Leader).max_by_key(|(_, s)| s.term);
+    let commit = replicas.iter().map(|(_, s)| s.commit).max().unwrap_or(0);
+    let member = |store: &NodeId| match leader {
+        Some((_, s)) if s.conf.voters.contains(store) => "voter",
+        Some((_, s)) if s.conf.learners.contains(store) => "learner",
+        Some(_) => "none",
+        None => "unknown",
+    };
+    ShardAnswer {
+        group: group.to_string(),
+        leader: leader.map(|(store, _)| *store),
+        commit,
+        replicas: replicas
+            .iter()
+            .map(|(store, status)| ReplicaAnswer {
+                store: *store,
+                member: member(store).to_owned(),
+                lag: commit.saturating_sub(status.applied),
+                term: status.term,
+            })
+            .collect(),
+        placement: meta.placements.get(&group).cloned().unwrap_or_default(),
+    }
+}
+
+/// Marks a store as retiring; the core leader then moves its replicas away.
+pub(crate) async fn retire(
+    State(admin): Admin,
+    Path(node): Path<String>,
+) -> Result<StatusCode, Problem> {
+    let node = node.parse().map(NodeId).map_err(|_| {
+        Problem::bad_field("node", format!("is {node:?}, must be a store's node id"))
+    })?;
+    let deadline = Instant::now() + META_TIME;
+    let answer = admin.context.state.query_meta(&MetaQuery::State, deadline).await?;
+    let leader = match answer {
+        MetaAnswer::State(state) => state.leader.filter(|l| !l.expired),
+        _ => None,
+    };
+    let leader = leader.ok_or_else(no_core_leader)?;
+    let command =
+        MetaCommand::SetStoreState { epoch: leader.epoch, node, state: StoreState::Retiring };
+    match admin.context.state.execute_meta(&command, deadline).await? {
+        MetaReply::Refused(MetaRefusal::NoStore) => {
+            Err(Problem::not_found("no_store", "there is no such store"))
+        }
+        MetaReply::Refused(MetaRefusal::StaleFencing { .. }) => Err(no_core_leader()),
+        MetaReply::Refused(refusal) => {
+            Err(Problem::new(StatusCode::CONFLICT, "refused", "the store cannot be retired")
+                .detail(refusal.to_string()))
+        }
+        _ => Ok(StatusCode::ACCEPTED),
+    }
+}
+
+fn no_core_leader() -> Problem {
+    Problem::new(StatusCode::SERVICE_UNAVAILABLE, "try_again", "no core leads at the moment")
+        .with("outcome", "try_again")
+        .with("retry_after_ms", 1_000)
+}
