--- /dev/null
+++ b/crates/gateway/src/api/calls.rs
@@ -0,0 +1,190 @@
+//! `/v1/programs/{program}/calls/{call}`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Extension;
+use axum::body::Body;
+use axum::extract::{RawPathParams, State};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use hooklug_bundle::{Bundle, Route};
+use hooklug_state::shard::{CallRecord, ShardCommand, ShardRefusal, ShardReply};
+use hooklug_types::{CallId, ProgramId, RouteName};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use serde_json::Value;
+use tokio::time::Instant;
+
+use super::admission::Admitted;
+use super::body::{Fields, path_id};
+use super::problem::{Claim, Code, Problem};
+use super::{refusals, views};
+use crate::backend::answer::Answer;
+use crate::calls::once::{Settled, unknown};
+use crate::calls::{CallRequest, content_digest};
+use crate::shards::ShardError;
+use crate::shared::Shared;
+
+/// Header with a call's state.
+const STATE_HEADER: HeaderName = HeaderName::from_static("x-hooklug-call-state");
+
+/// Longest deadline that a caller may ask for, in milliseconds (ours).
+const MAX_DEADLINE_MS: u64 = 600_000;
+
+/// Longest name of a tool, in bytes (ours).
+const MAX_TOOL_BYTES: usize = 96;
+
+/// What a call's body says.
+struct CallBody {
+    tool: String,
+    arguments: Value,
+    repeat: Option<bool>,
+    deadline_ms: Option<u64>,
+}
+
+fn parse(mut fields: Fields) -> Result<CallBody, Problem> {
+    let (tool, arguments) = tool_and_arguments(&mut fields)?;
+    let repeat = fields.optional("repeat")?;
+    let deadline_ms: Option<u64> = fields.optional("deadline_ms")?;
+    fields.finish()?;
+    if deadline_ms.is_some_and(|ms| ms == 0 || ms > MAX_DEADLINE_MS) {
+        let detail = format!("must be between 1 and {MAX_DEADLINE_MS}");
+        return Err(Problem::field(Code::BadField, "deadline_ms", detail));
+    }
+    Ok(CallBody { tool, arguments, repeat, deadline_ms })
+}
+
+fn tool_and_arguments(fields: &mut Fields) -> Result<(String, Value), Problem> {
+    let tool: String = fields.required("tool")?;
+    let arguments: Value = fields.any("arguments")?;
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    // The tool becomes a part of a path.
+    if tool.is_empty() || tool.len() > MAX_TOOL_BYTES || !tool.chars().all(plain) {
+        let detail = format!("must have 1 to {MAX_TOOL_BYTES} letters, digits, '.', '_' or '-'");
+        return Err(Problem::field(Code::BadField, "tool", detail));
+    }
+    if !arguments.is_object() {
+        return Err(Problem::field(Code::BadField, "arguments", "must be a JSON object"));
+    }
+    Ok((tool, arguments))
+}
+
+fn tool_route<'a>(bundle: &'a Bundle, tool: &str) -> Result<(&'a RouteName, &'a Route), Problem> {
+    bundle.tool_route(tool).ok_or_else(|| {
+        Problem::field(Code::NoRoute, "tool", format!("no route serves tool {tool}"))
+    })
+}
+
+async fn own_call(
+    shared: &Shared,
+    admitted: &Admitted,
+    params: &RawPathParams,
+) -> Result<(ProgramId, CallId), Problem> {
+    let program: ProgramId = path_id(params, "program")?;
+    let call: CallId = path_id(params, "call")?;
+    shared.own_program(&admitted.caller, &program).await?;
+    Ok((program, call))
+}
+
+pub(crate) async fn put(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+    headers: HeaderMap,
+    body: Body,
+) -> Result<Response, Problem> {
+    let begun = Instant::now();
+    let body = parse(Fields::read(&headers, body, shared.body_limit()).await?)?;
+    let (program, call) = own_call(&shared, &admitted, &params).await?;
+    let (route_name, route) = tool_route(&admitted.bundle.bundle, &body.tool)?;
+    let most = route.deadline_ms;
+    let allowed = Duration::from_millis(body.deadline_ms.map_or(most, |ms| ms.min(most)));
+    let request = CallRequest {
+        program,
+        call,
+        tenant: admitted.caller.tenant.clone(),
+        digest: content_digest(&body.tool, &body.arguments),
+        arguments: Bytes::from(body.arguments.to_string()),
+        tool: body.tool,
+        route: route_name.clone(),
+        service: route.service.clone(),
+        urgent: route.urgent,
+        deadline: begun + allowed,
+    };
+    if route.may_repeat && body.repeat != Some(false) {
+        return Ok(answered(&shared.calls.repeatable(&request).await?));
+    }
+    shared.check_store_reach()?;
+    settled(shared.calls.once(request).await?)
+}
+
+/// The application's answer, as it came.
+fn answered(answer: &Answer) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = (status, answer.body.clone()).into_response();
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(STATE_HEADER, HeaderValue::from_static("answered"));
+    response
+}
+
+fn settled(settled: Settled) -> Result<Response, Problem> {
+    match settled {
+        Settled::Answered(answer) => Ok(answered(&answer)),
+        Settled::Refused(problem) => {
+            let json = HeaderValue::from_static("application/problem+json");
+            Ok((StatusCode::BAD_GATEWAY, [(header::CONTENT_TYPE, json)], problem).into_response())
+        }
+        Settled::Unknown => Err(unknown("the call may have run; its answer was lost")),
+        Settled::NotRun => {
+            Err(Problem::new(Code::CallSealed, "the call was sealed: it did not run")
+                .claiming(Claim::NotRun))
+        }
+    }
+}
+
+pub(crate) async fn get(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+) -> Result<Response, Problem> {
+    let (program, call) = own_call(&shared, &admitted, &params).await?;
+    let deadline = Shared::state_deadline();
+    let record = shared.shards.call(&program, &call, deadline).await?;
+    let record = record.ok_or_else(|| Problem::new(Code::NoCall, "no such call is recorded"))?;
+    let record = shared.calls.refreshed(&program, record).await;
+    Ok(axum::Json(views::call(&record)).into_response())
+}
+
+pub(crate) async fn seal(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+    headers: HeaderMap,
+    body: Body,
+) -> Result<Response, Problem> {
+    let mut fields = Fields::read(&headers, body, shared.body_limit()).await?;
+    let (tool, arguments) = tool_and_arguments(&mut fields)?;
+    fields.finish()?;
+    let (program, call) = own_call(&shared, &admitted, &params).await?;
+    let (_, route) = tool_route(&admitted.bundle.bundle, &tool)?;
+    if route.may_repeat {
+        let detail = "calls of this tool may be repeated and are not recorded: none can be sealed";
+        return Err(Problem::field(Code::CallRepeatable, "tool", detail));
+    }
+    let digest = content_digest(&tool, &arguments);
+    let command = ShardCommand::SealCall { program: program.clone(), call, digest };
+    let record =
+        sealed(shared.shards.execute(&program, &command, Shared::state_deadline()).await?)?;
+    let record = shared.calls.refreshed(&program, record).await;
+    Ok(axum::Json(views::call(&record)).into_response())
+}
+
+fn sealed(reply: ShardReply) -> Result<CallRecord, Problem> {
+    match reply {
+        ShardReply::Call(record) => Ok(record),
+        ShardReply::Refused(ShardRefusal::CallHeld { record }) => Ok(*record),
+        ShardReply::Refused(refusal) => Err(refusals::ledger(&refusal)),
+        _ => Err(ShardError::Unexpected.into()),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/api/refusals.rs
@@ -0,0 +1,77 @@
+//! Refusals of engines and shards as problems towards callers.
+
+use std::time::Duration;
+
+use hooklug_protocol::engine::EngineRefusal;
+use hooklug_state::shard::ShardRefusal;
+use hooklug_types::TurnId;
+
+use super::problem::{Claim, Code, Problem};
+
+/// When to come back after a refusal that passes by itself (ours).
+pub const RETRY_SOON: Duration = Duration::from_millis(250);
+
+/// When to come back after a shard could not be reached: about one election (ours).
+pub const RETRY_STORE: Duration = Duration::from_secs(1);
+
+/// A committed refusal of the shard.
+#[must_use]
+pub fn ledger(refusal: &ShardRefusal) -> Problem {
+    let detail = refusal.to_string();
+    match refusal {
+        ShardRefusal::NoProgram => Problem::new(Code::NoProgram, detail),
+        ShardRefusal::ProgramDiffers => Problem::new(Code::ProgramDiffers, detail),
+        ShardRefusal::NoSession => Problem::new(Code::NoSession, detail),
+        ShardRefusal::SessionClosed => Problem::new(Code::SessionClosed, detail),
+        ShardRefusal::NotHead { head, after_known } => not_head(head.as_ref(), *after_known),
+        ShardRefusal::TurnOpen { turn } => {
+            Problem::new(Code::TurnOpen, format!("turn {turn} is open"))
+        }
+        ShardRefusal::TurnDiffers => Problem::field(Code::TurnDiffers, "turn", detail),
+        ShardRefusal::NoOpenTurn => Problem::new(Code::NoTurn, detail),
+        ShardRefusal::BudgetSpent => Problem::new(Code::BudgetSpent, detail),
+        ShardRefusal::ProgramEnded => Problem::new(Code::ProgramEnded, detail),
+        ShardRefusal::BudgetReserved => {
+            Problem::new(Code::BudgetReserved, detail).claiming(Claim::TryAgain).after(RETRY_SOON)
+        }
+        ShardRefusal::CallDiffers => Problem::new(Code::CallDiffers, detail),
+        ShardRefusal::NoCall => Problem::new(Code::NoCall, detail),
+        ShardRefusal::StaleEpoch { .. }
+        | ShardRefusal::Gap { .. }
+        | ShardRefusal::ReservationExceeded { .. }
+        | ShardRefusal::CallHeld { .. }
+        | ShardRefusal::LeaseExpired
+        | ShardRefusal::LeaseRenewed => Problem::try_again(detail, RETRY_SOON),
+    }
+}
+
+fn not_head(head: Option<&TurnId>, after_known: bool) -> Problem {
+    let detail = match head {
+        Some(turn) => format!("the head is {turn}"),
+        None => "the session has no turn yet".to_owned(),
+    };
+    let code = if after_known { Code::NotHead } else { Code::NoSuchTurn };
+    Problem::field(code, "after", detail)
+}
+
+/// A refusal of an engine that the gateway could not act on itself.
+#[must_use]
+pub fn engine(refusal: &EngineRefusal) -> Problem {
+    let detail = refusal.to_string();
+    match refusal {
+        EngineRefusal::Ledger(refusal) => ledger(refusal),
+        EngineRefusal::Overloaded { retry_after_ms } => Problem::new(Code::Overloaded, detail)
+            .claiming(Claim::TryAgain)
+            .after(Duration::from_millis(*retry_after_ms)),
+        EngineRefusal::DeadlineExceeded => {
+            Problem::new(Code::DeadlineExceeded, detail).claiming(Claim::TryAgain)
+        }
+        EngineRefusal::StoreUnavailable => Problem::try_again(detail, RETRY_STORE),
+        EngineRefusal::NotOwner { .. }
+        | EngineRefusal::WrongIncarnation { .. }
+        | EngineRefusal::Draining
+        | EngineRefusal::NotReady { .. }
+        | EngineRefusal::LeaseLost
+        | EngineRefusal::HandedOver => Problem::try_again(detail, RETRY_SOON),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/api/sessions.rs
@@ -0,0 +1,253 @@
+//! `/v1/programs/{program}/sessions/{session}`.
+
+use std::sync::Arc;
+
+use axum::Extension;
+use axum::body::Body;
+use axum::extract::{RawPathParams, State};
+use axum::response::{IntoResponse, Response};
+use hooklug_protocol::engine::{CloseSession, ToolResult};
+use hooklug_state::shard::{Event, SessionRecord};
+use hooklug_types::{EventSeq, ModelName, PrefixId, SessionKey, UnixMillis};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::admission::Admitted;
+use super::body::{Fields, path_id};
+use super::problem::{Code, Problem};
+use super::{sse, views};
+use crate::client_stream::client_stream;
+use crate::sessions::engines::EngineError;
+use crate::sessions::follower::Follower;
+use crate::sessions::opening::Opening;
+use crate::sessions::owners::{MessageError, OwnerError};
+use crate::shared::Shared;
+
+/// Longest call id of a tool result, in bytes (ours).
+const MAX_CALL_NAME_BYTES: usize = 256;
+
+/// The session that a path names, if it belongs to a program of the caller.
+pub(super) async fn own_session(
+    shared: &Shared,
+    admitted: &Admitted,
+    params: &RawPathParams,
+) -> Result<SessionKey, Problem> {
+    let program = path_id(params, "program")?;
+    let session = path_id(params, "session")?;
+    shared.own_program(&admitted.caller, &program).await?;
+    Ok(SessionKey { program, session })
+}
+
+pub(super) async fn read(shared: &Shared, key: &SessionKey) -> Result<SessionRecord, Problem> {
+    let record = shared.shards.session(key, Shared::state_deadline()).await?;
+    record.ok_or_else(|| Problem::new(Code::NoSession, "no such session"))
+}
+
+pub(crate) async fn put(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+    headers: HeaderMap,
+    body: Body,
+) -> Result<Response, Problem> {
+    let mut fields = Fields::read(&headers, body, shared.body_limit()).await?;
+    let model: ModelName = fields.id("model")?;
+    let prefix: Option<PrefixId> = fields.optional_id("prefix")?;
+    fields.finish()?;
+    let key = own_session(&shared, &admitted, &params).await?;
+    let (_, route) = admitted.bundle.bundle.session_route(&model).ok_or_else(|| {
+        Problem::field(Code::NoRoute, "model", format!("no route serves model {model}"))
+    })?;
+    let opening = Opening { key, service: route.service.clone(), prefix };
+    let record = shared.owners.open(&opening, Shared::session_deadline()).await?;
+    Ok(axum::Json(views::session(&record)).into_response())
+}
+
+pub(crate) async fn get(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+) -> Result<Response, Problem> {
+    let key = own_session(&shared, &admitted, &params).await?;
+    let record = read(&shared, &key).await?;
+    Ok(axum::Json(views::session(&record)).into_response())
+}
+
+pub(crate) async fn delete(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+) -> Result<Response, Problem> {
+    let key = own_session(&shared, &admitted, &params).await?;
+    let deadline = Shared::session_deadline();
+    let closed = shared.owners.send(&key, deadline, |entry| {
+        let place = entry.place(&key);
+        let shared = shared.clone();
+        async move {
+            let wall_deadline = UnixMillis::now().plus(deadline - Instant::now());
+            let message = CloseSession { place, deadline: wall_deadline };
+            shared.owners.engines.call(&entry.owner, &message, deadline).await
+        }
+    });
+    let record = match closed.await {
+        Ok((_, record)) => record,
+        Err(MessageError::Owner(OwnerError::Closed(_))) => read(&shared, &key).await?,
+        Err(error) => reread_closed(&shared, &key, error).await?,
+    };
+    shared.owners.forget(&key);
+    Ok(axum::Json(views::session(&record)).into_response())
+}
+
+/// A close whose answer was lost, or that came second, has worked all the same.
+async fn reread_closed(
+    shared: &Shared,
+    key: &SessionKey,
+    error: MessageError,
+) -> Result<SessionRecord, Problem> {
+    let problem = Problem::from(error);
+    if problem.code != Code::SessionClosed && problem.code != Code::TryAgain {
+        return Err(problem);
+    }
+    let record = read(shared, key).await?;
+    if record.closed { Ok(record) } else { Err(problem) }
+}
+
+pub(crate) async fn tool_result(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+    headers: HeaderMap,
+    body: Body,
+) -> Result<Response, Problem> {
+    let mut fields = Fields::read(&headers, body, shared.body_limit()).await?;
+    let call: String = fields.required("call")?;
+    let result: Value = fields.any("result")?;
+    fields.finish()?;
+    if call.is_empty() || call.len() > MAX_CALL_NAME_BYTES {
+        let detail = format!("must have 1 to {MAX_CALL_NAME_BYTES} bytes");
+        return Err(Problem::field(Code::BadId, "call", detail));
+    }
+    let key = own_session(&shared, &admitted, &params).await?;
+    let deadline = Shared::session_deadline();
+    let result = result.to_string();
+    let sent = shared.owners.send(&key, deadline, |entry| {
+        let message =
+            ToolResult { place: entry.place(&key), call: call.clone(), result: result.clone() };
+        let shared = shared.clone();
+        async move { shared.owners.engines.call(&entry.owner, &message, deadline).await }
+    });
+    let (_, seq): (_, EventSeq) = sent.await?;
+    Ok(axum::Json(json!({"seq": seq.0})).into_response())
+}
+
+pub(crate) async fn events(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+    headers: HeaderMap,
+) -> Result<Response, Problem> {
+    let key = own_session(&shared, &admitted, &params).await?;
+    match last_event_id(&headers)? {
+        Some(last) => resume(&shared, &admitted, key, last).await,
+        None => join(&shared, &admitted, key).await,
+    }
+}
+
+async fn resume(
+    shared: &Arc<Shared>,
+    admitted: &Admitted,
+    key: SessionKey,
+    last: EventSeq,
+) -> Result<Response, Problem> {
+    let record = read(shared, &key).await?;
+    check_last(last, &record)?;
+    if record.closed && last.next() >= record.next_seq {
+        return Ok(StatusCode::NO_CONTENT.into_response());
+    }
+    let (sink, body) = client_stream(shared.cut.clone(), admitted.guard.clone());
+    let follower = Follower::new(shared.owners.clone(), key, None, last, sink);
+    shared.spawn(follower.run(None));
+    Ok(event_stream(body))
+}
+
+async fn join(
+    shared: &Arc<Shared>,
+    admitted: &Admitted,
+    key: SessionKey,
+) -> Result<Response, Problem> {
+    let joined = shared.owners.join(&key, Shared::session_deadline()).await;
+    let (history, feed) = match joined {
+        Ok((entry, history, feed)) => (history, Some((entry, feed))),
+        Err(error) if error.is_closed() => (closed_history(shared, &key).await?, None),
+        Err(error) => return Err(error.into()),
+    };
+    let whole = history.iter().zip(1..).all(|(event, place)| event.seq == EventSeq(place));
+    if !whole {
+        return Err(Problem::try_again("the history is not whole", super::refusals::RETRY_SOON));
+    }
+    let last = history.last().map_or(EventSeq(0), |event| event.seq);
+    let (sink, body) = client_stream(shared.cut.clone(), admitted.guard.clone());
+    let first = sse::sync(&key.session, &history);
+    let owners = shared.owners.clone();
+    shared.spawn(async move {
+        if sink.send(first).await.is_err() {
+            return;
+        }
+        if feed.is_none() {
+            return sink.finish();
+        }
+        Follower::new(owners, key, None, last, sink).run(feed).await;
+    });
+    Ok(event_stream(body))
+}
+
+/// All events of a session that nobody owns any more.
+async fn closed_history(shared: &Shared, key: &SessionKey) -> Result<Vec<Event>, Problem> {
+    let deadline = Shared::state_deadline();
+    let mut history: Vec<Event> = Vec::new();
+    loop {
+        let last = history.last().map_or(EventSeq(0), |event| event.seq);
+        let (events, more) = shared.shards.events(key, last, deadline).await?;
+        history.extend(events);
+        if !more {
+            return Ok(history);
+        }
+    }
+}
+
+/// The place in `Last-Event-ID`, if the header is there.
+pub(super) fn last_event_id(headers: &HeaderMap) -> Result<Option<EventSeq>, Problem> {
+    let Some(value) = headers.get("last-event-id") else { return Ok(None) };
+    let place = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    let bad = || Problem::field(Code::BadField, "last-event-id", "must be the id of an event");
+    Ok(Some(EventSeq(place.ok_or_else(bad)?)))
+}
+
+/// Nobody can have an event that does not exist yet.
+pub(super) fn check_last(last: EventSeq, record: &SessionRecord) -> Result<(), Problem> {
+    if last < record.next_seq {
+        return Ok(());
+    }
+    let detail = format!("the next event is {}", record.next_seq);
+    Err(Problem::field(Code::BadField, "last-event-id", detail))
+}
+
+/// An answer that streams events.
+pub(super) fn event_stream(body: Body) -> Response {
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    response
+}
+
+/// An answer of an owner that has nothing to do with ownership.
+pub(super) fn refused_code(error: &MessageError) -> Option<Code> {
+    match error {
+        MessageError::Engine(EngineError::Refused(refusal)) => {
+            Some(super::refusals::engine(refusal).code)
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/api/turns.rs
@@ -0,0 +1,192 @@
+//! `/v1/programs/{program}/sessions/{session}/turns`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Extension;
+use axum::body::Body;
+use axum::extract::{RawPathParams, State};
+use axum::response::{IntoResponse, Response};
+use hooklug_bundle::{Bundle, Route, RouteMatch};
+use hooklug_protocol::engine::AbortTurn;
+use hooklug_state::shard::{TurnRecord, TurnState};
+use hooklug_types::{EventSeq, RouteName, ServiceName, SessionKey, TokenCount, TurnId};
+use http::{HeaderMap, StatusCode};
+use tokio::time::Instant;
+use tracing::{Instrument, info_span};
+
+use super::admission::Admitted;
+use super::body::{Fields, path_id};
+use super::problem::{Code, Problem};
+use super::sessions::{check_last, event_stream, last_event_id, own_session, read, refused_code};
+use super::{refusals, views};
+use crate::client_stream::client_stream;
+use crate::sessions::follower::Follower;
+use crate::sessions::turns::{TurnObserver, TurnRequest};
+use crate::shared::Shared;
+
+/// What a turn's body says.
+struct TurnBody {
+    turn: TurnId,
+    after: Option<TurnId>,
+    input: String,
+    max_tokens: TokenCount,
+}
+
+fn parse(mut fields: Fields) -> Result<TurnBody, Problem> {
+    let turn = fields.id("turn")?;
+    let after = fields.optional_id("after")?;
+    let input = fields.required("input")?;
+    let max_tokens = TokenCount(fields.required("max_tokens")?);
+    fields.finish()?;
+    if max_tokens.0 == 0 {
+        return Err(Problem::field(Code::BadField, "max_tokens", "must be at least 1"));
+    }
+    Ok(TurnBody { turn, after, input, max_tokens })
+}
+
+fn session_route<'a>(
+    bundle: &'a Bundle,
+    service: &ServiceName,
+) -> Option<(&'a RouteName, &'a Route)> {
+    let mut routes = bundle.routes.iter();
+    routes.find(|(_, r)| r.service == *service && matches!(r.matches, RouteMatch::Session { .. }))
+}
+
+pub(crate) async fn post(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+    headers: HeaderMap,
+    body: Body,
+) -> Result<Response, Problem> {
+    let begun = Instant::now();
+    let fields = Fields::read(&headers, body, shared.body_limit()).await?;
+    let TurnBody { turn, after, input, max_tokens } = parse(fields)?;
+    let last_seen = last_event_id(&headers)?.unwrap_or_default();
+    shared.check_store_reach()?;
+    let key = own_session(&shared, &admitted, &params).await?;
+    let group = shared.own_program(&admitted.caller, &key.program).await?.group;
+    let entry = shared.owners.resolve(&key, None, Shared::session_deadline()).await?;
+    let (route_name, route) = session_route(&admitted.bundle.bundle, &entry.service)
+        .ok_or_else(|| Problem::new(Code::NoRoute, format!("no route to {}", entry.service)))?;
+    let deadline = begun + Duration::from_millis(route.deadline_ms);
+    let request = TurnRequest {
+        key: key.clone(),
+        turn: turn.clone(),
+        after,
+        input,
+        max_tokens,
+        tenant: admitted.caller.tenant.clone(),
+        group,
+        urgent: route.urgent,
+        last_seen,
+    };
+    let running = shared.owners.run_turn(&request, deadline).await?;
+    let entry = running.entry;
+    let span = info_span!("turn", program = %key.program, session = %key.session, turn = %turn,
+        epoch = %entry.epoch, engine = %entry.owner);
+    let observer = TurnObserver::new(
+        shared.evidence.clone(),
+        entry.service.clone(),
+        entry.version.clone(),
+        route_name.clone(),
+        begun,
+    );
+    let after = start_of(&running.record).max(last_seen);
+    let (sink, body) = client_stream(shared.cut.clone(), admitted.guard.clone());
+    let follower = Follower::new(shared.owners.clone(), key, Some(turn), after, sink);
+    let follower = follower.observed_by(observer);
+    shared.spawn(follower.run(Some((entry, running.feed))).instrument(span));
+    Ok(event_stream(body))
+}
+
+/// Place before a turn's first event.
+fn start_of(record: &TurnRecord) -> EventSeq {
+    EventSeq(record.started.0.saturating_sub(1))
+}
+
+async fn read_turn(
+    shared: &Shared,
+    key: &SessionKey,
+    turn: &TurnId,
+) -> Result<TurnRecord, Problem> {
+    let record = shared.shards.turn(key, turn, Shared::state_deadline()).await?;
+    match record {
+        Some(record) => Ok(record),
+        None => {
+            read(shared, key).await?;
+            Err(Problem::new(Code::NoTurn, "no such turn"))
+        }
+    }
+}
+
+pub(crate) async fn get(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+) -> Result<Response, Problem> {
+    let turn: TurnId = path_id(&params, "turn")?;
+    let key = own_session(&shared, &admitted, &params).await?;
+    let record = read_turn(&shared, &key, &turn).await?;
+    Ok(axum::Json(views::turn(&record)).into_response())
+}
+
+pub(crate) async fn events(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+    headers: HeaderMap,
+) -> Result<Response, Problem> {
+    let turn: TurnId = path_id(&params, "turn")?;
+    let last = last_event_id(&headers)?.unwrap_or_default();
+    let key = own_session(&shared, &admitted, &params).await?;
+    let record = read_turn(&shared, &key, &turn).await?;
+    match &record.state {
+        TurnState::Refused(refusal) => return Err(refusals::ledger(refusal)),
+        // The caller has the terminal event: "no content" tells an event source to stop asking.
+        TurnState::Ended { last_seq, .. } if last == *last_seq => {
+            return Ok(StatusCode::NO_CONTENT.into_response());
+        }
+        TurnState::Ended { last_seq, .. } if last > *last_seq => {
+            let detail = format!("the turn's last event is {last_seq}");
+            return Err(Problem::field(Code::BadField, "last-event-id", detail));
+        }
+        TurnState::Ended { .. } => {}
+        TurnState::Open => check_last(last, &read(&shared, &key).await?)?,
+    }
+    let span = info_span!("turn", program = %key.program, session = %key.session, turn = %turn);
+    let after = start_of(&record).max(last);
+    let (sink, body) = client_stream(shared.cut.clone(), admitted.guard.clone());
+    let follower = Follower::new(shared.owners.clone(), key, Some(turn), after, sink);
+    shared.spawn(follower.run(None).instrument(span));
+    Ok(event_stream(body))
+}
+
+pub(crate) async fn abort(
+    State(shared): State<Arc<Shared>>,
+    Extension(admitted): Extension<Admitted>,
+    params: RawPathParams,
+) -> Result<Response, Problem> {
+    let turn: TurnId = path_id(&params, "turn")?;
+    let key = own_session(&shared, &admitted, &params).await?;
+    let record = read_turn(&shared, &key, &turn).await?;
+    if record.state != TurnState::Open {
+        return Ok(axum::Json(views::turn(&record)).into_response());
+    }
+    let deadline = Shared::session_deadline();
+    let sent = shared.owners.send(&key, deadline, |entry| {
+        let message = AbortTurn { place: entry.place(&key), turn: turn.clone() };
+        let shared = shared.clone();
+        async move { shared.owners.engines.call(&entry.owner, &message, deadline).await }
+    });
+    let record = match sent.await {
+        Ok((_, record)) => record,
+        // It ended before the abort came.
+        Err(error) if error.is_closed() || refused_code(&error) == Some(Code::NoTurn) => {
+            read_turn(&shared, &key, &turn).await?
+        }
+        Err(error) => return Err(error.into()),
+    };
+    Ok(axum::Json(views::turn(&record)).into_response())
+}
--- /dev/null
+++ b/crates/gateway/src/backend/exchange.rs
@@ -0,0 +1,138 @@
+//! One request to one application engine, and a judgement of what came back.
+
+use bytes::Bytes;
+use hooklug_types::{CallAttempt, CallId, ProgramId};
+use http::{HeaderValue, Method, Request, header};
+use http_body_util::{BodyExt, Full, Limited};
+use rand::RngExt;
+use tokio::time::{Instant, timeout_at};
+
+use super::Target;
+use super::answer::{
+    ATTEMPT_HEADER, Answer, CALL_HEADER, DEADLINE_HEADER, EXPECT_HEADER, Head, MAX_ANSWER_BYTES,
+    REQUEST_HEADER, Refusal, judge_body, judge_head,
+};
+use super::pool::{Connection, Pool};
+
+/// What is sent to an application engine.
+#[derive(Debug, Clone)]
+pub struct Dispatch {
+    /// `POST` for calls, `GET` for look-ups.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// JSON body.
+    pub body: Bytes,
+    /// The call and its attempt, for calls.
+    pub call: Option<CallName>,
+}
+
+/// A call as its headers name it.
+#[derive(Debug, Clone)]
+pub struct CallName {
+    /// The program.
+    pub program: ProgramId,
+    /// The call.
+    pub call: CallId,
+    /// The attempt.
+    pub attempt: CallAttempt,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ExchangeError {
+    /// Not one byte of the request was written.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The engine said that it did not run the request and will not.
+    #[error("refused: {0:?}")]
+    Refused(Refusal),
+    /// Anything else: the request may have run.
+    #[error("no answer: {0}")]
+    Lost(String),
+}
+
+fn lost(error: impl std::fmt::Display) -> ExchangeError {
+    ExchangeError::Lost(error.to_string())
+}
+
+fn not_sent(error: impl std::fmt::Display) -> ExchangeError {
+    ExchangeError::NotSent(error.to_string())
+}
+
+impl Pool {
+    /// Sends a request and waits for its whole answer until the deadline.
+    ///
+    /// # Errors
+    /// [`ExchangeError`]; only `NotSent` and `Refused` say that the request did not run.
+    pub async fn exchange(
+        &self,
+        target: &Target,
+        dispatch: &Dispatch,
+        deadline: Instant,
+    ) -> Result<Answer, ExchangeError> {
+        let connection = self.get(target, deadline).await.map_err(not_sent)?;
+        timeout_at(deadline, self.passable(target.address.ip()))
+            .await
+            .map_err(|_| not_sent("the deadline has passed"))?;
+        let request_id = format!("{:032x}", rand::rng().random::<u128>());
+        let request = build(target, dispatch, &request_id, deadline).map_err(not_sent)?;
+        let answering = self.send(target, connection, request, &request_id);
+        timeout_at(deadline, answering).await.map_err(|_| lost("the deadline has passed"))?
+    }
+
+    async fn send(
+        &self,
+        target: &Target,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+        request_id: &str,
+    ) -> Result<Answer, ExchangeError> {
+        let response = match connection.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                // The request comes back only when the connection closed before taking it.
+                let unsent = error.take_message().is_some();
+                let error = error.into_error();
+                return Err(if unsent { not_sent(error) } else { lost(error) });
+            }
+        };
+        self.passable(target.address.ip()).await;
+        let (head, body) = response.into_parts();
+        let judged = judge_head(head.status, &head.headers, request_id, &target.identity());
+        let length = match judged.map_err(lost)? {
+            Head::Answer { length } => length,
+            Head::Refused(refusal) => return Err(ExchangeError::Refused(refusal)),
+        };
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(lost)?;
+        let answer = judge_body(head.status, length, body.to_bytes()).map_err(lost)?;
+        self.put_back(&target.run, connection);
+        Ok(answer)
+    }
+}
+
+fn build(
+    target: &Target,
+    dispatch: &Dispatch,
+    request_id: &str,
+    deadline: Instant,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    let left = deadline.saturating_duration_since(Instant::now()).as_millis();
+    let mut request = Request::builder()
+        .method(dispatch.method.clone())
+        .uri(&dispatch.path)
+        .header(header::HOST, target.address.to_string())
+        .header(REQUEST_HEADER, request_id)
+        .header(EXPECT_HEADER, target.identity())
+        .header(DEADLINE_HEADER, left.to_string());
+    if dispatch.method == Method::POST {
+        let json = HeaderValue::from_static("application/json");
+        request = request.header(header::CONTENT_TYPE, json);
+    }
+    if let Some(name) = &dispatch.call {
+        request = request
+            .header(CALL_HEADER, format!("{}/{}", name.program, name.call))
+            .header(ATTEMPT_HEADER, name.attempt.as_str());
+    }
+    request.body(Full::new(dispatch.body.clone()))
+}
--- /dev/null
+++ b/crates/gateway/src/backend/identity.rs
@@ -0,0 +1,49 @@
+//! The first question on every new connection: who are you? (docs/BACKENDS.md)
+
+use hooklug_types::{EngineId, Incarnation, ServiceName, ServiceVersion};
+use serde::Deserialize;
+
+use super::Target;
+
+/// Path of the question.
+pub const IDENTITY_PATH: &str = "/identity";
+
+/// Longest answer to the question, in bytes (ours).
+pub const MAX_IDENTITY_BYTES: usize = 16 << 10;
+
+/// Kind of a back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BackendKind {
+    /// A model server.
+    Model,
+    /// An application engine.
+    Application,
+}
+
+/// What a back end says that it is.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Identity {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its engine id.
+    pub engine: EngineId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its version.
+    pub version: ServiceVersion,
+    /// Its kind.
+    pub kind: BackendKind,
+}
+
+impl Identity {
+    /// Whether this is the expected engine.
+    #[must_use]
+    pub fn is(&self, target: &Target) -> bool {
+        self.kind == BackendKind::Application
+            && self.service == target.service
+            && self.engine == target.run.engine
+            && self.incarnation == target.run.incarnation
+            && self.version == target.version
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/backend/pool.rs
@@ -0,0 +1,184 @@
+//! Connections to application engines, kept by engine run.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hooklug_rpc::LinkFaults;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::Instant;
+use tracing::debug;
+
+use super::identity::{IDENTITY_PATH, Identity, MAX_IDENTITY_BYTES};
+use super::{EngineRun, Target};
+
+/// Longest time to open a connection and ask who answers (ours).
+const CONNECT_TIME: Duration = Duration::from_millis(1500);
+
+/// How long an unused connection is kept (ours).
+const IDLE_TIME: Duration = Duration::from_secs(15);
+
+/// Unused connections kept a run (ours).
+const IDLE_CONNECTIONS: usize = 64;
+
+/// Why no connection could be had; not one byte of a request was written.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// The address could not be reached in time.
+    #[error("cannot connect: {0}")]
+    Connect(String),
+    /// Somebody else answers at the address.
+    #[error("another back end answers at {0}")]
+    OtherIdentity(SocketAddr),
+}
+
+/// An open connection to a proven engine run.
+#[derive(Debug)]
+pub struct Connection {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+/// Open connections by engine run.
+#[derive(Debug)]
+pub struct Pool {
+    idle: Mutex<HashMap<EngineRun, Vec<Idle>>>,
+    own_ip: IpAddr,
+    faults: Arc<LinkFaults>,
+}
+
+impl Pool {
+    /// An empty pool; connections start from the node's own address.
+    #[must_use]
+    pub fn new(own_ip: IpAddr, faults: Arc<LinkFaults>) -> Self {
+        Self { idle: Mutex::default(), own_ip, faults }
+    }
+
+    /// Holds back while the link towards an address is cut, as a network that drops packets would.
+    pub async fn passable(&self, ip: IpAddr) {
+        self.faults.passable(ip).await;
+        let delay = self.faults.delay_to(ip);
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+    }
+
+    /// A connection that can take a request: an unused one, else a new one that has proven whose it is.
+    ///
+    /// # Errors
+    /// [`ConnectError`].
+    pub async fn get(
+        &self,
+        target: &Target,
+        deadline: Instant,
+    ) -> Result<Connection, ConnectError> {
+        while let Some(mut connection) = self.take_idle(&target.run) {
+            if connection.sender.ready().await.is_ok() {
+                return Ok(connection);
+            }
+        }
+        let until = deadline.min(Instant::now() + CONNECT_TIME);
+        let opened = tokio::time::timeout_at(until, self.open(target)).await;
+        opened.map_err(|_| ConnectError::Connect("not in time".to_owned()))?
+    }
+
+    /// Takes a connection back after a whole answer.
+    pub fn put_back(&self, run: &EngineRun, connection: Connection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.lock();
+        let kept = idle.entry(run.clone()).or_default();
+        if kept.len() < IDLE_CONNECTIONS {
+            kept.push(Idle { connection, since: Instant::now() });
+        }
+    }
+
+    /// Closes what has been unused for long, or belongs to runs that the view no longer lists.
+    pub fn sweep(&self, is_listed: impl Fn(&EngineRun) -> bool) {
+        let now = Instant::now();
+        self.lock().retain(|run, kept| {
+            kept.retain(|idle| now.duration_since(idle.since) < IDLE_TIME);
+            !kept.is_empty() && is_listed(run)
+        });
+    }
+
+    fn take_idle(&self, run: &EngineRun) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.lock();
+        let kept = idle.get_mut(run)?;
+        // The last one used is the likeliest to be open still.
+        while let Some(found) = kept.pop() {
+            if now.duration_since(found.since) < IDLE_TIME && !found.connection.sender.is_closed() {
+                return Some(found.connection);
+            }
+        }
+        None
+    }
+
+    async fn open(&self, target: &Target) -> Result<Connection, ConnectError> {
+        let stream = self.connect(target.address).await?;
+        let (mut sender, driver) =
+            handshake(TokioIo::new(stream)).await.map_err(|e| connect_error(&e))?;
+        tokio::spawn(async move {
+            if let Err(error) = driver.await {
+                debug!(%error, "connection to an application engine ended");
+            }
+        });
+        let identity = ask_identity(&mut sender, target.address).await?;
+        if !identity.is(target) {
+            metrics::counter!("hooklug_gateway_identity_mismatches_total").increment(1);
+            return Err(ConnectError::OtherIdentity(target.address));
+        }
+        sender.ready().await.map_err(|e| connect_error(&e))?;
+        Ok(Connection { sender })
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<TcpStream, ConnectError> {
+        self.passable(to.ip()).await;
+        let socket = if to.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+        let socket = socket.map_err(|e| connect_error(&e))?;
+        if self.own_ip.is_ipv4() == to.is_ipv4() && !self.own_ip.is_unspecified() {
+            socket.bind(SocketAddr::new(self.own_ip, 0)).map_err(|e| connect_error(&e))?;
+        }
+        let stream = socket.connect(to).await.map_err(|e| connect_error(&e))?;
+        stream.set_nodelay(true).map_err(|e| connect_error(&e))?;
+        Ok(stream)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<EngineRun, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn connect_error(error: &dyn std::error::Error) -> ConnectError {
+    ConnectError::Connect(error.to_string())
+}
+
+async fn ask_identity(
+    sender: &mut SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+) -> Result<Identity, ConnectError> {
+    let request = Request::get(IDENTITY_PATH)
+        .header(header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()))
+        .map_err(|e| connect_error(&e))?;
+    let response = sender.send_request(request).await.map_err(|e| connect_error(&e))?;
+    if response.status() != StatusCode::OK {
+        return Err(ConnectError::OtherIdentity(address));
+    }
+    let body = Limited::new(response.into_body(), MAX_IDENTITY_BYTES).collect().await;
+    let bytes = body.map_err(|e| ConnectError::Connect(e.to_string()))?.to_bytes();
+    serde_json::from_slice(&bytes).map_err(|_| ConnectError::OtherIdentity(address))
+}
--- /dev/null
+++ b/crates/gateway/src/backend/stats.rs
@@ -0,0 +1,138 @@
+//! What calls have shown of each application engine: outstanding calls, latency, failures. Pure.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Half-life of the latency average (ours).
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// Latency that an engine without any answer is thought to have (ours).
+const FIRST_LATENCY: Duration = Duration::from_millis(10);
+
+/// Failures in a row after which an engine is ejected (ours).
+const FAILURES_TO_EJECT: u32 = 3;
+
+/// First ejection time; doubles with each further one up to the longest (ours).
+const FIRST_EJECTION: Duration = Duration::from_secs(2);
+const LONGEST_EJECTION: Duration = Duration::from_secs(30);
+
+/// Time over which a new engine's share of calls grows to its full one (ours).
+const SLOW_START_TIME: Duration = Duration::from_secs(5);
+
+/// Share of calls that a new engine starts with (ours).
+const SLOW_START_SHARE: f64 = 0.1;
+
+/// How a call to an engine ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// A whole answer, after this time.
+    Answered(Duration),
+    /// The engine said no: nothing wrong with it.
+    Refused,
+    /// No answer.
+    Failed,
+    /// The caller gave up.
+    Cancelled,
+}
+
+/// Figures of one engine run.
+#[derive(Debug, Clone)]
+pub struct EngineStats {
+    outstanding: u32,
+    latency: Duration,
+    latency_at: Option<Instant>,
+    failures_in_row: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+    first_seen: Option<Instant>,
+}
+
+impl EngineStats {
+    /// Figures of an engine that came into view at an instant; `None` when it was there at the start.
+    #[must_use]
+    pub fn new(first_seen: Option<Instant>) -> Self {
+        Self {
+            outstanding: 0,
+            latency: FIRST_LATENCY,
+            latency_at: None,
+            failures_in_row: 0,
+            ejections: 0,
+            ejected_until: None,
+            first_seen,
+        }
+    }
+
+    /// Calls under way.
+    #[must_use]
+    pub fn outstanding(&self) -> u32 {
+        self.outstanding
+    }
+
+    /// Until when the engine is ejected, if it is.
+    #[must_use]
+    pub fn ejected_until(&self, now: Instant) -> Option<Instant> {
+        self.ejected_until.filter(|until| now < *until)
+    }
+
+    /// A call begins.
+    pub fn begin(&mut self) {
+        self.outstanding += 1;
+    }
+
+    /// A call has ended.
+    pub fn end(&mut self, end: CallEnd, now: Instant) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        match end {
+            CallEnd::Answered(latency) => {
+                self.average(latency, now);
+                self.failures_in_row = 0;
+                self.ejections = 0;
+                self.ejected_until = None;
+            }
+            CallEnd::Failed => self.failed(now),
+            CallEnd::Refused | CallEnd::Cancelled => {}
+        }
+    }
+
+    fn average(&mut self, latency: Duration, now: Instant) {
+        let keep = match self.latency_at {
+            None => 0.0,
+            Some(at) => {
+                let age = now.saturating_duration_since(at).as_secs_f64();
+                0.5_f64.powf(age / LATENCY_HALF_LIFE.as_secs_f64()).min(0.9)
+            }
+        };
+        // A slower answer counts at once (peak EWMA): a queue shows in the first late answer.
+        self.latency = if latency > self.latency {
+            latency
+        } else {
+            self.latency.mul_f64(keep) + latency.mul_f64(1.0 - keep)
+        };
+        self.latency_at = Some(now);
+    }
+
+    fn failed(&mut self, now: Instant) {
+        self.failures_in_row += 1;
+        if self.failures_in_row < FAILURES_TO_EJECT || self.ejected_until(now).is_some() {
+            return;
+        }
+        let time = FIRST_EJECTION.saturating_mul(1 << self.ejections.min(4)).min(LONGEST_EJECTION);
+        self.ejections += 1;
+        self.ejected_until = Some(now + time);
+    }
+
+    /// Share of its full traffic that the engine should get: below 1 while it is new.
+    #[must_use]
+    pub fn share(&self, now: Instant) -> f64 {
+        let Some(first_seen) = self.first_seen else { return 1.0 };
+        let age = now.saturating_duration_since(first_seen).as_secs_f64();
+        (age / SLOW_START_TIME.as_secs_f64()).clamp(SLOW_START_SHARE, 1.0)
+    }
+
+    /// What one more call would cost: the work ahead of it times the latency, more for a new engine.
+    #[must_use]
+    pub fn cost(&self, now: Instant) -> f64 {
+        f64::from(self.outstanding + 1) * self.latency.as_secs_f64().max(1e-4) / self.share(now)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/calls/mod.rs
@@ -0,0 +1,133 @@
+//! Tool calls: those that may be repeated, and those that may not.
+
+pub mod once;
+pub mod record;
+pub mod repeatable;
+pub mod retry_budget;
+pub mod settle;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hooklug_settings::GatewayMode;
+use hooklug_types::{CallAttempt, CallId, Digest, ProgramId, RouteName, ServiceName, TenantId};
+use http::Method;
+use rand::RngExt;
+use serde_json::Value;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+
+use crate::backend::Target;
+use crate::backend::exchange::{CallName, Dispatch, ExchangeError};
+use crate::backend::table::Backends;
+use crate::evidence::Evidence;
+use crate::shards::Shards;
+use retry_budget::RetryBudget;
+
+/// Everything that calls need.
+#[derive(Debug)]
+pub struct Calls {
+    pub(crate) backends: Arc<Backends>,
+    pub(crate) shards: Shards,
+    pub(crate) evidence: Evidence,
+    pub(crate) node: hooklug_control::NodeHandle,
+    pub(crate) retries: RetryBudget,
+    pub(crate) mode: GatewayMode,
+    /// Calls that go on when their caller has gone.
+    pub(crate) running: TaskTracker,
+}
+
+/// A call as its caller asked for it, and the route it goes by.
+#[derive(Debug, Clone)]
+pub struct CallRequest {
+    /// The program.
+    pub program: ProgramId,
+    /// The call.
+    pub call: CallId,
+    /// Whose it is.
+    pub tenant: TenantId,
+    /// Name of the tool.
+    pub tool: String,
+    /// Its arguments, as canonical JSON.
+    pub arguments: Bytes,
+    /// Digest of tool and arguments.
+    pub digest: Digest,
+    /// The route.
+    pub route: RouteName,
+    /// Service that takes it.
+    pub service: ServiceName,
+    /// Whether it may use the urgent reserve.
+    pub urgent: bool,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// Digest of a call's content: the tool and its arguments with sorted keys, so that a resend is
+/// recognised whatever its spelling.
+#[must_use]
+pub fn content_digest(tool: &str, arguments: &Value) -> Digest {
+    let mut bytes = Vec::from(tool.as_bytes());
+    bytes.push(0);
+    bytes.extend_from_slice(arguments.to_string().as_bytes());
+    Digest::of(&bytes)
+}
+
+/// A new claim to dispatch a call.
+#[must_use]
+pub fn draw_attempt() -> CallAttempt {
+    let text = format!("{:032x}", rand::rng().random::<u128>());
+    CallAttempt::new(text).unwrap_or_else(|_| unreachable!("hexadecimal digits are an identifier"))
+}
+
+impl CallRequest {
+    pub(crate) fn dispatch(&self, attempt: &CallAttempt) -> Dispatch {
+        Dispatch {
+            method: Method::POST,
+            path: format!("/calls/{}", self.tool),
+            body: self.arguments.clone(),
+            call: Some(self.name(attempt)),
+        }
+    }
+
+    pub(crate) fn name(&self, attempt: &CallAttempt) -> CallName {
+        CallName {
+            program: self.program.clone(),
+            call: self.call.clone(),
+            attempt: attempt.clone(),
+        }
+    }
+}
+
+impl Calls {
+    /// Counts what a dispatch showed of its engine's version. Refusals and connections that could
+    /// not be had show nothing of it.
+    pub(crate) fn observe<T>(
+        &self,
+        request: &CallRequest,
+        target: &Target,
+        answered: &Result<T, ExchangeError>,
+        latency: Duration,
+    ) {
+        let success = match answered {
+            Ok(_) => true,
+            Err(ExchangeError::Lost(_)) => false,
+            Err(ExchangeError::Refused(_) | ExchangeError::NotSent(_)) => return,
+        };
+        self.evidence.record(&target.service, &target.version, &request.route, success, latency);
+    }
+
+    /// The engine for the next try, and how to go on without one.
+    pub(crate) fn choose(
+        &self,
+        request: &CallRequest,
+        tried: &[crate::backend::EngineRun],
+    ) -> Option<Target> {
+        let bundle = self.node.bundle.borrow().clone()?;
+        let service = bundle.bundle.services.get(&request.service)?;
+        match self.mode {
+            GatewayMode::Full => self.backends.choose(&request.service, service, tried),
+            GatewayMode::Plain => self.backends.next_in_turn(&request.service, service),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/calls/record.rs
@@ -0,0 +1,108 @@
+//! The shard's record of calls that may not be repeated, as commands and their replies.
+
+use std::time::Duration;
+
+use hooklug_state::shard::{BeginCall, CallRecord, ShardCommand, ShardRefusal, ShardReply};
+use hooklug_types::{CallAttempt, CallOutcome};
+use tokio::time::{Instant, sleep};
+
+use super::{CallRequest, Calls};
+use crate::api::problem::Problem;
+use crate::api::refusals;
+use crate::backend::exchange::CallName;
+use crate::backoff::Backoff;
+use crate::shards::ShardError;
+
+/// One try to record an outcome; tries go on for the time below.
+const RECORD_TRY_TIME: Duration = Duration::from_secs(5);
+
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+/// What a claim came to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Claimed {
+    /// This attempt may dispatch the call, once.
+    Granted,
+    /// Another attempt holds it, or it is over.
+    Held(Box<CallRecord>),
+}
+
+impl Calls {
+    /// Claims a call's one dispatch.
+    ///
+    /// # Errors
+    /// The shard's refusal, or `try_again` when the claim's fate is not known.
+    pub(crate) async fn claim(
+        &self,
+        request: &CallRequest,
+        attempt: &CallAttempt,
+        deadline: Instant,
+    ) -> Result<Claimed, ClaimError> {
+        let command = ShardCommand::BeginCall(BeginCall {
+            program: request.program.clone(),
+            call: request.call.clone(),
+            attempt: attempt.clone(),
+            digest: request.digest,
+            route: request.route.clone(),
+        });
+        match self.shards.execute(&request.program, &command, deadline).await? {
+            ShardReply::CallGranted => Ok(Claimed::Granted),
+            ShardReply::Call(record) => Ok(Claimed::Held(Box::new(record))),
+            ShardReply::Refused(ShardRefusal::CallHeld { record }) => Ok(Claimed::Held(record)),
+            ShardReply::Refused(refusal) => Err(ClaimError::Refused(refusal)),
+            _ => Err(ShardError::Unexpected.into()),
+        }
+    }
+
+    /// Records an outcome until it is committed or another one turns out to be. Returns what is
+    /// recorded, or `None` when the shard could not be reached within `time`.
+    pub(crate) async fn finish(
+        &self,
+        name: &CallName,
+        outcome: &CallOutcome,
+        time: Duration,
+    ) -> Option<CallOutcome> {
+        let command = ShardCommand::FinishCall {
+            program: name.program.clone(),
+            call: name.call.clone(),
+            attempt: name.attempt.clone(),
+            outcome: outcome.clone(),
+        };
+        let until = Instant::now() + time;
+        let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        while Instant::now() < until {
+            let deadline = until.min(Instant::now() + RECORD_TRY_TIME);
+            match self.shards.execute(&name.program, &command, deadline).await {
+                Ok(ShardReply::Call(record)) => return record.outcome,
+                Ok(ShardReply::Done) => return Some(outcome.clone()),
+                Ok(ShardReply::Refused(ShardRefusal::CallHeld { record })) => {
+                    return record.outcome;
+                }
+                Ok(_) => return None,
+                Err(_) => sleep(backoff.next_wait()).await,
+            }
+        }
+        None
+    }
+}
+
+/// Why a claim is not known to be granted.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ClaimError {
+    /// The shard refused; nothing is claimed.
+    #[error(transparent)]
+    Refused(#[from] ShardRefusal),
+    /// Not known; the claim may be committed yet.
+    #[error(transparent)]
+    Uncertain(#[from] ShardError),
+}
+
+impl From<ClaimError> for Problem {
+    fn from(error: ClaimError) -> Self {
+        match error {
+            ClaimError::Refused(refusal) => refusals::ledger(&refusal),
+            ClaimError::Uncertain(error) => error.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/calls/repeatable.rs
@@ -0,0 +1,91 @@
+//! Calls that may be repeated: not recorded, tried elsewhere within the deadline and the retry budget.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use super::{CallRequest, Calls, draw_attempt};
+use crate::api::problem::{Claim, Code, Problem};
+use crate::api::refusals::RETRY_SOON;
+use crate::backend::answer::{Answer, Refusal};
+use crate::backend::exchange::ExchangeError;
+use crate::backoff::{Backoff, jittered};
+
+const FIRST_WAIT: Duration = Duration::from_millis(10);
+const LONGEST_WAIT: Duration = Duration::from_millis(250);
+
+/// Tries of the baseline, whatever came back before.
+const PLAIN_TRIES: usize = 3;
+
+impl Calls {
+    /// Makes a call that may be repeated.
+    ///
+    /// # Errors
+    /// `try_again`, `overloaded` or `deadline_exceeded`; none claims that the call did not run.
+    pub async fn repeatable(&self, request: &CallRequest) -> Result<Answer, Problem> {
+        let attempt = draw_attempt();
+        let dispatch = request.dispatch(&attempt);
+        let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        let mut tried = Vec::new();
+        self.retries.sent();
+        loop {
+            let Some(target) = self.choose(request, &tried) else {
+                return Err(no_engine(&tried));
+            };
+            let begun = Instant::now();
+            let answered = self.backends.exchange(&target, &dispatch, request.deadline).await;
+            self.observe(request, &target, &answered, begun.elapsed());
+            let error = match answered {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            tried.push(target.run);
+            if !self.may_try_again(&error, tried.len()) {
+                return Err(failed(&error, request.deadline));
+            }
+            if matches!(error, ExchangeError::Lost(_)) {
+                let wait = backoff.next_wait();
+                if Instant::now() + wait >= request.deadline {
+                    return Err(failed(&error, request.deadline));
+                }
+                sleep(wait).await;
+            }
+            metrics::counter!("hooklug_gateway_retries_total").increment(1);
+        }
+    }
+
+    /// A refusal costs the engines nothing and is no retry of work; all else is.
+    fn may_try_again(&self, error: &ExchangeError, tries: usize) -> bool {
+        if self.mode == hooklug_settings::GatewayMode::Plain {
+            return tries < PLAIN_TRIES;
+        }
+        match error {
+            ExchangeError::Refused(Refusal::Draining | Refusal::Identity) => true,
+            ExchangeError::Refused(Refusal::Overloaded)
+            | ExchangeError::NotSent(_)
+            | ExchangeError::Lost(_) => self.retries.take(),
+        }
+    }
+}
+
+fn no_engine(tried: &[crate::backend::EngineRun]) -> Problem {
+    let after = jittered(RETRY_SOON * 2, &mut rand::rng());
+    if tried.is_empty() {
+        return Problem::try_again("no application engine is open for the call now", after);
+    }
+    Problem::try_again("no application engine answered", after)
+}
+
+fn failed(error: &ExchangeError, deadline: Instant) -> Problem {
+    if Instant::now() >= deadline {
+        let detail = format!("no answer in time: {error}");
+        return Problem::new(Code::DeadlineExceeded, detail).claiming(Claim::TryAgain);
+    }
+    let after = jittered(RETRY_SOON * 2, &mut rand::rng());
+    match error {
+        ExchangeError::Refused(Refusal::Overloaded) => {
+            Problem::new(Code::Overloaded, error.to_string()).claiming(Claim::TryAgain).after(after)
+        }
+        _ => Problem::try_again(error.to_string(), after),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/calls/settle.rs
@@ -0,0 +1,61 @@
+//! Settles calls whose answer was lost, by the application engines' own look-up.
+
+use std::time::Duration;
+
+use hooklug_state::shard::CallRecord;
+use hooklug_types::{CallId, CallOutcome, ProgramId};
+use tokio::time::Instant;
+
+use super::Calls;
+use super::once::answered_outcome;
+use crate::backend::Target;
+use crate::backend::answer::Answer;
+use crate::backend::exchange::CallName;
+use crate::backend::lookup::find_answer;
+
+/// Time for one look-up at application engines (ours).
+const LOOK_UP_TIME: Duration = Duration::from_secs(1);
+
+/// Time to record what a look-up found (ours); the next look-up finds it again.
+const RECORD_TIME: Duration = Duration::from_secs(2);
+
+impl Calls {
+    /// Asks engines what became of a call.
+    pub(super) async fn ask_engines(
+        &self,
+        targets: &[Target],
+        program: &ProgramId,
+        call: &CallId,
+    ) -> Option<Answer> {
+        let deadline = Instant::now() + LOOK_UP_TIME;
+        find_answer(&self.backends.pool, targets, program, call, deadline).await
+    }
+
+    /// The record, with the answer where it had none and an engine knows it. The answer is given
+    /// only once it is recorded; else the record stays as it is.
+    pub(crate) async fn refreshed(&self, program: &ProgramId, record: CallRecord) -> CallRecord {
+        if !matches!(record.outcome, None | Some(CallOutcome::Unknown)) {
+            return record;
+        }
+        let Some(name) = name_of(program, &record) else { return record };
+        let targets = self.targets_of(&record);
+        let Some(answer) = self.ask_engines(&targets, program, &record.call).await else {
+            return record;
+        };
+        match self.finish(&name, &answered_outcome(&answer), RECORD_TIME).await {
+            Some(outcome) => CallRecord { outcome: Some(outcome), ..record },
+            None => record,
+        }
+    }
+
+    fn targets_of(&self, record: &CallRecord) -> Vec<Target> {
+        let Some(bundle) = self.node.bundle.borrow().clone() else { return Vec::new() };
+        let route = record.route.as_ref().and_then(|name| bundle.bundle.routes.get(name));
+        route.map(|route| self.backends.all_of(&route.service)).unwrap_or_default()
+    }
+}
+
+fn name_of(program: &ProgramId, record: &CallRecord) -> Option<CallName> {
+    let attempt = record.attempt.clone()?;
+    Some(CallName { program: program.clone(), call: record.call.clone(), attempt })
+}
--- /dev/null
+++ b/crates/gateway/src/limits/tenants.rs
@@ -0,0 +1,84 @@
+//! Rate and concurrency of each tenant at this gateway.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hooklug_bundle::TenantLimits;
+use hooklug_types::TenantId;
+use tokio::time::Instant;
+
+use super::token_bucket::TokenBucket;
+use crate::api::admission::tenant_limited;
+use crate::api::problem::Problem;
+use crate::backoff::jittered;
+
+/// When to come back after the concurrency limit (ours): about the length of a call.
+const RETRY_CONCURRENCY: Duration = Duration::from_millis(500);
+
+/// Least time named in a refusal, so that its jitter spreads callers (ours).
+const LEAST_RETRY: Duration = Duration::from_millis(100);
+
+#[derive(Debug)]
+struct TenantState {
+    bucket: TokenBucket,
+    running: u32,
+}
+
+/// Requests of all tenants. Cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct Tenants {
+    states: Arc<Mutex<HashMap<TenantId, TenantState>>>,
+}
+
+/// One admitted request; dropping it frees the tenant's place.
+#[derive(Debug)]
+pub struct TenantPermit {
+    tenants: Tenants,
+    tenant: TenantId,
+}
+
+impl Tenants {
+    /// Admits a request, or refuses it at once.
+    ///
+    /// # Errors
+    /// `429 tenant_limited` with when to come back.
+    pub fn admit(&self, tenant: &TenantId, limits: &TenantLimits) -> Result<TenantPermit, Problem> {
+        let now = Instant::now();
+        let mut states = self.lock();
+        let state = states.entry(tenant.clone()).or_insert_with(|| TenantState {
+            bucket: TokenBucket::new(limits.requests_per_second, now),
+            running: 0,
+        });
+        if state.running >= limits.concurrency {
+            let after = jittered(RETRY_CONCURRENCY, &mut rand::rng());
+            return Err(tenant_limited("too many requests at once", after));
+        }
+        if let Err(wait) = state.bucket.take(limits.requests_per_second, now) {
+            let spread = jittered(wait.max(LEAST_RETRY), &mut rand::rng());
+            return Err(tenant_limited("too many requests a second", wait + spread));
+        }
+        state.running += 1;
+        Ok(TenantPermit { tenants: self.clone(), tenant: tenant.clone() })
+    }
+
+    /// Forgets tenants without requests whose buckets are full again.
+    pub fn sweep(&self, rate_of: impl Fn(&TenantId) -> f64) {
+        let now = Instant::now();
+        self.lock().retain(|tenant, state| {
+            state.running > 0 || !state.bucket.is_full(rate_of(tenant), now)
+        });
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<TenantId, TenantState>> {
+        self.states.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for TenantPermit {
+    fn drop(&mut self) {
+        if let Some(state) = self.tenants.lock().get_mut(&self.tenant) {
+            state.running = state.running.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/limits/token_bucket.rs
@@ -0,0 +1,59 @@
+//! A token bucket. Pure: time is passed in.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Requests that may come at once, as a span of the sustained rate (ours).
+const BURST_TIME: Duration = Duration::from_secs(1);
+
+/// Allows a sustained rate, and a burst of what one second of it brings.
+#[derive(Debug, Clone)]
+pub struct TokenBucket {
+    tokens: f64,
+    at: Instant,
+}
+
+impl TokenBucket {
+    /// A full bucket.
+    #[must_use]
+    pub fn new(per_second: f64, now: Instant) -> Self {
+        Self { tokens: burst(per_second), at: now }
+    }
+
+    /// Takes one token.
+    ///
+    /// # Errors
+    /// The time until there is one.
+    pub fn take(&mut self, per_second: f64, now: Instant) -> Result<(), Duration> {
+        let gained = now.saturating_duration_since(self.at).as_secs_f64() * per_second.max(0.0);
+        self.tokens = (self.tokens + gained).min(burst(per_second));
+        self.at = self.at.max(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        Err(wait_for(1.0 - self.tokens, per_second))
+    }
+
+    /// Whether nothing has been taken for so long that the bucket is full.
+    #[must_use]
+    pub fn is_full(&self, per_second: f64, now: Instant) -> bool {
+        let gained = now.saturating_duration_since(self.at).as_secs_f64() * per_second.max(0.0);
+        self.tokens + gained >= burst(per_second)
+    }
+}
+
+fn burst(per_second: f64) -> f64 {
+    (per_second.max(0.0) * BURST_TIME.as_secs_f64()).max(1.0)
+}
+
+/// Longest wait that a refusal names (ours), also for a rate of nothing.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
+fn wait_for(tokens: f64, per_second: f64) -> Duration {
+    if per_second <= 0.0 {
+        return LONGEST_WAIT;
+    }
+    Duration::try_from_secs_f64(tokens / per_second).unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT)
+}
--- /dev/null
+++ b/crates/gateway/src/sessions/messages.rs
@@ -0,0 +1,72 @@
+//! Sends a message to a session's owner, following the session until the deadline.
+
+use std::future::Future;
+use std::time::Duration;
+
+use hooklug_types::SessionKey;
+use tokio::time::{Instant, sleep};
+
+use super::engines::EngineError;
+use super::owner_table::OwnerEntry;
+use super::owners::{FailedOwner, MessageError, OwnerError, Owners};
+use crate::api::problem::Problem;
+use crate::api::refusals;
+use crate::backoff::Backoff;
+
+const FIRST_WAIT: Duration = Duration::from_millis(5);
+const LONGEST_WAIT: Duration = Duration::from_millis(200);
+
+impl Owners {
+    /// Sends a message to the owner. It is sent again when the owner has changed or the answer was
+    /// lost, so the message must be idempotent.
+    ///
+    /// # Errors
+    /// [`MessageError`]: the last refusal, or why no owner could be asked in time.
+    pub async fn send<T, F, Sent>(
+        &self,
+        key: &SessionKey,
+        deadline: Instant,
+        mut message: F,
+    ) -> Result<(OwnerEntry, T), MessageError>
+    where
+        F: FnMut(OwnerEntry) -> Sent,
+        Sent: Future<Output = Result<T, EngineError>>,
+    {
+        let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        let mut failed = None;
+        loop {
+            let entry = self.resolve(key, failed.take(), deadline).await?;
+            let error = match message(entry.clone()).await {
+                Ok(answer) => return Ok((entry, answer)),
+                Err(error) => error,
+            };
+            let Some(fault) = error.owner_fault() else { return Err(error.into()) };
+            failed = Some(FailedOwner { entry, fault });
+            let wait = backoff.next_wait();
+            if Instant::now() + wait >= deadline {
+                return Err(error.into());
+            }
+            sleep(wait).await;
+        }
+    }
+}
+
+impl From<MessageError> for Problem {
+    fn from(error: MessageError) -> Self {
+        match error {
+            MessageError::Owner(error) => error.into(),
+            MessageError::Engine(EngineError::Refused(refusal)) => refusals::engine(&refusal),
+            MessageError::Engine(error) => {
+                Problem::try_again(error.to_string(), refusals::RETRY_SOON)
+            }
+        }
+    }
+}
+
+impl MessageError {
+    /// The closed session's record, when the session turned out to be closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        matches!(self, Self::Owner(OwnerError::Closed(_)))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sessions/mod.rs
@@ -0,0 +1,13 @@
+//! Sessions: their owners, placement, takeover, and the streams that callers follow.
+
+pub mod cursor;
+pub mod engines;
+pub mod follower;
+pub mod load;
+pub mod messages;
+pub mod opening;
+pub mod owner_table;
+pub mod owners;
+pub mod placement;
+pub mod takeover;
+pub mod turns;
--- /dev/null
+++ b/crates/gateway/src/sessions/opening.rs
@@ -0,0 +1,119 @@
+//! Opens sessions: chooses an engine, which writes the ownership itself; the first writer wins.
+
+use hooklug_protocol::engine::{EngineRefusal, OpenSession};
+use hooklug_state::shard::{SessionRecord, ShardRefusal};
+use hooklug_types::{EngineIncarnation, PrefixId, ServiceName, SessionKey};
+use tokio::time::{Instant, sleep};
+use tracing::info;
+
+use super::engines::EngineError;
+use super::owners::{OwnerError, Owners, not_now};
+use super::placement::{Candidate, choose};
+use super::takeover::PLACE_TRY_TIME;
+use crate::api::problem::{Code, Problem};
+use crate::api::refusals;
+use crate::backoff::Backoff;
+
+/// What a session is opened with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Opening {
+    /// Which session.
+    pub key: SessionKey,
+    /// Service that its model runs on.
+    pub service: ServiceName,
+    /// Shared prefix of its prompt.
+    pub prefix: Option<PrefixId>,
+}
+
+impl Owners {
+    /// Opens a session, or finds that it is open already.
+    ///
+    /// # Errors
+    /// A problem for the caller; `try_again` when no engine could be asked in time.
+    pub async fn open(
+        &self,
+        opening: &Opening,
+        deadline: Instant,
+    ) -> Result<SessionRecord, Problem> {
+        if let Some(record) = self.shards.session(&opening.key, deadline).await? {
+            return existing(opening, record);
+        }
+        let mut backoff = Backoff::new(
+            std::time::Duration::from_millis(20),
+            std::time::Duration::from_millis(500),
+        );
+        let mut tried: Vec<EngineIncarnation> = Vec::new();
+        loop {
+            let mut open = self.candidates(&opening.service);
+            open.retain(|c| !tried.contains(&c.engine));
+            let chosen = choose(&open, opening.prefix.as_ref(), &self.zone, &mut rand::rng());
+            if let Some(candidate) = chosen {
+                if let Some(record) = self.ask_to_open(opening, &candidate, deadline).await? {
+                    return existing(opening, record);
+                }
+                tried.push(candidate.engine);
+                continue;
+            }
+            let wait = backoff.next_wait();
+            if Instant::now() + wait >= deadline {
+                return Err(not_now("no engine can take the session now").into());
+            }
+            sleep(wait).await;
+            tried.clear();
+        }
+    }
+
+    /// Asks one engine; `None` when another one should be asked.
+    async fn ask_to_open(
+        &self,
+        opening: &Opening,
+        candidate: &Candidate,
+        deadline: Instant,
+    ) -> Result<Option<SessionRecord>, Problem> {
+        let request = OpenSession {
+            key: opening.key.clone(),
+            engine: candidate.engine.clone(),
+            service: opening.service.clone(),
+            prefix: opening.prefix.clone(),
+        };
+        let try_until = deadline.min(Instant::now() + PLACE_TRY_TIME);
+        match self.engines.call(&candidate.engine, &request, try_until).await {
+            Ok(record) => {
+                info!(session = %opening.key, engine = %candidate.engine, epoch = %record.epoch, "session opened");
+                self.learn(&record);
+                Ok(Some(record))
+            }
+            Err(EngineError::Refused(EngineRefusal::Ledger(ShardRefusal::StaleEpoch {
+                record,
+            }))) => {
+                self.learn(&record);
+                Ok(Some(*record))
+            }
+            Err(EngineError::Refused(EngineRefusal::NotOwner { record: Some(record) })) => {
+                self.learn(&record);
+                Ok(Some(*record))
+            }
+            Err(EngineError::Refused(EngineRefusal::Ledger(refusal))) => {
+                Err(refusals::ledger(&refusal))
+            }
+            // The engine may have written the ownership: whoever reads next finds it.
+            Err(EngineError::Lost(_)) => Ok(self.shards.session(&opening.key, deadline).await?),
+            Err(EngineError::Refused(_) | EngineError::Unreachable(_)) => Ok(None),
+        }
+    }
+}
+
+/// A session that is there already must be the one that was asked for.
+fn existing(opening: &Opening, record: SessionRecord) -> Result<SessionRecord, Problem> {
+    if record.closed {
+        return Err(OwnerError::Closed(Box::new(record)).into());
+    }
+    if record.service != opening.service {
+        let detail = format!("it runs on service {}", record.service);
+        return Err(Problem::field(Code::SessionDiffers, "model", detail));
+    }
+    if record.prefix != opening.prefix {
+        return Err(Problem::field(Code::SessionDiffers, "prefix", "it has another prefix"));
+    }
+    Ok(record)
+}
--- /dev/null
+++ b/crates/gateway/src/sessions/owners.rs
@@ -0,0 +1,237 @@
+//! Who owns a session now: the table first, else the shard's record, else a takeover.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hooklug_control::NodeHandle;
+use hooklug_state::shard::SessionRecord;
+use hooklug_types::{EngineIncarnation, ServiceName, ServiceVersion, SessionKey, ZoneName};
+use tokio::time::{Instant, sleep_until};
+
+use super::engines::{EngineError, Engines, OwnerFault};
+use super::owner_table::{OWNER_TABLE_ENTRIES, OwnerEntry, OwnerTable};
+use super::placement::{Candidate, EngineKnowledge, candidates};
+use super::takeover::Waiting;
+use crate::api::problem::{Code, Problem};
+use crate::api::refusals::{RETRY_SOON, RETRY_STORE};
+use crate::shards::{ShardError, Shards};
+use crate::single_flight::SingleFlight;
+use crate::versions::StoppedVersions;
+
+/// Wait before a session that is being handed over is looked up again (ours).
+const HAND_OVER_WAIT: Duration = Duration::from_millis(20);
+
+/// Why a session has no owner that can be asked.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum OwnerError {
+    /// No such session.
+    #[error("no such session")]
+    NoSession,
+    /// It is closed.
+    #[error("the session is closed")]
+    Closed(Box<SessionRecord>),
+    /// Its shard gave no answer.
+    #[error(transparent)]
+    Shard(#[from] ShardError),
+    /// The former owner's lease still runs, or no engine could take the session.
+    #[error("{detail}")]
+    NotNow {
+        /// Why.
+        detail: String,
+        /// When to come back.
+        after: Duration,
+    },
+}
+
+impl From<OwnerError> for Problem {
+    fn from(error: OwnerError) -> Self {
+        let detail = error.to_string();
+        match error {
+            OwnerError::NoSession => Problem::new(Code::NoSession, detail),
+            OwnerError::Closed(_) => Problem::new(Code::SessionClosed, detail),
+            OwnerError::Shard(_) => Problem::try_again(detail, RETRY_STORE),
+            OwnerError::NotNow { after, .. } => Problem::try_again(detail, after),
+        }
+    }
+}
+
+/// An owner that failed, and how.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FailedOwner {
+    /// The entry that was used.
+    pub entry: OwnerEntry,
+    /// How it failed.
+    pub fault: OwnerFault,
+}
+
+/// The owners of sessions.
+#[derive(Debug)]
+pub struct Owners {
+    table: Mutex<OwnerTable>,
+    flights: SingleFlight<SessionKey>,
+    pub(super) shards: Shards,
+    /// The engines.
+    pub engines: Arc<Engines>,
+    pub(super) node: NodeHandle,
+    pub(super) zone: ZoneName,
+    pub(super) stopped: StoppedVersions,
+}
+
+impl Owners {
+    /// Owners as a node's shards and engines know them.
+    #[must_use]
+    pub fn new(
+        shards: Shards,
+        engines: Arc<Engines>,
+        node: NodeHandle,
+        zone: ZoneName,
+        stopped: StoppedVersions,
+    ) -> Self {
+        let table = Mutex::new(OwnerTable::new(OWNER_TABLE_ENTRIES));
+        Self { table, flights: SingleFlight::default(), shards, engines, node, zone, stopped }
+    }
+
+    /// Notes a record that was read or replied.
+    pub fn learn(&self, record: &SessionRecord) {
+        self.lock().learn(record);
+    }
+
+    /// Drops a session's entry.
+    pub fn forget(&self, key: &SessionKey) {
+        self.lock().forget(key);
+    }
+
+    /// Finds the owner; after a failure, another one where the failed one is gone.
+    ///
+    /// # Errors
+    /// [`OwnerError`]; claims nothing about any turn.
+    pub async fn resolve(
+        &self,
+        key: &SessionKey,
+        failed: Option<FailedOwner>,
+        deadline: Instant,
+    ) -> Result<OwnerEntry, OwnerError> {
+        if let Some(failed) = &failed {
+            self.drop_failed(key, failed);
+        }
+        if let Some(entry) = self.known(key) {
+            return Ok(entry);
+        }
+        let flight = tokio::time::timeout_at(deadline, self.flights.enter(key));
+        let _flight = flight.await.map_err(|_| not_now("the session is being taken over"))?;
+        // Whoever went first has found the owner.
+        if let Some(entry) = self.known(key) {
+            return Ok(entry);
+        }
+        self.look_up(key, failed, deadline).await
+    }
+
+    async fn look_up(
+        &self,
+        key: &SessionKey,
+        failed: Option<FailedOwner>,
+        deadline: Instant,
+    ) -> Result<OwnerEntry, OwnerError> {
+        if is_hand_over(failed.as_ref()) {
+            sleep_until(deadline.min(Instant::now() + HAND_OVER_WAIT)).await;
+        }
+        let record = self.shards.session(key, deadline).await?.ok_or(OwnerError::NoSession)?;
+        self.settle(&record, failed.as_ref(), deadline).await
+    }
+
+    /// The owner that a fresh record names, or a new one.
+    async fn settle(
+        &self,
+        record: &SessionRecord,
+        failed: Option<&FailedOwner>,
+        deadline: Instant,
+    ) -> Result<OwnerEntry, OwnerError> {
+        if record.closed {
+            self.forget(&record.key);
+            return Err(OwnerError::Closed(Box::new(record.clone())));
+        }
+        let Some(entry) = OwnerEntry::of(record) else {
+            return self.take_over(record, deadline).await;
+        };
+        let fault = failed.filter(|f| f.entry.owner == entry.owner).map(|f| &f.fault);
+        if matches!(fault, Some(OwnerFault::Gone)) || !self.is_listed(&entry.owner) {
+            return self.replace(record, &entry, Waiting::ForLease, deadline).await;
+        }
+        if matches!(fault, Some(OwnerFault::Interrupted)) {
+            return self.replace(record, &entry, Waiting::Not, deadline).await;
+        }
+        self.learn(record);
+        Ok(entry)
+    }
+
+    /// Engines that may get a session of a service now.
+    pub(super) fn candidates(&self, service: &ServiceName) -> Vec<Candidate> {
+        let Some(bundle) = self.node.bundle.borrow().clone() else { return Vec::new() };
+        let Some(entry) = bundle.bundle.services.get(service) else { return Vec::new() };
+        let view = self.node.view.borrow().clone();
+        candidates(&view, service, entry, self)
+    }
+
+    pub(super) fn is_listed(&self, engine: &EngineIncarnation) -> bool {
+        super::placement::address_of(&self.node.view.borrow(), engine).is_some()
+    }
+
+    fn known(&self, key: &SessionKey) -> Option<OwnerEntry> {
+        let entry = self.lock().get(key)?;
+        self.is_listed(&entry.owner).then_some(entry)
+    }
+
+    fn drop_failed(&self, key: &SessionKey, failed: &FailedOwner) {
+        let mut table = self.lock();
+        match &failed.fault {
+            OwnerFault::Moved(Some(record)) => {
+                table.forget_epoch(key, failed.entry.epoch);
+                // An engine that still names itself has an older view than its own refusal.
+                if record.owner.as_ref() != Some(&failed.entry.owner) {
+                    table.learn(record);
+                }
+            }
+            OwnerFault::Moved(None) | OwnerFault::Gone | OwnerFault::Interrupted => {
+                table.forget_epoch(key, failed.entry.epoch);
+            }
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, OwnerTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn is_hand_over(failed: Option<&FailedOwner>) -> bool {
+    failed.is_some_and(|f| matches!(f.fault, OwnerFault::Moved(None)))
+}
+
+/// Nothing can be said now, but soon.
+pub(super) fn not_now(detail: &str) -> OwnerError {
+    OwnerError::NotNow { detail: detail.to_owned(), after: RETRY_SOON }
+}
+
+impl EngineKnowledge for Owners {
+    fn work(&self, engine: &EngineIncarnation) -> u32 {
+        self.engines.load.work(engine)
+    }
+
+    fn is_excluded(&self, engine: &EngineIncarnation) -> bool {
+        self.engines.load.is_draining(engine) || self.engines.is_suspect(engine)
+    }
+
+    fn is_stopped(&self, service: &ServiceName, version: &ServiceVersion) -> bool {
+        self.stopped.contains(service, version)
+    }
+}
+
+/// What a message to an owner came to, when it was not answered well.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum MessageError {
+    /// No owner could be asked.
+    #[error(transparent)]
+    Owner(#[from] OwnerError),
+    /// The owner refused for a reason other than ownership.
+    #[error(transparent)]
+    Engine(#[from] EngineError),
+}
--- /dev/null
+++ b/crates/gateway/src/sessions/placement.rs
@@ -0,0 +1,171 @@
+//! Where a new session goes (design section 5). Pure: candidates, load and randomness are passed in.
+
+use std::net::SocketAddr;
+
+use hooklug_bundle::{Service, VersionState};
+use hooklug_protocol::control::{ClusterView, Member, MemberHealth};
+use hooklug_types::{EngineIncarnation, PrefixId, ServiceName, ServiceVersion, ZoneName};
+use rand::{Rng, RngExt};
+
+/// An engine may hold this share of the average load before its prefixes go elsewhere (ours; the
+/// usual factor of consistent hashing with bounded loads).
+const PREFIX_LOAD_FACTOR: f64 = 1.25;
+
+/// Work a slot at which an own-zone engine counts as full and other zones are asked too (ours).
+const ZONE_OVERFLOW_AT: f64 = 1.0;
+
+/// An engine that may get a session.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its run.
+    pub engine: EngineIncarnation,
+    /// Its rpc address.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Version that it runs.
+    pub version: ServiceVersion,
+    /// Turns that it runs at once; at least 1.
+    pub slots: u32,
+    /// Turns that run or wait there.
+    pub work: u32,
+}
+
+impl Candidate {
+    fn share(&self) -> f64 {
+        f64::from(self.work) / f64::from(self.slots.max(1))
+    }
+}
+
+/// The run of a session-host engine that a member is; `None` for other roles.
+#[must_use]
+pub fn engine_of(member: &Member) -> Option<EngineIncarnation> {
+    let hosted = member.engine.as_ref()?;
+    Some(EngineIncarnation {
+        engine: hosted.engine.clone(),
+        incarnation: member.address.incarnation,
+    })
+}
+
+/// Where an engine listens, if the view lists this run of it and has not given it up.
+#[must_use]
+pub fn address_of(view: &ClusterView, engine: &EngineIncarnation) -> Option<SocketAddr> {
+    let alive = view.members.values().filter(|m| m.health != MemberHealth::Dead);
+    let mut found = alive.filter(|m| engine_of(m).as_ref() == Some(engine));
+    found.next().map(|m| m.address.rpc)
+}
+
+/// What a gateway knows of engines beyond the view.
+pub trait EngineKnowledge {
+    /// Turns that run or wait at the engine.
+    fn work(&self, engine: &EngineIncarnation) -> u32;
+    /// Whether the engine must get no new session from here: it said that it drains, or just failed.
+    fn is_excluded(&self, engine: &EngineIncarnation) -> bool;
+    /// Whether this gateway stopped sending new traffic to a version on its own evidence.
+    fn is_stopped(&self, service: &ServiceName, version: &ServiceVersion) -> bool;
+}
+
+/// Engines of the service's newest sound version that can take a session now. While the newest has
+/// none (it is not started yet, or not ready), the next older sound version that has some.
+#[must_use]
+pub fn candidates(
+    view: &ClusterView,
+    name: &ServiceName,
+    service: &Service,
+    knowledge: &dyn EngineKnowledge,
+) -> Vec<Candidate> {
+    let sound = service.versions.iter().rev().filter(|v| v.state == VersionState::Sound);
+    sound
+        .filter(|entry| !knowledge.is_stopped(name, &entry.version))
+        .map(|entry| of_version(view, name, &entry.version, knowledge))
+        .find(|found| !found.is_empty())
+        .unwrap_or_default()
+}
+
+fn of_version(
+    view: &ClusterView,
+    name: &ServiceName,
+    version: &ServiceVersion,
+    knowledge: &dyn EngineKnowledge,
+) -> Vec<Candidate> {
+    let alive = view.members.values().filter(|m| m.health == MemberHealth::Alive);
+    alive
+        .filter_map(|member| {
+            let hosted = member.engine.as_ref()?;
+            let engine = engine_of(member)?;
+            let takes = hosted.service == *name
+                && hosted.version == *version
+                && hosted.ready
+                && !hosted.draining
+                && !knowledge.is_excluded(&engine);
+            takes.then(|| Candidate {
+                address: member.address.rpc,
+                zone: member.address.zone.clone(),
+                version: version.clone(),
+                slots: hosted.slots,
+                work: knowledge.work(&engine),
+                engine,
+            })
+        })
+        .collect()
+}
+
+/// Chooses an engine: by prefix where there is one, else the better of two in the own zone first.
+pub fn choose(
+    candidates: &[Candidate],
+    prefix: Option<&PrefixId>,
+    own_zone: &ZoneName,
+    random: &mut impl Rng,
+) -> Option<Candidate> {
+    match prefix {
+        Some(prefix) => by_prefix(candidates, prefix),
+        None => better_of_two(&zone_first(candidates, own_zone), random),
+    }
+    .cloned()
+}
+
+/// Rendezvous hashing with bounded load: the highest-ranked engine that is not over its share, so
+/// that every gateway sends a prefix to the same engine as long as it can take it.
+fn by_prefix<'a>(candidates: &'a [Candidate], prefix: &PrefixId) -> Option<&'a Candidate> {
+    let mut ranked: Vec<&Candidate> = candidates.iter().collect();
+    ranked.sort_by_key(|c| std::cmp::Reverse(rank(prefix, c)));
+    let slots: u32 = candidates.iter().map(|c| c.slots.max(1)).sum();
+    let work: u32 = candidates.iter().map(|c| c.work).sum();
+    let average = f64::from(work + 1) / f64::from(slots.max(1));
+    let fits = |c: &&&Candidate| {
+        let bound = (average * PREFIX_LOAD_FACTOR * f64::from(c.slots.max(1))).ceil();
+        f64::from(c.work + 1) <= bound
+    };
+    ranked.iter().find(fits).copied().or_else(|| least_loaded(candidates))
+}
+
+fn rank(prefix: &PrefixId, candidate: &Candidate) -> [u8; 8] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(prefix.as_str().as_bytes());
+    hasher.update(&[0]);
+    // The engine's name, not its run: a restarted engine gets its prefixes back.
+    hasher.update(candidate.engine.engine.as_str().as_bytes());
+    let mut rank = [0_u8; 8];
+    rank.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    rank
+}
+
+fn zone_first<'a>(candidates: &'a [Candidate], own_zone: &ZoneName) -> Vec<&'a Candidate> {
+    let own: Vec<&Candidate> =
+        candidates.iter().filter(|c| c.zone == *own_zone && c.share() < ZONE_OVERFLOW_AT).collect();
+    if own.is_empty() { candidates.iter().collect() } else { own }
+}
+
+fn better_of_two<'a>(among: &[&'a Candidate], random: &mut impl Rng) -> Option<&'a Candidate> {
+    if among.len() <= 1 {
+        return among.first().copied();
+    }
+    let first = random.random_range(0..among.len());
+    let second = (first + random.random_range(1..among.len())) % among.len();
+    let (a, b) = (among[first], among[second]);
+    Some(if b.share() < a.share() { b } else { a })
+}
+
+fn least_loaded(candidates: &[Candidate]) -> Option<&Candidate> {
+    candidates.iter().min_by(|a, b| a.share().total_cmp(&b.share()))
+}
--- /dev/null
+++ b/crates/gateway/src/sessions/takeover.rs
@@ -0,0 +1,181 @@
+//! Gives a session a new owner once the former one's lease has ended (design section 3).
+
+use std::time::Duration;
+
+use hooklug_protocol::engine::{EngineRefusal, TakeSession};
+use hooklug_protocol::store::LeaseVerdict;
+use hooklug_state::shard::{SessionRecord, ShardRefusal};
+use hooklug_types::{EngineIncarnation, SessionKey};
+use tokio::time::{Instant, sleep};
+use tracing::info;
+
+use super::engines::EngineError;
+use super::owner_table::OwnerEntry;
+use super::owners::{OwnerError, Owners, not_now};
+use super::placement::{Candidate, choose};
+use crate::backoff::Backoff;
+
+/// Time one engine has to take or open a session before another is asked (ours).
+pub(super) const PLACE_TRY_TIME: Duration = Duration::from_secs(2);
+
+/// Added to the time that a lease has left, so that the next question finds it ended (ours).
+const LEASE_MARGIN: Duration = Duration::from_millis(20);
+
+const FIRST_WAIT: Duration = Duration::from_millis(20);
+const LONGEST_WAIT: Duration = Duration::from_millis(500);
+
+/// Whether a lease that still runs is waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Waiting {
+    /// Yes: the owner is gone.
+    ForLease,
+    /// No: only a connection broke, and an owner with a lease is asked again.
+    Not,
+}
+
+/// What one engine made of the wish that it take a session.
+enum Taken {
+    /// It, or another one, owns the session.
+    Owned(OwnerEntry),
+    /// It did not; another one may.
+    Refused,
+    /// Nobody can take it: the session is closed or gone.
+    Over(OwnerError),
+}
+
+impl Owners {
+    /// Ends the recorded owner's lease, then has the session taken. Returns the recorded owner
+    /// itself when its lease turns out to be renewed, and the view lists it.
+    pub(super) async fn replace(
+        &self,
+        record: &SessionRecord,
+        entry: &OwnerEntry,
+        waiting: Waiting,
+        deadline: Instant,
+    ) -> Result<OwnerEntry, OwnerError> {
+        let mut may_live = waiting == Waiting::Not;
+        loop {
+            let left = match self.shards.expire_lease(&entry.owner, deadline).await? {
+                LeaseVerdict::Expired | LeaseVerdict::Unknown => break,
+                LeaseVerdict::Held { left_ms } => Duration::from_millis(left_ms) + LEASE_MARGIN,
+            };
+            if may_live && self.is_listed(&entry.owner) {
+                self.learn(record);
+                return Ok(entry.clone());
+            }
+            if Instant::now() + left >= deadline {
+                let detail = format!("the lease of {} still runs", entry.owner);
+                return Err(OwnerError::NotNow { detail, after: left });
+            }
+            sleep(left).await;
+            // Held after its whole time means renewed: the owner lives.
+            may_live = true;
+        }
+        self.take_over(record, deadline).await
+    }
+
+    /// Has a session without a live owner taken by a placed engine.
+    pub(super) async fn take_over(
+        &self,
+        record: &SessionRecord,
+        deadline: Instant,
+    ) -> Result<OwnerEntry, OwnerError> {
+        let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        let mut tried: Vec<EngineIncarnation> = Vec::new();
+        loop {
+            let mut open = self.candidates(&record.service);
+            open.retain(|c| !tried.contains(&c.engine));
+            let chosen = choose(&open, record.prefix.as_ref(), &self.zone, &mut rand::rng());
+            match chosen {
+                Some(candidate) => match self.ask_to_take(record, &candidate, deadline).await? {
+                    Taken::Owned(entry) => return Ok(entry),
+                    Taken::Over(error) => return Err(error),
+                    Taken::Refused => tried.push(candidate.engine),
+                },
+                None => {
+                    let wait = backoff.next_wait();
+                    if Instant::now() + wait >= deadline {
+                        return Err(not_now("no engine can take the session now"));
+                    }
+                    sleep(wait).await;
+                    tried.clear();
+                }
+            }
+        }
+    }
+
+    async fn ask_to_take(
+        &self,
+        record: &SessionRecord,
+        candidate: &Candidate,
+        deadline: Instant,
+    ) -> Result<Taken, OwnerError> {
+        let request = TakeSession {
+            key: record.key.clone(),
+            engine: candidate.engine.clone(),
+            expected_epoch: record.epoch,
+        };
+        let try_until = deadline.min(Instant::now() + PLACE_TRY_TIME);
+        let taken = self.engines.call(&candidate.engine, &request, try_until).await;
+        match taken {
+            Ok(record) => {
+                info!(session = %record.key, engine = %candidate.engine, epoch = %record.epoch, "session taken");
+                metrics::counter!("hooklug_gateway_takeovers_total").increment(1);
+                Ok(self.owned(&record))
+            }
+            Err(EngineError::Refused(refusal)) => self.refused(record, refusal, deadline).await,
+            // The message may have been acted on: only the record can tell.
+            Err(EngineError::Lost(_)) => self.reread(&record.key, record, deadline).await,
+            Err(EngineError::Unreachable(_)) => Ok(Taken::Refused),
+        }
+    }
+
+    async fn refused(
+        &self,
+        record: &SessionRecord,
+        refusal: EngineRefusal,
+        deadline: Instant,
+    ) -> Result<Taken, OwnerError> {
+        match refusal {
+            EngineRefusal::Ledger(ShardRefusal::SessionClosed) => {
+                self.forget(&record.key);
+                Ok(Taken::Over(OwnerError::Closed(Box::new(record.clone()))))
+            }
+            EngineRefusal::Ledger(ShardRefusal::NoSession) => {
+                Ok(Taken::Over(OwnerError::NoSession))
+            }
+            EngineRefusal::Ledger(ShardRefusal::StaleEpoch { .. })
+            | EngineRefusal::NotOwner { .. } => self.reread(&record.key, record, deadline).await,
+            _ => Ok(Taken::Refused),
+        }
+    }
+
+    /// Reads the record again: somebody may own the session under a newer epoch.
+    async fn reread(
+        &self,
+        key: &SessionKey,
+        before: &SessionRecord,
+        deadline: Instant,
+    ) -> Result<Taken, OwnerError> {
+        let now = self.shards.session(key, deadline).await?.ok_or(OwnerError::NoSession)?;
+        if now.closed {
+            self.forget(key);
+            return Ok(Taken::Over(OwnerError::Closed(Box::new(now))));
+        }
+        if now.epoch == before.epoch {
+            return Ok(Taken::Refused);
+        }
+        match OwnerEntry::of(&now) {
+            Some(_) => Ok(self.owned(&now)),
+            None => Ok(Taken::Over(not_now("the session changes its owner"))),
+        }
+    }
+
+    fn owned(&self, record: &SessionRecord) -> Taken {
+        self.learn(record);
+        match OwnerEntry::of(record) {
+            Some(entry) => Taken::Owned(entry),
+            None => Taken::Over(not_now("the session changes its owner")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,136 @@
+//! What all requests of one gateway share.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_control::NodeContext;
+use hooklug_types::ProgramId;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::api::auth::Caller;
+use crate::api::problem::{Code, Problem};
+use crate::api::refusals::RETRY_STORE;
+use crate::backend::pool::Pool;
+use crate::backend::table::Backends;
+use crate::calls::Calls;
+use crate::calls::retry_budget::RetryBudget;
+use crate::evidence::Evidence;
+use crate::limits::tenants::Tenants;
+use crate::programs::{ProgramFacts, Programs};
+use crate::sessions::engines::Engines;
+use crate::sessions::owners::Owners;
+use crate::shards::Shards;
+use crate::versions::StoppedVersions;
+
+/// Time for one read or command of a shard (ours): an election and some.
+const STATE_TIME: Duration = Duration::from_secs(5);
+
+/// Time for one message to a session's owner (ours): lease time, margin, an election, a taker.
+const SESSION_TIME: Duration = Duration::from_secs(10);
+
+/// One gateway's parts.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) ctx: NodeContext,
+    pub(crate) shards: Shards,
+    pub(crate) owners: Arc<Owners>,
+    pub(crate) backends: Arc<Backends>,
+    pub(crate) calls: Arc<Calls>,
+    pub(crate) evidence: Evidence,
+    pub(crate) programs: Programs,
+    pub(crate) tenants: Tenants,
+    /// Requests and tasks under way; the gateway's stop waits for them.
+    pub(crate) running: TaskTracker,
+    /// Cuts the streams that are left when the grace period is over.
+    pub(crate) cut: CancellationToken,
+}
+
+impl Shared {
+    pub(crate) fn new(ctx: NodeContext) -> Self {
+        let shards = Shards::new(ctx.state.clone());
+        let stopped = StoppedVersions::default();
+        let zone = ctx.settings.zone.clone();
+        let engines = Arc::new(Engines::new(ctx.client.clone(), ctx.node.clone()));
+        let owners = Arc::new(Owners::new(
+            shards.clone(),
+            engines,
+            ctx.node.clone(),
+            zone.clone(),
+            stopped.clone(),
+        ));
+        let pool = Pool::new(ctx.identity.address.rpc.ip(), ctx.identity.faults.clone());
+        let backends = Arc::new(Backends::new(pool, ctx.node.clone(), zone, stopped.clone()));
+        let evidence = Evidence::new(ctx.node.statistics.clone(), stopped, ctx.node.harm.clone());
+        let running = TaskTracker::new();
+        let calls = Arc::new(Calls {
+            backends: backends.clone(),
+            shards: shards.clone(),
+            evidence: evidence.clone(),
+            node: ctx.node.clone(),
+            retries: RetryBudget::new(ctx.settings.gateway.retry_share),
+            mode: ctx.settings.gateway.mode,
+            running: running.clone(),
+        });
+        Self {
+            ctx,
+            shards,
+            owners,
+            backends,
+            calls,
+            evidence,
+            programs: Programs::default(),
+            tenants: Tenants::default(),
+            running,
+            cut: CancellationToken::new(),
+        }
+    }
+
+    /// When a read or command of a shard is given up.
+    pub(crate) fn state_deadline() -> Instant {
+        Instant::now() + STATE_TIME
+    }
+
+    /// When a message to a session's owner is given up.
+    pub(crate) fn session_deadline() -> Instant {
+        Instant::now() + SESSION_TIME
+    }
+
+    /// Longest request body, in bytes.
+    pub(crate) fn body_limit(&self) -> usize {
+        self.ctx.settings.gateway.body_bytes
+    }
+
+    /// Runs a task that the gateway's stop waits for.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.running.spawn(task);
+    }
+
+    /// The program's facts, if it is the caller's own. Another tenant's program does not exist for it.
+    pub(crate) async fn own_program(
+        &self,
+        caller: &Caller,
+        program: &ProgramId,
+    ) -> Result<ProgramFacts, Problem> {
+        let facts = match self.programs.get(program) {
+            Some(facts) => Some(facts),
+            None => {
+                let read = self.shards.program(program, Self::state_deadline()).await?;
+                read.map(|record| self.programs.learn(&record))
+            }
+        };
+        facts
+            .filter(|facts| facts.tenant == caller.tenant)
+            .ok_or_else(|| Problem::new(Code::NoProgram, "no such program"))
+    }
+
+    /// Without a store in reach, nothing begins that a store has to record.
+    pub(crate) fn check_store_reach(&self) -> Result<(), Problem> {
+        if self.ctx.node.reach.borrow().store {
+            return Ok(());
+        }
+        Err(Problem::try_again("this gateway reaches no store", RETRY_STORE))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/versions.rs
@@ -0,0 +1,111 @@
+//! Which versions of a service get traffic: the bundle's steps, and versions stopped on own evidence.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hooklug_bundle::{Service, VersionState};
+use hooklug_types::{ServiceName, ServiceVersion};
+use tokio::time::Instant;
+
+/// Versions that this gateway sends no new traffic to, by its own evidence. Cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct StoppedVersions {
+    stopped: Arc<Mutex<HashSet<(ServiceName, ServiceVersion)>>>,
+}
+
+impl StoppedVersions {
+    /// Stops a version; returns whether it was not stopped before.
+    pub fn stop(&self, service: &ServiceName, version: &ServiceVersion) -> bool {
+        self.lock().insert((service.clone(), version.clone()))
+    }
+
+    /// Whether a version is stopped.
+    #[must_use]
+    pub fn contains(&self, service: &ServiceName, version: &ServiceVersion) -> bool {
+        let stopped = self.lock();
+        !stopped.is_empty() && stopped.contains(&(service.clone(), version.clone()))
+    }
+
+    /// Forgets versions that the bundle no longer lists as sound: operators may name them anew.
+    pub fn retain(&self, is_sound: impl Fn(&ServiceName, &ServiceVersion) -> bool) {
+        self.lock().retain(|(service, version)| is_sound(service, version));
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashSet<(ServiceName, ServiceVersion)>> {
+        self.stopped.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// When this node first saw each version as a service's newest sound one; steps count from there.
+/// A version that was the newest in the first bundle seen is not a roll-out and counts as done.
+#[derive(Debug, Default)]
+pub struct RolloutClock {
+    since: HashMap<(ServiceName, ServiceVersion), Option<Instant>>,
+    started: bool,
+}
+
+impl RolloutClock {
+    /// Notes the newest sound versions of a bundle that came into force at an instant.
+    pub fn installed<'a>(
+        &mut self,
+        newest: impl Iterator<Item = (&'a ServiceName, &'a ServiceVersion)>,
+        now: Instant,
+    ) {
+        let mut since = HashMap::new();
+        for (service, version) in newest {
+            let key = (service.clone(), version.clone());
+            let known_service = self.since.keys().any(|(name, _)| name == service);
+            let begun = match self.since.get(&key) {
+                Some(begun) => *begun,
+                None if self.started && known_service => Some(now),
+                None => None,
+            };
+            since.insert(key, begun);
+        }
+        self.since = since;
+        self.started = true;
+    }
+
+    /// How long a version has been rolled out; `None` when it is no roll-out.
+    #[must_use]
+    pub fn age(
+        &self,
+        service: &ServiceName,
+        version: &ServiceVersion,
+        now: Instant,
+    ) -> Option<Duration> {
+        let begun = self.since.get(&(service.clone(), version.clone())).copied().flatten()?;
+        Some(now.saturating_duration_since(begun))
+    }
+}
+
+/// Percentage of traffic for a version that has been rolled out for a while.
+#[must_use]
+pub fn step_percentage(service: &Service, age: Option<Duration>) -> u8 {
+    let Some(age) = age else { return 100 };
+    let step_seconds = u64::from(service.step_seconds.max(1));
+    let step = usize::try_from(age.as_secs() / step_seconds).unwrap_or(usize::MAX);
+    service.steps.get(step).or(service.steps.last()).copied().unwrap_or(100).min(100)
+}
+
+/// Versions in the order in which a call should try them: `draw` in 0..100 decides between the
+/// newest and the one before; the others follow as fall-backs, newest first.
+#[must_use]
+pub fn preferred_versions(
+    service: &Service,
+    age_of_newest: Option<Duration>,
+    draw: u8,
+    is_stopped: impl Fn(&ServiceVersion) -> bool,
+) -> Vec<ServiceVersion> {
+    let sound = service.versions.iter().rev().filter(|v| v.state == VersionState::Sound);
+    let all: Vec<&ServiceVersion> = sound.map(|v| &v.version).collect();
+    let newest = all.first().copied();
+    let mut open: Vec<ServiceVersion> =
+        all.iter().filter(|v| !is_stopped(v)).map(|v| (*v).clone()).collect();
+    let newest_is_open = open.first() == newest;
+    if newest_is_open && open.len() > 1 && draw >= step_percentage(service, age_of_newest) {
+        open.swap(0, 1);
+    }
+    open
+}
