--- /dev/null
+++ b/crates/session/src/session.rs
@@ -0,0 +1,302 @@
+//! The loop itself: its state, and which part handles which message.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use hooklug_state::shard::{Event, EventBody, SessionRecord};
+use hooklug_types::{EventSeq, SessionEpoch, SessionKey};
+
+use crate::clients::Clients;
+use crate::commit::InFlight;
+use crate::effect::{Answer, ClientItem, Effect, Ending, SessionRefusal};
+use crate::history::History;
+use crate::message::{ClientId, LookUpId, Message, ReplyId};
+use crate::turn::{LookedUp, Phase};
+
+/// A session as it was read from its shard after ownership was committed.
+#[derive(Debug, Clone)]
+pub struct LoadedSession {
+    /// Its record; names this engine as the owner.
+    pub record: SessionRecord,
+    /// All its events before `record.next_seq`.
+    pub history: Vec<Event>,
+    /// When its program has to be over, on this process's clock.
+    pub program_end: Instant,
+}
+
+/// Values that a loop is run with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SessionConfig {
+    /// How long a session without clients is kept open.
+    pub unconnected_keep: Duration,
+}
+
+/// When a message is handled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Moment {
+    /// Now.
+    pub now: Instant,
+    /// Until when the engine's lease is certainly held; from then on the loop releases nothing.
+    pub lease_until: Instant,
+}
+
+/// An event that waits for its commit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct PendingEvent {
+    pub(crate) body: EventBody,
+    /// Who waits for its place.
+    pub(crate) replies: Vec<ReplyId>,
+}
+
+/// One session's ordered loop.
+#[derive(Debug, Clone)]
+pub struct Session {
+    pub(crate) config: SessionConfig,
+    pub(crate) record: SessionRecord,
+    pub(crate) history: History,
+    pub(crate) program_end: Instant,
+    pub(crate) clients: Clients,
+    pub(crate) phase: Phase,
+    pub(crate) pending: VecDeque<PendingEvent>,
+    pub(crate) in_flight: Option<InFlight>,
+    pub(crate) look_ups: BTreeMap<LookUpId, LookedUp>,
+    pub(crate) closing: Option<Vec<ReplyId>>,
+    pub(crate) handing_over: bool,
+    pub(crate) unconnected_since: Option<Instant>,
+    pub(crate) ending: Option<Ending>,
+    pub(crate) last_id: u64,
+    pub(crate) effects: Vec<Effect>,
+}
+
+impl Session {
+    /// A loop for a session that this engine owns. Send it a `Tick` first: a turn that was left open
+    /// by an earlier loop of this engine is then ended as interrupted.
+    #[must_use]
+    pub fn new(loaded: LoadedSession, config: SessionConfig, now: Instant) -> Self {
+        let history = History::new(loaded.history);
+        let phase = Phase::left_by_earlier_loop(&loaded.record, &history, now);
+        Self {
+            config,
+            record: loaded.record,
+            history,
+            program_end: loaded.program_end,
+            clients: Clients::default(),
+            phase,
+            pending: VecDeque::new(),
+            in_flight: None,
+            look_ups: BTreeMap::new(),
+            closing: None,
+            handing_over: false,
+            unconnected_since: Some(now),
+            ending: None,
+            last_id: 0,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Handles one message; never waits.
+    pub fn handle(&mut self, message: Message, moment: Moment) -> Vec<Effect> {
+        if self.ending.is_none() && moment.now >= moment.lease_until {
+            self.end(Ending::LeaseLost);
+        }
+        match self.ending.clone() {
+            Some(ending) => self.refuse_after_end(message, &ending),
+            None => self.dispatch(message, moment.now),
+        }
+        if self.ending.is_none() {
+            self.advance();
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When the next `Tick` is due, if no other message comes first.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Instant> {
+        if self.ending.is_some() {
+            return None;
+        }
+        let idle_end = self.unconnected_since.map(|since| since + self.config.unconnected_keep);
+        let idle_end = idle_end.filter(|_| self.may_close_unconnected());
+        [self.turn_end_time(), idle_end].into_iter().flatten().min()
+    }
+
+    /// Which session.
+    #[must_use]
+    pub fn key(&self) -> &SessionKey {
+        &self.record.key
+    }
+
+    /// Epoch that it is held under.
+    #[must_use]
+    pub fn epoch(&self) -> SessionEpoch {
+        self.record.epoch
+    }
+
+    /// The session as the loop's committed messages left it.
+    #[must_use]
+    pub fn record(&self) -> &SessionRecord {
+        &self.record
+    }
+
+    /// Why the loop is over, once it is.
+    #[must_use]
+    pub fn ending(&self) -> Option<&Ending> {
+        self.ending.as_ref()
+    }
+
+    fn dispatch(&mut self, message: Message, now: Instant) {
+        match message {
+            Message::Join { client, last_seen } => self.join(client, last_seen),
+            Message::Leave { client } => self.leave(client, now),
+            Message::RunTurn { client, request, last_seen } => {
+                self.run_turn(client, request, last_seen, now);
+            }
+            Message::TurnLookedUp { look_up, record } => self.turn_looked_up(look_up, record),
+            Message::LookUpFailed { look_up } => self.look_up_failed(look_up),
+            Message::SlotGranted { ticket } => self.slot_granted(ticket),
+            Message::SlotRefused { ticket, refusal } => self.slot_refused(ticket, refusal),
+            Message::ToolResult { reply, call, result } => self.tool_result(reply, call, result),
+            Message::Abort { reply, turn } => self.abort(reply, &turn),
+            Message::Close { reply } => self.close(Some(reply)),
+            Message::HandOver => self.hand_over(),
+            Message::Interrupt => self.interrupt(),
+            Message::Model { generation, event } => self.model_event(generation, event),
+            Message::Committed { commit, reply } => self.committed(commit, reply, now),
+            Message::CommitUncertain { commit } => self.commit_again(commit),
+            Message::OwnerChanged { record } => self.owner_changed(record),
+            Message::LeaseLost => self.end(Ending::LeaseLost),
+            Message::Tick => self.tick(now),
+        }
+    }
+
+    fn join(&mut self, client: ClientId, last_seen: Option<EventSeq>) {
+        self.unconnected_since = None;
+        let item = match last_seen {
+            None => Some(ClientItem::Sync {
+                record: Box::new(self.record.clone()),
+                history: self.history.events().to_vec(),
+            }),
+            Some(seen) => {
+                let missed = self.history.after(seen).to_vec();
+                (!missed.is_empty()).then_some(ClientItem::Events(missed))
+            }
+        };
+        if let Some(item) = item {
+            self.effects.push(Effect::Send { client, item });
+        }
+        let last_committed = EventSeq(self.record.next_seq.0.saturating_sub(1));
+        let last_sent = last_seen.unwrap_or_default().max(last_committed);
+        self.clients.follow_session(client, last_sent);
+    }
+
+    fn leave(&mut self, client: ClientId, now: Instant) {
+        self.clients.remove(client);
+        self.phase.forget_client(client);
+        self.look_ups.retain(|_, l| l.client != client);
+        if self.phase.is_abandoned() {
+            self.drop_starting(&SessionRefusal::TryAgain);
+        }
+        self.note_unconnected(now);
+    }
+
+    /// Starts the time without clients when nobody is connected (any more).
+    pub(crate) fn note_unconnected(&mut self, now: Instant) {
+        let waiting = self.phase.has_waiting_clients() || !self.look_ups.is_empty();
+        if self.clients.is_empty() && !waiting && self.unconnected_since.is_none() {
+            self.unconnected_since = Some(now);
+        }
+    }
+
+    fn tool_result(&mut self, reply: ReplyId, call: String, result: String) {
+        if let Some(seq) = self.history.tool_result(&call) {
+            self.reply(reply, Ok(Answer::ToolResult(seq)));
+            return;
+        }
+        let same_call = |p: &&mut PendingEvent| matches!(&p.body, EventBody::ToolResult { call: c, .. } if *c == call);
+        if let Some(waiting) = self.pending.iter_mut().find(same_call) {
+            waiting.replies.push(reply);
+            return;
+        }
+        if self.closing.is_some() || self.handing_over {
+            self.reply(reply, Err(SessionRefusal::HandedOver));
+            return;
+        }
+        let body = EventBody::ToolResult { call, result };
+        self.pending.push_back(PendingEvent { body, replies: vec![reply] });
+    }
+
+    fn close(&mut self, reply: Option<ReplyId>) {
+        self.closing.get_or_insert_default().extend(reply);
+        self.stop_turn_for_close();
+    }
+
+    fn hand_over(&mut self) {
+        self.handing_over = true;
+        self.give_up_starting_turn(&SessionRefusal::HandedOver);
+    }
+
+    fn owner_changed(&mut self, record: Box<SessionRecord>) {
+        let still_ours = record.epoch == self.record.epoch && record.owner == self.record.owner;
+        if !still_ours && record.epoch >= self.record.epoch {
+            self.end(Ending::NotOwner(Some(record)));
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.end_overdue_turn(now);
+        let overdue =
+            self.unconnected_since.is_some_and(|since| now >= since + self.config.unconnected_keep);
+        if overdue && self.may_close_unconnected() {
+            self.close(None);
+        }
+    }
+
+    fn may_close_unconnected(&self) -> bool {
+        matches!(self.phase, Phase::Idle) && self.pending.is_empty() && self.closing.is_none()
+    }
+
+    /// Ends the loop: the model stops, clients and waiting callers are told, nothing is released any more.
+    pub(crate) fn end(&mut self, ending: Ending) {
+        let refusal = ending.refusal();
+        self.end_phase(&refusal);
+        self.clients.refuse_all(&refusal, &mut self.effects);
+        for (_, look_up) in std::mem::take(&mut self.look_ups) {
+            crate::clients::refuse(look_up.client, refusal.clone(), &mut self.effects);
+        }
+        let waiting = std::mem::take(&mut self.pending).into_iter().flat_map(|p| p.replies);
+        let waiting = waiting.chain(self.in_flight.take().into_iter().flat_map(InFlight::replies));
+        let waiting = waiting.chain(self.closing.take().into_iter().flatten());
+        for reply in waiting.collect::<Vec<_>>() {
+            self.reply(reply, Err(refusal.clone()));
+        }
+        self.effects.push(Effect::Ended(ending.clone()));
+        self.ending = Some(ending);
+    }
+
+    fn refuse_after_end(&mut self, message: Message, ending: &Ending) {
+        let refusal = ending.refusal();
+        match message {
+            Message::Join { client, .. } | Message::RunTurn { client, .. } => {
+                crate::clients::refuse(client, refusal, &mut self.effects);
+            }
+            Message::ToolResult { reply, .. } | Message::Abort { reply, .. } => {
+                self.reply(reply, Err(refusal));
+            }
+            Message::Close { reply } if *ending == Ending::Closed => {
+                self.reply(reply, Ok(Answer::Closed(Box::new(self.record.clone()))));
+            }
+            Message::Close { reply } => self.reply(reply, Err(refusal)),
+            Message::SlotGranted { ticket } => self.effects.push(Effect::ReleaseSlot { ticket }),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn reply(&mut self, reply: ReplyId, answer: Result<Answer, SessionRefusal>) {
+        self.effects.push(Effect::Reply { reply, answer });
+    }
+
+    pub(crate) fn new_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+}
--- /dev/null
+++ b/crates/session/src/turn.rs
@@ -0,0 +1,549 @@
+//! A turn's way through the loop: asked for, waiting for its slot, open, ending.
+
+use std::time::Instant;
+
+use hooklug_state::shard::{
+    Event, EventBody, SessionRecord, ShardRefusal, TurnGrant, TurnRecord, TurnState,
+};
+use hooklug_types::{Digest, EndReason, EventSeq, FailureCode, TokenCount, TurnId};
+
+use crate::clients::refuse;
+use crate::effect::{Answer, ClientItem, Effect, GenerationRequest, SessionRefusal, SlotRequest};
+use crate::history::History;
+use crate::message::{
+    ClientId, GenerationId, LookUpId, ModelEnd, ModelEvent, ReplyId, SlotRefusal, SlotTicket,
+    TurnRequest,
+};
+use crate::session::{PendingEvent, Session};
+
+/// Where the session is in its line of turns.
+#[derive(Debug, Clone)]
+pub(crate) enum Phase {
+    /// Between turns.
+    Idle,
+    /// A turn was asked for and is not committed yet.
+    Starting(Box<StartingTurn>),
+    /// A turn is committed and not over.
+    Open(Box<OpenTurn>),
+}
+
+/// A turn that is not committed yet.
+#[derive(Debug, Clone)]
+pub(crate) struct StartingTurn {
+    pub(crate) request: TurnRequest,
+    clients: Vec<(ClientId, EventSeq)>,
+    /// Its slot, or the wish for one.
+    ticket: Option<SlotTicket>,
+    /// Whether it may be committed.
+    pub(crate) ready: bool,
+    /// Who asked to abort it meanwhile.
+    aborts: Vec<ReplyId>,
+}
+
+/// A committed turn that is not over.
+#[derive(Debug, Clone)]
+pub(crate) struct OpenTurn {
+    pub(crate) record: TurnRecord,
+    /// Tokens that its caller asked for; more than reserved when the budget cut it.
+    max_tokens: TokenCount,
+    deadline: Instant,
+    ticket: Option<SlotTicket>,
+    generation: Option<GenerationId>,
+    /// Tokens generated, committed or not.
+    generated: TokenCount,
+    /// Why it is over, once it is; committed after all its events.
+    pub(crate) ending: Option<EndReason>,
+    replies: Vec<ReplyId>,
+}
+
+/// A resend whose turn's record is being read.
+#[derive(Debug, Clone)]
+pub(crate) struct LookedUp {
+    pub(crate) client: ClientId,
+    request: TurnRequest,
+    last_seen: EventSeq,
+}
+
+impl Phase {
+    /// A turn that is open in the record was left by an earlier loop of this engine: it has no generation any more.
+    pub(crate) fn left_by_earlier_loop(
+        record: &SessionRecord,
+        history: &History,
+        now: Instant,
+    ) -> Self {
+        let Some(turn) = record.open_turn.clone() else { return Self::Idle };
+        let started = history.of_turn(&turn, EventSeq(0)).first().map(|e| e.seq);
+        let record = TurnRecord {
+            turn,
+            after: record.head.clone(),
+            digest: Digest([0; 32]),
+            started: started.unwrap_or_default(),
+            reserved: TokenCount(0),
+            tokens: TokenCount(0),
+            state: TurnState::Open,
+        };
+        let mut open = OpenTurn::new(record, TokenCount(0), now);
+        open.ending = Some(EndReason::Interrupted);
+        Self::Open(Box::new(open))
+    }
+
+    pub(crate) fn forget_client(&mut self, client: ClientId) {
+        if let Self::Starting(starting) = self {
+            starting.clients.retain(|(c, _)| *c != client);
+        }
+    }
+
+    /// Whether a turn waits for its slot that nobody wants any more.
+    pub(crate) fn is_abandoned(&self) -> bool {
+        matches!(self, Self::Starting(s) if s.clients.is_empty() && !s.ready)
+    }
+
+    pub(crate) fn has_waiting_clients(&self) -> bool {
+        matches!(self, Self::Starting(s) if !s.clients.is_empty())
+    }
+
+    fn turn(&self) -> Option<&TurnId> {
+        match self {
+            Self::Idle => None,
+            Self::Starting(starting) => Some(&starting.request.turn),
+            Self::Open(open) => Some(&open.record.turn),
+        }
+    }
+}
+
+impl OpenTurn {
+    fn new(record: TurnRecord, max_tokens: TokenCount, deadline: Instant) -> Self {
+        Self {
+            record,
+            max_tokens,
+            deadline,
+            ticket: None,
+            generation: None,
+            generated: TokenCount(0),
+            ending: None,
+            replies: Vec::new(),
+        }
+    }
+
+    fn cut_by_budget(&self) -> bool {
+        self.record.reserved < self.max_tokens
+    }
+}
+
+impl Session {
+    pub(crate) fn run_turn(
+        &mut self,
+        client: ClientId,
+        request: TurnRequest,
+        last_seen: EventSeq,
+        now: Instant,
+    ) {
+        self.unconnected_since = None;
+        match &mut self.phase {
+            Phase::Open(open) if open.record.turn == request.turn => {
+                let known = open.record.clone();
+                // A turn left by an earlier loop has no digest here: ask the shard.
+                if known.digest == Digest([0; 32]) {
+                    self.look_up(client, request, last_seen);
+                } else {
+                    self.attach(client, &known, &request, last_seen);
+                }
+            }
+            Phase::Starting(starting) if starting.request.turn == request.turn => {
+                if starting.request.digest == request.digest {
+                    starting.clients.push((client, last_seen));
+                } else {
+                    refuse(client, SessionRefusal::TryAgain, &mut self.effects);
+                }
+            }
+            _ if self.history.knows(&request.turn) => {
+                match self.history.record(&request.turn).cloned() {
+                    Some(known) => self.attach(client, &known, &request, last_seen),
+                    None => self.look_up(client, request, last_seen),
+                }
+            }
+            _ => self.start_turn(client, request, last_seen, now),
+        }
+        self.note_unconnected(now);
+    }
+
+    /// Lets a client follow a turn that is committed.
+    fn attach(
+        &mut self,
+        client: ClientId,
+        known: &TurnRecord,
+        request: &TurnRequest,
+        last_seen: EventSeq,
+    ) {
+        if known.digest != request.digest || known.after != request.after {
+            let refusal = SessionRefusal::Ledger(ShardRefusal::TurnDiffers);
+            refuse(client, refusal, &mut self.effects);
+            return;
+        }
+        self.follow(client, known.clone(), last_seen);
+    }
+
+    fn follow(&mut self, client: ClientId, record: TurnRecord, last_seen: EventSeq) {
+        let turn = record.turn.clone();
+        let ended = matches!(record.state, TurnState::Ended { .. });
+        self.effects.push(Effect::Send { client, item: ClientItem::Accepted(record) });
+        let missed = self.history.of_turn(&turn, last_seen);
+        let last_sent = missed.last().map_or(last_seen, |e| e.seq);
+        if !missed.is_empty() {
+            self.effects.push(Effect::Send { client, item: ClientItem::Events(missed) });
+        }
+        if ended {
+            self.effects.push(Effect::EndClient { client });
+        } else {
+            self.clients.follow_turn(client, turn, last_sent);
+        }
+    }
+
+    fn look_up(&mut self, client: ClientId, request: TurnRequest, last_seen: EventSeq) {
+        let look_up = LookUpId(self.new_id());
+        let turn = request.turn.clone();
+        self.look_ups.insert(look_up, LookedUp { client, request, last_seen });
+        self.effects.push(Effect::LookUpTurn { look_up, turn });
+    }
+
+    pub(crate) fn turn_looked_up(&mut self, look_up: LookUpId, record: Option<TurnRecord>) {
+        let Some(waiting) = self.look_ups.remove(&look_up) else { return };
+        let turn = waiting.request.turn.clone();
+        // Past its keep time the shard has forgotten it, while this loop still holds its events.
+        let Some(record) = record.or_else(|| self.record_from_history(&waiting.request)) else {
+            refuse(waiting.client, SessionRefusal::TryAgain, &mut self.effects);
+            return;
+        };
+        if matches!(&self.phase, Phase::Open(open) if open.record.turn == turn) {
+            if let Phase::Open(open) = &mut self.phase {
+                open.record.digest = record.digest;
+            }
+            let record = TurnRecord { state: TurnState::Open, ..record };
+            self.attach(waiting.client, &record, &waiting.request, waiting.last_seen);
+            return;
+        }
+        self.history.keep_record(record.clone());
+        self.attach(waiting.client, &record, &waiting.request, waiting.last_seen);
+    }
+
+    pub(crate) fn look_up_failed(&mut self, look_up: LookUpId) {
+        if let Some(waiting) = self.look_ups.remove(&look_up) {
+            refuse(waiting.client, SessionRefusal::TryAgain, &mut self.effects);
+        }
+    }
+
+    /// A record made of the loop's own events; `None` when the request differs from them.
+    fn record_from_history(&self, request: &TurnRequest) -> Option<TurnRecord> {
+        let events = self.history.of_turn(&request.turn, EventSeq(0));
+        let (first, last) = (events.first()?, events.last()?);
+        let EventBody::TurnStarted { after, input } = &first.body else { return None };
+        let EventBody::TurnEnded { reason, tokens } = &last.body else { return None };
+        (*after == request.after && *input == request.input).then(|| TurnRecord {
+            turn: request.turn.clone(),
+            after: after.clone(),
+            digest: request.digest,
+            started: first.seq,
+            reserved: *tokens,
+            tokens: *tokens,
+            state: TurnState::Ended { reason: reason.clone(), last_seq: last.seq },
+        })
+    }
+
+    fn start_turn(
+        &mut self,
+        client: ClientId,
+        request: TurnRequest,
+        last_seen: EventSeq,
+        now: Instant,
+    ) {
+        let refusal = if self.closing.is_some() || self.handing_over {
+            Some(SessionRefusal::HandedOver)
+        } else if request.deadline <= now {
+            Some(SessionRefusal::DeadlineExceeded)
+        } else {
+            let open = self.phase.turn().cloned();
+            open.map(|turn| SessionRefusal::Ledger(ShardRefusal::TurnOpen { turn }))
+        };
+        if let Some(refusal) = refusal {
+            refuse(client, refusal, &mut self.effects);
+            return;
+        }
+        // One that does not follow the head needs no slot: the shard refuses it.
+        let needs_slot = request.after == self.record.head;
+        let ticket = needs_slot.then(|| SlotTicket(self.new_id()));
+        if let Some(ticket) = ticket {
+            let request = SlotRequest {
+                tenant: request.tenant.clone(),
+                group: request.group.clone(),
+                urgent: request.urgent,
+                deadline: request.deadline,
+            };
+            self.effects.push(Effect::RequestSlot { ticket, request });
+        }
+        self.phase = Phase::Starting(Box::new(StartingTurn {
+            request,
+            clients: vec![(client, last_seen)],
+            ticket,
+            ready: ticket.is_none(),
+            aborts: Vec::new(),
+        }));
+    }
+
+    pub(crate) fn slot_granted(&mut self, ticket: SlotTicket) {
+        match &mut self.phase {
+            Phase::Starting(starting) if starting.ticket == Some(ticket) => starting.ready = true,
+            Phase::Open(open) if open.ticket == Some(ticket) => {}
+            _ => self.effects.push(Effect::ReleaseSlot { ticket }),
+        }
+    }
+
+    pub(crate) fn slot_refused(&mut self, ticket: SlotTicket, refusal: SlotRefusal) {
+        let waits = matches!(&self.phase,
+            Phase::Starting(s) if s.ticket == Some(ticket) && !s.ready);
+        if !waits {
+            return;
+        }
+        if let Phase::Starting(starting) = &mut self.phase {
+            starting.ticket = None;
+        }
+        let refusal = match refusal {
+            SlotRefusal::Overloaded { retry_after } => SessionRefusal::Overloaded { retry_after },
+            SlotRefusal::DeadlineExceeded => SessionRefusal::DeadlineExceeded,
+        };
+        self.drop_starting(&refusal);
+    }
+
+    /// Gives up a turn that is not being committed yet.
+    pub(crate) fn give_up_starting_turn(&mut self, refusal: &SessionRefusal) {
+        let waits = matches!(&self.phase, Phase::Starting(_)) && !self.begin_is_in_flight();
+        if waits {
+            self.drop_starting(refusal);
+        }
+    }
+
+    /// Leaves the starting turn and tells all who wait for it.
+    pub(crate) fn drop_starting(&mut self, refusal: &SessionRefusal) {
+        let Phase::Starting(starting) = std::mem::replace(&mut self.phase, Phase::Idle) else {
+            return;
+        };
+        if let Some(ticket) = starting.ticket {
+            self.effects.push(Effect::ReleaseSlot { ticket });
+        }
+        for (client, _) in starting.clients {
+            refuse(client, refusal.clone(), &mut self.effects);
+        }
+        for reply in starting.aborts {
+            self.reply(reply, Err(refusal.clone()));
+        }
+    }
+
+    /// The shard has committed the starting turn.
+    pub(crate) fn turn_begun(&mut self, grant: &TurnGrant) {
+        let Phase::Starting(starting) = std::mem::replace(&mut self.phase, Phase::Idle) else {
+            return;
+        };
+        let StartingTurn { request, clients, ticket, aborts, .. } = *starting;
+        let record = TurnRecord {
+            turn: request.turn.clone(),
+            after: request.after.clone(),
+            digest: request.digest,
+            started: grant.started,
+            reserved: grant.reserved,
+            tokens: TokenCount(0),
+            state: TurnState::Open,
+        };
+        self.record.open_turn = Some(request.turn.clone());
+        let mut open = OpenTurn::new(record.clone(), request.max_tokens, request.deadline);
+        open.ticket = ticket;
+        let unwanted = !aborts.is_empty() || self.closing.is_some();
+        open.replies = aborts;
+        self.phase = Phase::Open(Box::new(open));
+        let body =
+            EventBody::TurnStarted { after: request.after.clone(), input: request.input.clone() };
+        let event = Event { seq: grant.started, turn: Some(request.turn.clone()), body };
+        self.release(vec![event]);
+        for (client, last_seen) in clients {
+            self.follow(client, record.clone(), last_seen);
+        }
+        if unwanted {
+            self.end_turn(EndReason::Aborted);
+        } else {
+            self.start_generation(request);
+        }
+    }
+
+    /// The shard knew the starting turn already, and it is over.
+    pub(crate) fn turn_found(&mut self, known: TurnRecord) {
+        let Phase::Starting(starting) = std::mem::replace(&mut self.phase, Phase::Idle) else {
+            return;
+        };
+        if let Some(ticket) = starting.ticket {
+            self.effects.push(Effect::ReleaseSlot { ticket });
+        }
+        for (client, last_seen) in starting.clients {
+            self.follow(client, known.clone(), last_seen);
+        }
+        for reply in starting.aborts {
+            self.reply(reply, Ok(Answer::Turn(known.clone())));
+        }
+        self.history.keep_record(known);
+    }
+
+    fn start_generation(&mut self, request: TurnRequest) {
+        let generation = GenerationId(self.new_id());
+        let Phase::Open(open) = &mut self.phase else { return };
+        open.generation = Some(generation);
+        let request = Box::new(GenerationRequest {
+            key: self.record.key.clone(),
+            turn: request.turn,
+            prefix: self.record.prefix.clone(),
+            history: self.history.before(open.record.started).to_vec(),
+            input: request.input,
+            max_tokens: open.record.reserved,
+            deadline: request.deadline.min(self.program_end),
+        });
+        self.effects.push(Effect::StartGeneration { generation, request });
+    }
+
+    pub(crate) fn model_event(&mut self, generation: GenerationId, event: ModelEvent) {
+        let Phase::Open(open) = &mut self.phase else { return };
+        if open.generation != Some(generation) || open.ending.is_some() {
+            return;
+        }
+        let body = match event {
+            ModelEvent::Text { text, tokens } => {
+                let total = TokenCount(open.generated.0.saturating_add(tokens.0));
+                if total > open.record.reserved {
+                    let reason = open.reason_at_limit(EndReason::Interrupted);
+                    self.end_turn(reason);
+                    return;
+                }
+                open.generated = total;
+                EventBody::Tokens { text, count: tokens }
+            }
+            ModelEvent::Tool { tool, arguments } => EventBody::ToolRequested { tool, arguments },
+            ModelEvent::End(end) => {
+                // The generation is over by itself: nothing to stop.
+                open.generation = None;
+                let reason = match end {
+                    ModelEnd::Stop => EndReason::Finished,
+                    ModelEnd::Length => open.reason_at_limit(EndReason::Finished),
+                    ModelEnd::Error => EndReason::Failed { code: FailureCode::BackendError },
+                };
+                self.end_turn(reason);
+                return;
+            }
+            ModelEvent::Failed(code) => {
+                open.generation = None;
+                self.end_turn(EndReason::Failed { code });
+                return;
+            }
+            ModelEvent::Cut => {
+                open.generation = None;
+                self.end_turn(EndReason::Interrupted);
+                return;
+            }
+        };
+        self.pending.push_back(PendingEvent { body, replies: Vec::new() });
+    }
+
+    pub(crate) fn abort(&mut self, reply: ReplyId, turn: &TurnId) {
+        match &mut self.phase {
+            Phase::Open(open) if open.record.turn == *turn => {
+                open.replies.push(reply);
+                self.end_turn(EndReason::Aborted);
+            }
+            Phase::Starting(starting) if starting.request.turn == *turn => {
+                // It is begun without its slot and ended at once, so that the abort is on record.
+                starting.aborts.push(reply);
+                starting.ready = true;
+                if let Some(ticket) = starting.ticket.take() {
+                    self.effects.push(Effect::ReleaseSlot { ticket });
+                }
+            }
+            _ => {
+                let known = self.history.record(turn).cloned();
+                let answer = known.map(Answer::Turn).ok_or(SessionRefusal::UnknownTurn);
+                self.reply(reply, answer);
+            }
+        }
+    }
+
+    pub(crate) fn interrupt(&mut self) {
+        self.give_up_starting_turn(&SessionRefusal::HandedOver);
+        self.end_turn(EndReason::Interrupted);
+    }
+
+    pub(crate) fn stop_turn_for_close(&mut self) {
+        self.give_up_starting_turn(&SessionRefusal::HandedOver);
+        self.end_turn(EndReason::Aborted);
+    }
+
+    /// Ends the open turn, unless it is ending already. Its events so far are committed first.
+    fn end_turn(&mut self, reason: EndReason) {
+        let Phase::Open(open) = &mut self.phase else { return };
+        if open.ending.is_some() {
+            return;
+        }
+        open.ending = Some(reason);
+        if let Some(generation) = open.generation.take() {
+            self.effects.push(Effect::StopGeneration { generation });
+        }
+        if let Some(ticket) = open.ticket.take() {
+            self.effects.push(Effect::ReleaseSlot { ticket });
+        }
+    }
+
+    /// The shard has committed the end of the open turn.
+    pub(crate) fn turn_ended(&mut self, ended: TurnRecord, event: Event) {
+        let Phase::Open(open) = std::mem::replace(&mut self.phase, Phase::Idle) else { return };
+        self.record.open_turn = None;
+        self.record.head = Some(ended.turn.clone());
+        self.history.keep_record(ended.clone());
+        self.release(vec![event]);
+        for reply in open.replies {
+            self.reply(reply, Ok(Answer::Turn(ended.clone())));
+        }
+    }
+
+    pub(crate) fn turn_end_time(&self) -> Option<Instant> {
+        match &self.phase {
+            Phase::Open(open) if open.ending.is_none() => Some(open.deadline.min(self.program_end)),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn end_overdue_turn(&mut self, now: Instant) {
+        if !self.turn_end_time().is_some_and(|end| now >= end) {
+            return;
+        }
+        let code = if now >= self.program_end {
+            FailureCode::ProgramEnded
+        } else {
+            FailureCode::DeadlineExceeded
+        };
+        self.end_turn(EndReason::Failed { code });
+    }
+
+    /// Leaves the phase because the loop ends.
+    pub(crate) fn end_phase(&mut self, refusal: &SessionRefusal) {
+        self.drop_starting(refusal);
+        self.end_turn(EndReason::Interrupted);
+        if let Phase::Open(open) = std::mem::replace(&mut self.phase, Phase::Idle) {
+            for reply in open.replies {
+                self.reply(reply, Err(refusal.clone()));
+            }
+        }
+    }
+}
+
+impl OpenTurn {
+    /// The end of a turn whose reservation is reached: by the budget, if that cut the reservation.
+    fn reason_at_limit(&self, otherwise: EndReason) -> EndReason {
+        if self.cut_by_budget() {
+            EndReason::Failed { code: FailureCode::BudgetSpent }
+        } else {
+            otherwise
+        }
+    }
+}
