--- /dev/null
+++ b/crates/engine/src/handlers.rs
@@ -0,0 +1,280 @@
+//! The engine's rpc handlers.
+//!
+//! A caller that gives up cancels its handler at any await. What must complete (opening, taking)
+//! therefore runs in a task of its own; a followed stream leaves its session when it is dropped.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_protocol::engine::{
+    AbortTurn, CloseSession, EngineRefusal, EngineReply, Join, JoinItem, OpenSession, RunTurn,
+    TakeSession, ToolResult, TurnItem,
+};
+use hooklug_rpc::{ItemSink, Router};
+use hooklug_session::{Answer, ClientId, ClientItem, Message, SessionRefusal, TurnRequest};
+use hooklug_state::shard::{
+    SessionRecord, ShardAnswer, ShardQuery, ShardRefusal, TurnRecord, TurnState,
+};
+use hooklug_types::{Digest, EventSeq, SessionPlace, TokenCount, TurnId};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::loader::group_of;
+use crate::opening;
+use crate::session_task::{Mailbox, loop_now};
+use crate::shared::{STORE_TIME, Shared};
+
+/// Times that a request is tried again when the loop that it was meant for ended under it (ours).
+const LOOP_TRIES: usize = 3;
+
+/// All handlers of an engine.
+#[must_use]
+pub fn router(shared: &Arc<Shared>) -> Router {
+    let open = with(shared, |s, r: OpenSession| async move {
+        to_reply(&s.clone(), detached(async move { opening::open(&s, r).await }).await)
+    });
+    let take = with(shared, |s, r: TakeSession| async move {
+        to_reply(&s.clone(), detached(async move { opening::take(&s, r).await }).await)
+    });
+    let abort =
+        with(shared, |s, r: AbortTurn| async move { to_reply(&s, abort_turn(&s, &r).await) });
+    let tool =
+        with(shared, |s, r: ToolResult| async move { to_reply(&s, tool_result(&s, &r).await) });
+    let close =
+        with(shared, |s, r: CloseSession| async move { to_reply(&s, close_session(&s, &r).await) });
+    let (turns, joins) = (shared.clone(), shared.clone());
+    Router::new()
+        .route(move |_, request| open(request))
+        .route(move |_, request| take(request))
+        .route(move |_, request| abort(request))
+        .route(move |_, request| tool(request))
+        .route(move |_, request| close(request))
+        .stream(move |_, request, sink| run_turn(turns.clone(), request, sink))
+        .stream(move |_, request, sink| join(joins.clone(), request, sink))
+}
+
+fn with<R, F, Fut>(shared: &Arc<Shared>, handler: F) -> impl Fn(R) -> Fut + use<R, F, Fut>
+where
+    F: Fn(Arc<Shared>, R) -> Fut,
+{
+    let shared = shared.clone();
+    move |request| handler(shared.clone(), request)
+}
+
+fn to_reply<T>(shared: &Shared, result: Result<T, EngineRefusal>) -> EngineReply<T> {
+    EngineReply { load: shared.load(), result }
+}
+
+/// Runs something to its end even when whoever waits for it gives up.
+async fn detached<T: Send + 'static>(
+    work: impl Future<Output = Result<T, EngineRefusal>> + Send + 'static,
+) -> Result<T, EngineRefusal> {
+    tokio::spawn(work).await.unwrap_or(Err(EngineRefusal::StoreUnavailable))
+}
+
+async fn find(shared: &Arc<Shared>, place: &SessionPlace) -> Result<Mailbox, EngineRefusal> {
+    let (shared, place) = (shared.clone(), place.clone());
+    detached(async move { opening::find(&shared, &place).await }).await
+}
+
+/// Asks a session's loop; again when the loop ends under the question, so that the shard's record is told.
+async fn ask(
+    shared: &Arc<Shared>,
+    place: &SessionPlace,
+    message: impl Fn(hooklug_session::ReplyId) -> Message,
+) -> Result<Result<Answer, SessionRefusal>, EngineRefusal> {
+    for _ in 0..LOOP_TRIES {
+        let mailbox = find(shared, place).await?;
+        let reply = shared.new_reply();
+        if let Some(answer) = mailbox.ask(reply, message(reply)).await {
+            return Ok(answer);
+        }
+    }
+    Err(EngineRefusal::StoreUnavailable)
+}
+
+async fn abort_turn(
+    shared: &Arc<Shared>,
+    request: &AbortTurn,
+) -> Result<TurnRecord, EngineRefusal> {
+    let turn = &request.turn;
+    let message = |reply| Message::Abort { reply, turn: turn.clone() };
+    match ask(shared, &request.place, message).await? {
+        Ok(Answer::Turn(record)) => Ok(record),
+        Err(SessionRefusal::UnknownTurn) => read_ended_turn(shared, &request.place, turn).await,
+        Ok(_) => Err(EngineRefusal::StoreUnavailable),
+        Err(refusal) => Err(to_refusal(refusal)),
+    }
+}
+
+/// A turn that the loop does not know: only the shard may say that there is none.
+async fn read_ended_turn(
+    shared: &Shared,
+    place: &SessionPlace,
+    turn: &TurnId,
+) -> Result<TurnRecord, EngineRefusal> {
+    let query = ShardQuery::Turn { key: place.key.clone(), turn: turn.clone() };
+    let deadline = Instant::now() + STORE_TIME;
+    match shared.state.query_shard(group_of(&place.key), &query, deadline).await {
+        Ok(ShardAnswer::Turn(Some(record))) if record.state != TurnState::Open => Ok(record),
+        Ok(ShardAnswer::Turn(None)) => Err(EngineRefusal::Ledger(ShardRefusal::NoOpenTurn)),
+        _ => Err(EngineRefusal::StoreUnavailable),
+    }
+}
+
+async fn tool_result(
+    shared: &Arc<Shared>,
+    request: &ToolResult,
+) -> Result<EventSeq, EngineRefusal> {
+    let message = |reply| Message::ToolResult {
+        reply,
+        call: request.call.clone(),
+        result: request.result.clone(),
+    };
+    match ask(shared, &request.place, message).await? {
+        Ok(Answer::ToolResult(seq)) => Ok(seq),
+        Ok(_) => Err(EngineRefusal::StoreUnavailable),
+        Err(refusal) => Err(to_refusal(refusal)),
+    }
+}
+
+async fn close_session(
+    shared: &Arc<Shared>,
+    request: &CloseSession,
+) -> Result<SessionRecord, EngineRefusal> {
+    match ask(shared, &request.place, |reply| Message::Close { reply }).await {
+        Ok(Ok(Answer::Closed(record))) => Ok(*record),
+        Ok(Ok(_)) => Err(EngineRefusal::StoreUnavailable),
+        Ok(Err(refusal)) => Err(to_refusal(refusal)),
+        // Closed is closed, whoever did it.
+        Err(EngineRefusal::NotOwner { record: Some(record) }) if record.closed => Ok(*record),
+        Err(refusal) => Err(refusal),
+    }
+}
+
+/// A client's place in a session; leaves it when dropped.
+struct Connected {
+    mailbox: Mailbox,
+    client: ClientId,
+    items: mpsc::Receiver<ClientItem>,
+}
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.mailbox.tell(Message::Leave { client: self.client });
+    }
+}
+
+async fn connect(
+    shared: &Arc<Shared>,
+    place: &SessionPlace,
+    message: impl Fn(ClientId) -> Message,
+) -> Result<Connected, EngineRefusal> {
+    for _ in 0..LOOP_TRIES {
+        let mailbox = find(shared, place).await?;
+        let client = shared.new_client();
+        if let Some(items) = mailbox.connect(client, message(client)) {
+            return Ok(Connected { mailbox, client, items });
+        }
+    }
+    Err(EngineRefusal::StoreUnavailable)
+}
+
+async fn run_turn(shared: Arc<Shared>, request: RunTurn, sink: ItemSink<TurnItem>) {
+    let (place, last_seen) = (request.place.clone(), request.last_seen);
+    let turn = turn_request(request);
+    let message = |client| Message::RunTurn { client, request: turn.clone(), last_seen };
+    let refused = |refusal| TurnItem::Refused { refusal, load: shared.load() };
+    let mut connected = match connect(&shared, &place, message).await {
+        Ok(connected) => connected,
+        Err(refusal) => {
+            // A caller that is gone needs no answer.
+            let _ = sink.send(&refused(refusal)).await;
+            return;
+        }
+    };
+    while let Some(item) = connected.items.recv().await {
+        let items = match item {
+            ClientItem::Accepted(turn) => vec![TurnItem::Accepted { turn, load: shared.load() }],
+            ClientItem::Events(events) => events.into_iter().map(TurnItem::Event).collect(),
+            ClientItem::Refused(refusal) => vec![refused(to_refusal(refusal))],
+            ClientItem::Sync { .. } => Vec::new(),
+        };
+        for item in items {
+            if sink.send(&item).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn turn_request(request: RunTurn) -> TurnRequest {
+    let digest = content_digest(&request.after, &request.input, request.max_tokens);
+    TurnRequest {
+        turn: request.turn,
+        after: request.after,
+        input: request.input,
+        max_tokens: request.max_tokens,
+        digest,
+        tenant: request.tenant,
+        group: request.group,
+        urgent: request.urgent,
+        deadline: loop_now() + Duration::from_millis(request.deadline_ms).min(LONGEST_TURN),
+    }
+}
+
+/// Longest time that a turn may take whatever its caller says (ours): a day.
+const LONGEST_TURN: Duration = Duration::from_secs(86_400);
+
+/// Digest of a turn's content, by which a resend is told from another turn.
+#[must_use]
+pub fn content_digest(after: &Option<TurnId>, input: &str, max_tokens: TokenCount) -> Digest {
+    Digest::of(&hooklug_state::encode(&(after, input, max_tokens)))
+}
+
+async fn join(shared: Arc<Shared>, request: Join, sink: ItemSink<JoinItem>) {
+    let last_seen = request.last_seen;
+    let message = |client| Message::Join { client, last_seen };
+    let mut connected = match connect(&shared, &request.place, message).await {
+        Ok(connected) => connected,
+        Err(refusal) => {
+            // A caller that is gone needs no answer.
+            let _ = sink.send(&JoinItem::Refused(refusal)).await;
+            return;
+        }
+    };
+    loop {
+        // A quiet session sends nothing, so a caller that is gone would not be noticed by sending.
+        let item = tokio::select! {
+            item = connected.items.recv() => item,
+            () = sink.closed() => return,
+        };
+        let items = match item {
+            None => return,
+            Some(ClientItem::Sync { record, history }) => vec![JoinItem::Sync { record, history }],
+            Some(ClientItem::Events(events)) => events.into_iter().map(JoinItem::Event).collect(),
+            Some(ClientItem::Refused(refusal)) => vec![JoinItem::Refused(to_refusal(refusal))],
+            Some(ClientItem::Accepted(_)) => Vec::new(),
+        };
+        for item in items {
+            if sink.send(&item).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn to_refusal(refusal: SessionRefusal) -> EngineRefusal {
+    match refusal {
+        SessionRefusal::Ledger(refusal) => EngineRefusal::Ledger(refusal),
+        SessionRefusal::NotOwner { record } => EngineRefusal::NotOwner { record },
+        SessionRefusal::LeaseLost => EngineRefusal::LeaseLost,
+        SessionRefusal::HandedOver => EngineRefusal::HandedOver,
+        SessionRefusal::Overloaded { retry_after } => EngineRefusal::Overloaded {
+            retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+        },
+        SessionRefusal::DeadlineExceeded => EngineRefusal::DeadlineExceeded,
+        SessionRefusal::UnknownTurn | SessionRefusal::TryAgain => EngineRefusal::StoreUnavailable,
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,4 +1,26 @@
-//! See docs/ARCHITECTURE.md.
+//! The session-host engine: runs sessions' loops beside a model server.
+//!
+//! The engine owns its sessions by its shard's word and its lease ([`lease`]), writes every event
+//! ahead ([`shard_writer`]), admits turns by slots and windows ([`admission`]), and drains when its
+//! version is over or the platform stops it ([`drain`]).
 
 #![deny(rust_2018_idioms)]
 #![forbid(unsafe_code)]
+
+pub mod admission;
+pub mod drain;
+mod engine;
+pub mod handlers;
+pub mod lease;
+pub mod loader;
+pub mod model;
+pub mod opening;
+pub mod release;
+mod reporter;
+pub mod session_task;
+pub mod shard_writer;
+pub mod shared;
+pub mod slots;
+pub mod table;
+
+pub use engine::{Engine, EngineError};
--- /dev/null
+++ b/crates/engine/src/model/connection.rs
@@ -0,0 +1,145 @@
+//! One HTTP/1.1 connection to the model server, whose identity was asked when it was opened.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use super::identity::BackendIdentity;
+
+/// Longest time to open a connection and learn the identity (ours).
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+
+/// Longest body of an answer that is read as a whole, in bytes (ours).
+const SMALL_BODY_BYTES: usize = 64 << 10;
+
+/// Why there is no connection, or no answer on it.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// It could not be opened.
+    #[error("cannot connect: {0}")]
+    Io(#[from] std::io::Error),
+    /// The exchange broke.
+    #[error("exchange broke: {0}")]
+    Http(#[from] hyper::Error),
+    /// It took too long.
+    #[error("no answer in time")]
+    TimedOut,
+    /// The answer is not what the contract asks for.
+    #[error("not by the contract: {0}")]
+    Contract(String),
+}
+
+/// An open connection. Dropping it closes it, which aborts a generation that runs on it.
+#[derive(Debug)]
+pub struct ModelConnection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    identity: BackendIdentity,
+}
+
+impl Drop for ModelConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl ModelConnection {
+    /// Opens a connection and asks who answers there.
+    ///
+    /// # Errors
+    /// When nobody answers in time or by the contract.
+    pub async fn open(address: SocketAddr) -> Result<Self, ConnectError> {
+        timeout(CONNECT_TIME, Self::open_untimed(address))
+            .await
+            .map_err(|_| ConnectError::TimedOut)?
+    }
+
+    async fn open_untimed(address: SocketAddr) -> Result<Self, ConnectError> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let driver = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "connection to the model server ended");
+            }
+        })
+        .abort_handle();
+        match read_json(&mut sender, address, "/identity").await {
+            Ok(identity) => Ok(Self { sender, driver, identity }),
+            Err(error) => {
+                driver.abort();
+                Err(error)
+            }
+        }
+    }
+
+    /// Who answered when it was opened.
+    #[must_use]
+    pub fn identity(&self) -> &BackendIdentity {
+        &self.identity
+    }
+
+    /// Whether it can take a request now.
+    #[must_use]
+    pub fn is_usable(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Asks for a small JSON document.
+    ///
+    /// # Errors
+    /// When no whole answer came in time.
+    pub async fn get<T: DeserializeOwned>(
+        &mut self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T, ConnectError> {
+        timeout(CONNECT_TIME, read_json(&mut self.sender, address, path))
+            .await
+            .map_err(|_| ConnectError::TimedOut)?
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// When the connection broke first.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        self.sender.ready().await?;
+        self.sender.send_request(request).await
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(
+    sender: &mut SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+    path: &str,
+) -> Result<T, ConnectError> {
+    let request = Request::get(path)
+        .header(http::header::HOST, address.to_string())
+        .body(Full::default())
+        .map_err(|e| ConnectError::Contract(e.to_string()))?;
+    sender.ready().await?;
+    let response = sender.send_request(request).await?;
+    if response.status() != StatusCode::OK {
+        return Err(ConnectError::Contract(format!("{path} answered {}", response.status())));
+    }
+    let body = Limited::new(response.into_body(), SMALL_BODY_BYTES)
+        .collect()
+        .await
+        .map_err(|e| ConnectError::Contract(format!("{path}: {e}")))?;
+    serde_json::from_slice(&body.to_bytes())
+        .map_err(|e| ConnectError::Contract(format!("{path}: {e}")))
+}
--- /dev/null
+++ b/crates/engine/src/opening.rs
@@ -0,0 +1,202 @@
+//! Opening, taking over and taking up sessions.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use hooklug_protocol::engine::{EngineRefusal, OpenSession, TakeSession};
+use hooklug_protocol::store::{LeaseSubject, LeaseVerdict};
+use hooklug_session::{Message, Session};
+use hooklug_state::shard::{
+    OpenSession as OpenCommand, SessionRecord, ShardCommand, ShardRefusal, ShardReply,
+    TakeSession as TakeCommand,
+};
+use hooklug_types::{EngineIncarnation, SessionKey, SessionPlace, shard_of};
+use tokio::time::Instant;
+
+use crate::loader::{LoadError, group_of, load, read_record};
+use crate::session_task::{self, Mailbox, loop_now};
+use crate::shared::{STORE_TIME, Shared};
+
+/// Opens a session here, unless another engine owns it.
+///
+/// # Errors
+/// [`EngineRefusal`] says why not.
+pub async fn open(
+    shared: &Arc<Shared>,
+    request: OpenSession,
+) -> Result<SessionRecord, EngineRefusal> {
+    check_incarnation(shared, &request.engine)?;
+    let _opening = shared.table.lock_opening(&request.key).await;
+    if shared.table.get(&request.key).is_none() {
+        check_may_take(shared)?;
+    }
+    if request.service != shared.settings.service {
+        let reason = format!("this engine serves {}", shared.settings.service);
+        return Err(EngineRefusal::NotReady { reason });
+    }
+    let command = ShardCommand::OpenSession(OpenCommand {
+        key: request.key.clone(),
+        owner: shared.engine.clone(),
+        service: request.service,
+        version: shared.settings.version.clone(),
+        prefix: request.prefix,
+    });
+    let record = execute(shared, &request.key, &command).await?;
+    hold_if_owner(shared, record).await
+}
+
+/// Takes a session over whose owner is gone. The former owner's lease is seen to be expired first.
+///
+/// # Errors
+/// [`EngineRefusal`] says why not.
+pub async fn take(
+    shared: &Arc<Shared>,
+    request: TakeSession,
+) -> Result<SessionRecord, EngineRefusal> {
+    check_incarnation(shared, &request.engine)?;
+    let _opening = shared.table.lock_opening(&request.key).await;
+    let record = record_of(shared, &request.key).await?;
+    if record.owner.as_ref() == Some(&shared.engine) {
+        return hold_if_owner(shared, record).await;
+    }
+    check_may_take(shared)?;
+    if record.closed || record.epoch != request.expected_epoch {
+        return Err(not_owner(record));
+    }
+    if let Some(owner) = &record.owner
+        && !has_expired(shared, owner).await?
+    {
+        return Err(not_owner(record));
+    }
+    let command = ShardCommand::TakeSession(TakeCommand {
+        key: request.key.clone(),
+        expected_epoch: request.expected_epoch,
+        new_owner: shared.engine.clone(),
+        version: shared.settings.version.clone(),
+    });
+    let record = execute(shared, &request.key, &command).await?;
+    hold_if_owner(shared, record).await
+}
+
+/// The loop of a session that a gateway believes to be here.
+///
+/// # Errors
+/// [`EngineRefusal::NotOwner`] carries the shard's record.
+pub async fn find(shared: &Arc<Shared>, place: &SessionPlace) -> Result<Mailbox, EngineRefusal> {
+    check_incarnation(shared, &place.owner)?;
+    if !shared.lease.is_held() {
+        return Err(EngineRefusal::LeaseLost);
+    }
+    if let Some(held) = shared.table.get(&place.key) {
+        if held.epoch >= place.epoch {
+            return Ok(held.mailbox);
+        }
+        // The gateway has seen a later epoch than this loop: let the shard decide.
+        let record = record_of(shared, &place.key).await?;
+        held.mailbox.tell(Message::OwnerChanged { record: Box::new(record.clone()) });
+        if record.epoch != held.epoch {
+            return Err(not_owner(record));
+        }
+        return Ok(held.mailbox);
+    }
+    let _opening = shared.table.lock_opening(&place.key).await;
+    if let Some(held) = shared.table.get(&place.key) {
+        return Ok(held.mailbox);
+    }
+    let record = record_of(shared, &place.key).await?;
+    hold(shared, record).await
+}
+
+/// The session's record as the shard has it.
+///
+/// # Errors
+/// When there is none, or the shard gave no answer.
+pub async fn record_of(shared: &Shared, key: &SessionKey) -> Result<SessionRecord, EngineRefusal> {
+    let record = read_record(shared.state.as_ref(), key, store_deadline()).await;
+    record.map_err(load_refusal)?.ok_or(EngineRefusal::Ledger(ShardRefusal::NoSession))
+}
+
+/// Refusal that names the owner.
+#[must_use]
+pub fn not_owner(record: SessionRecord) -> EngineRefusal {
+    EngineRefusal::NotOwner { record: Some(Box::new(record)) }
+}
+
+async fn hold_if_owner(
+    shared: &Arc<Shared>,
+    record: SessionRecord,
+) -> Result<SessionRecord, EngineRefusal> {
+    hold(shared, record.clone()).await.map(|_| record)
+}
+
+/// Runs the loop of a session whose record names this engine. The caller holds the key's opening lock.
+async fn hold(shared: &Arc<Shared>, record: SessionRecord) -> Result<Mailbox, EngineRefusal> {
+    if record.closed || record.owner.as_ref() != Some(&shared.engine) {
+        return Err(not_owner(record));
+    }
+    if let Some(held) = shared.table.get(&record.key) {
+        return Ok(held.mailbox);
+    }
+    let (key, epoch) = (record.key.clone(), record.epoch);
+    let loaded =
+        load(shared.state.as_ref(), record, store_deadline()).await.map_err(load_refusal)?;
+    let session = Session::new(loaded, shared.session_config(), loop_now());
+    let mailbox = session_task::start(shared, session);
+    shared.table.insert(key, epoch, mailbox.clone());
+    if shared.handing_over.load(Ordering::Acquire) {
+        mailbox.tell(Message::HandOver);
+    }
+    Ok(mailbox)
+}
+
+async fn execute(
+    shared: &Shared,
+    key: &SessionKey,
+    command: &ShardCommand,
+) -> Result<SessionRecord, EngineRefusal> {
+    let answered = shared.state.execute_shard(group_of(key), command, store_deadline()).await;
+    match answered {
+        Ok(ShardReply::Session(record)) => Ok(record),
+        Ok(ShardReply::Refused(ShardRefusal::StaleEpoch { record })) => {
+            Err(EngineRefusal::NotOwner { record: Some(record) })
+        }
+        Ok(ShardReply::Refused(refusal)) => Err(EngineRefusal::Ledger(refusal)),
+        Ok(_) | Err(_) => Err(EngineRefusal::StoreUnavailable),
+    }
+}
+
+async fn has_expired(shared: &Shared, owner: &EngineIncarnation) -> Result<bool, EngineRefusal> {
+    let group = shard_of(owner.engine.as_str());
+    let subject = LeaseSubject::Engine(owner.clone());
+    match shared.state.expire_lease(group, subject, store_deadline()).await {
+        Ok(LeaseVerdict::Expired | LeaseVerdict::Unknown) => Ok(true),
+        Ok(LeaseVerdict::Held { .. }) => Ok(false),
+        Err(_) => Err(EngineRefusal::StoreUnavailable),
+    }
+}
+
+fn check_incarnation(shared: &Shared, meant: &EngineIncarnation) -> Result<(), EngineRefusal> {
+    if *meant == shared.engine {
+        Ok(())
+    } else {
+        Err(EngineRefusal::WrongIncarnation { running: shared.engine.clone() })
+    }
+}
+
+fn check_may_take(shared: &Shared) -> Result<(), EngineRefusal> {
+    if shared.is_draining() {
+        return Err(EngineRefusal::Draining);
+    }
+    match shared.unready_reason() {
+        Some(reason) => Err(EngineRefusal::NotReady { reason: reason.to_owned() }),
+        None => Ok(()),
+    }
+}
+
+fn load_refusal(_: LoadError) -> EngineRefusal {
+    EngineRefusal::StoreUnavailable
+}
+
+fn store_deadline() -> Instant {
+    Instant::now() + STORE_TIME
+}
--- a/crates/session/src/commit.rs
+++ b/crates/session/src/commit.rs
@@ -232,7 +232,7 @@
             return false;
         }
         let event = ended_event(turn, last_seq, reason, ended.tokens);
-        self.turn_ended(ended, event);
+        self.turn_ended(&ended, event);
         true
     }
 
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -100,7 +100,7 @@
             self.end(Ending::LeaseLost);
         }
         match self.ending.clone() {
-            Some(ending) => self.refuse_after_end(message, &ending),
+            Some(ending) => self.refuse_after_end(&message, &ending),
             None => self.dispatch(message, moment.now),
         }
         if self.ending.is_none() {
@@ -273,9 +273,9 @@
         self.ending = Some(ending);
     }
 
-    fn refuse_after_end(&mut self, message: Message, ending: &Ending) {
+    fn refuse_after_end(&mut self, message: &Message, ending: &Ending) {
         let refusal = ending.refusal();
-        match message {
+        match *message {
             Message::Join { client, .. } | Message::RunTurn { client, .. } => {
                 crate::clients::refuse(client, refusal, &mut self.effects);
             }
--- a/crates/session/src/turn.rs
+++ b/crates/session/src/turn.rs
@@ -495,7 +495,7 @@
     }
 
     /// The shard has committed the end of the open turn.
-    pub(crate) fn turn_ended(&mut self, ended: TurnRecord, event: Event) {
+    pub(crate) fn turn_ended(&mut self, ended: &TurnRecord, event: Event) {
         let Phase::Open(open) = std::mem::replace(&mut self.phase, Phase::Idle) else { return };
         self.record.open_turn = None;
         self.record.head = Some(ended.turn.clone());
@@ -514,7 +514,7 @@
     }
 
     pub(crate) fn end_overdue_turn(&mut self, now: Instant) {
-        if !self.turn_end_time().is_some_and(|end| now >= end) {
+        if self.turn_end_time().is_none_or(|end| now < end) {
             return;
         }
         let code = if now >= self.program_end {
