state: use crate bundle's canonical bytes and sections

Cause: the machine carried its own copy of the bundle's byte form until crate bundle had it. Change: the copy is gone; non-canonical bytes are refused as before.

--- a/crates/state/src/meta/archive.rs
+++ b/crates/state/src/meta/archive.rs
@@ -2,11 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use hooklug_bundle::Bundle;
+use hooklug_bundle::{Bundle, BundleHeader};
 use hooklug_types::{BundleVersion, Digest};
 use serde::{Deserialize, Serialize};
 
-use super::canonical;
 use super::record::BundleRecord;
 
 /// Versions whose content is kept (ours).
@@ -64,13 +63,14 @@
             .iter()
             .map(|(name, digest)| Some((name.clone(), self.section(digest)?)))
             .collect::<Option<_>>()?;
-        canonical::from_sections(record.version, record.base, &sections).ok()
+        let header = BundleHeader { version: record.version, base: record.base };
+        hooklug_bundle::from_sections(header, &sections).ok()
     }
 
     /// A version's record and canonical bytes.
     pub(super) fn bytes(&self, version: BundleVersion) -> Option<(BundleRecord, Vec<u8>)> {
         let bundle = self.bundle(version)?;
-        Some((self.records.get(&version)?.clone(), canonical::canonical_bytes(&bundle)))
+        Some((self.records.get(&version)?.clone(), hooklug_bundle::canonical_bytes(&bundle)))
     }
 
     /// A section's bytes.
--- a/crates/state/src/meta/bundles.rs
+++ b/crates/state/src/meta/bundles.rs
@@ -3,7 +3,6 @@
 use hooklug_bundle::Bundle;
 use hooklug_types::{BundleVersion, Digest};
 
-use super::canonical;
 use super::command::{MetaRefusal, MetaReply, SubmitBundle};
 use super::machine::{MetaMachine, Outcome};
 use super::record::{BundleOrigin, BundleRecord};
@@ -37,13 +36,13 @@
 
     /// Makes a bundle the newest.
     pub(super) fn commit_bundle(&mut self, bundle: &Bundle, origin: BundleOrigin) -> BundleRecord {
-        let sections = canonical::sections(bundle);
+        let sections = hooklug_bundle::sections(bundle);
         let digests =
             sections.iter().map(|(name, bytes)| (name.clone(), Digest::of(bytes))).collect();
         let record = BundleRecord {
             version: bundle.version,
             base: bundle.base,
-            digest: Digest::of(&canonical::canonical_bytes(bundle)),
+            digest: hooklug_bundle::digest(bundle),
             sections: digests,
             origin,
             committed: self.state.clock,
@@ -59,7 +58,10 @@
     if submit.version <= submit.base {
         return Err(invalid("version: must be higher than the base".to_owned()));
     }
-    let bundle = canonical::decode(&submit.bytes).map_err(|e| invalid(e.to_string()))?;
+    let bundle = hooklug_bundle::decode(&submit.bytes).map_err(|e| invalid(e.to_string()))?;
+    if hooklug_bundle::canonical_bytes(&bundle) != submit.bytes {
+        return Err(invalid("the bytes are not canonical".to_owned()));
+    }
     if bundle.version != submit.version || bundle.base != submit.base {
         return Err(invalid("version, base: differ from the submission's".to_owned()));
     }
--- a/crates/state/src/meta/mod.rs
+++ b/crates/state/src/meta/mod.rs
@@ -2,7 +2,6 @@
 
 mod archive;
 mod bundles;
-mod canonical;
 pub mod command;
 mod formation;
 mod leadership;
