fleet: whole fleets on one machine, callers, and the demo

Cause: nothing starts the roles together or drives them as callers and operators do. Change: topology files, processes at loopback addresses of their own, faults, replacement and restarts; a caller with stream parsing and resumption; the demo's steps; commands to a running fleet.

--- /dev/null
+++ b/crates/fleet/src/addresses.rs
@@ -0,0 +1,72 @@
+//! Loopback addresses: each fleet claims a range `127.x.y.*`, each process an address of it.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+
+use crate::FleetError;
+
+/// Port for other processes, the same at every address.
+pub(crate) const RPC_PORT: u16 = 7000;
+/// Port for HTTP, the same at every address.
+pub(crate) const HTTP_PORT: u16 = 8000;
+/// Port whose listener claims a range; all three lie below the system's own range of outgoing ports.
+const CLAIM_PORT: u16 = 7999;
+/// Host part of the claiming address.
+const CLAIM_HOST: u8 = 254;
+/// Host part where a running fleet takes commands.
+const COMMAND_HOST: u8 = 253;
+/// Addresses for processes in a range.
+pub(crate) const MAX_ADDRESSES: usize = 250;
+/// Ranges tried before giving up.
+const TRIES: usize = 200;
+
+/// A range of 256 loopback addresses, claimed for as long as this lives.
+#[derive(Debug)]
+pub(crate) struct AddressRange {
+    network: [u8; 2],
+    next_host: u8,
+    _claim: TcpListener,
+}
+
+impl AddressRange {
+    /// Claims a range that no other fleet on this machine holds.
+    pub(crate) fn claim() -> Result<Self, FleetError> {
+        for _ in 0..TRIES {
+            // 127.0.* belongs to everyone.
+            let network = [rand::random_range(1..=254_u8), rand::random_range(0..=255_u8)];
+            let claimed = TcpListener::bind((ip(network, CLAIM_HOST), CLAIM_PORT));
+            if let Ok(claim) = claimed {
+                return Ok(Self { network, next_host: 1, _claim: claim });
+            }
+        }
+        Err(FleetError::NoAddresses)
+    }
+
+    /// An address that no process of this fleet has had.
+    pub(crate) fn draw(&mut self) -> Result<Ipv4Addr, FleetError> {
+        if usize::from(self.next_host) > MAX_ADDRESSES {
+            return Err(FleetError::RangeUsedUp);
+        }
+        let drawn = ip(self.network, self.next_host);
+        self.next_host += 1;
+        Ok(drawn)
+    }
+
+    /// Where the fleet takes commands.
+    pub(crate) fn command_address(&self) -> SocketAddr {
+        http_address(ip(self.network, COMMAND_HOST))
+    }
+}
+
+fn ip(network: [u8; 2], host: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, network[0], network[1], host)
+}
+
+/// The rpc address of a process.
+pub(crate) fn rpc_address(ip: Ipv4Addr) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(ip), RPC_PORT)
+}
+
+/// The HTTP address of a process.
+pub(crate) fn http_address(ip: Ipv4Addr) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(ip), HTTP_PORT)
+}
--- /dev/null
+++ b/crates/fleet/src/binaries.rs
@@ -0,0 +1,68 @@
+//! The programs that a fleet runs: those beside this one in the target folder, built when run by cargo.
+
+use std::ffi::OsStr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::OnceLock;
+
+use crate::FleetError;
+
+/// Where the programs are.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Binaries {
+    pub hooklug: PathBuf,
+    pub emulator: PathBuf,
+}
+
+static FOUND: OnceLock<Result<Binaries, String>> = OnceLock::new();
+
+impl Binaries {
+    /// Finds the programs, building them first when cargo runs this one. Once a process.
+    pub(crate) fn find() -> Result<Self, FleetError> {
+        FOUND.get_or_init(find).clone().map_err(FleetError::Build)
+    }
+}
+
+fn find() -> Result<Binaries, String> {
+    let folder = profile_folder()?;
+    if let Some(cargo) = std::env::var_os("CARGO") {
+        build(&cargo, &folder)?;
+    }
+    let binaries =
+        Binaries { hooklug: folder.join("hooklug"), emulator: folder.join("hooklug-emulator") };
+    for path in [&binaries.hooklug, &binaries.emulator] {
+        if !path.is_file() {
+            return Err(format!("{} is missing; build the workspace first", path.display()));
+        }
+    }
+    Ok(binaries)
+}
+
+/// The target folder's part for the profile that this program was built with.
+fn profile_folder() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let folder = own.parent().ok_or("this program has no folder")?;
+    // Test programs lie one folder deeper.
+    let inner = matches!(folder.file_name().and_then(OsStr::to_str), Some("deps" | "examples"));
+    let folder = if inner { folder.parent().unwrap_or(folder) } else { folder };
+    Ok(folder.to_owned())
+}
+
+/// Cargo knows what is stale; when nothing is, this takes a moment only.
+fn build(cargo: &OsStr, folder: &Path) -> Result<(), String> {
+    let target = folder.parent().ok_or("the target folder has no parent")?;
+    let profile = match folder.file_name().and_then(OsStr::to_str) {
+        Some("debug") | None => "dev",
+        Some(name) => name,
+    };
+    let workspace = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let status = Command::new(cargo)
+        .args(["build", "--quiet", "--bin", "hooklug", "--bin", "hooklug-emulator"])
+        .args(["--profile", profile, "--target-dir"])
+        .arg(target)
+        .current_dir(workspace)
+        .stdin(Stdio::null())
+        .status()
+        .map_err(|e| format!("{}: {e}", cargo.display()))?;
+    if status.success() { Ok(()) } else { Err(format!("cargo build ended with {status}")) }
+}
--- /dev/null
+++ b/crates/fleet/src/bundle.rs
@@ -0,0 +1,90 @@
+//! The bundle that a topology calls for.
+
+use std::collections::BTreeMap;
+
+use hooklug_bundle::{
+    Bundle, HarmThresholds, Route, RouteMatch, Service, ServiceKind, VersionEntry, VersionState,
+};
+use hooklug_types::{BundleVersion, IdError, RouteName, ServiceName, ServiceVersion};
+
+use crate::topology::{ApplicationGroup, ModelGroup, Topology};
+
+/// Slots that an application engine counts for (ours).
+const APPLICATION_SLOTS: u32 = 64;
+
+impl Topology {
+    /// A bundle with all services, versions and tools of the topology.
+    ///
+    /// # Errors
+    /// When a tool's name can't name a route.
+    pub fn bundle(&self, version: BundleVersion, base: BundleVersion) -> Result<Bundle, IdError> {
+        let mut bundle = Bundle { version, base, ..Bundle::default() };
+        for group in &self.models {
+            add_model(&mut bundle, group)?;
+        }
+        for group in &self.applications {
+            add_application(&mut bundle, group)?;
+        }
+        Ok(bundle)
+    }
+}
+
+fn add_model(bundle: &mut Bundle, group: &ModelGroup) -> Result<(), IdError> {
+    let slots = group.slots * u32::try_from(group.engines).unwrap_or(u32::MAX);
+    let service = entry(&mut bundle.services, &group.service, ServiceKind::Model);
+    service.model = Some(group.model.clone());
+    service.slots += slots;
+    add_version(service, &group.version);
+    let matches = RouteMatch::Session { model: group.model.clone() };
+    let name = RouteName::new(format!("sessions-{}", group.model))?;
+    bundle.routes.insert(name, route(matches, &group.service, false, false, 120_000));
+    Ok(())
+}
+
+fn add_application(bundle: &mut Bundle, group: &ApplicationGroup) -> Result<(), IdError> {
+    let engines = u32::try_from(group.engines).unwrap_or(u32::MAX);
+    let service = entry(&mut bundle.services, &group.service, ServiceKind::Application);
+    service.slots += APPLICATION_SLOTS * engines;
+    add_version(service, &group.version);
+    for tool in &group.tools {
+        let matches = RouteMatch::Tool { tool: tool.name.clone() };
+        let made = route(matches, &group.service, tool.may_repeat, tool.urgent, 10_000);
+        bundle.routes.insert(RouteName::new(&tool.name)?, made);
+    }
+    Ok(())
+}
+
+fn entry<'a>(
+    services: &'a mut BTreeMap<ServiceName, Service>,
+    name: &ServiceName,
+    kind: ServiceKind,
+) -> &'a mut Service {
+    services.entry(name.clone()).or_insert_with(|| Service {
+        kind,
+        model: None,
+        versions: Vec::new(),
+        slots: 0,
+        concurrency_per_engine: 64,
+        queue_per_engine: 256,
+        steps: vec![5, 25, 50, 100],
+        step_seconds: 5,
+        harm: HarmThresholds::default(),
+    })
+}
+
+fn add_version(service: &mut Service, version: &ServiceVersion) {
+    if !service.versions.iter().any(|entry| entry.version == *version) {
+        let state = VersionState::Sound;
+        service.versions.push(VersionEntry { version: version.clone(), state });
+    }
+}
+
+fn route(
+    matches: RouteMatch,
+    service: &ServiceName,
+    may_repeat: bool,
+    urgent: bool,
+    deadline_ms: u64,
+) -> Route {
+    Route { matches, service: service.clone(), may_repeat, deadline_ms, urgent }
+}
--- /dev/null
+++ b/crates/fleet/src/caller/mod.rs
@@ -0,0 +1,290 @@
+//! A caller of the gateways' API, as `docs/API.md` has it: it sends a request again, to the next
+//! gateway, for as long as an answer claims nothing.
+
+mod error;
+mod sse;
+mod stream;
+mod turns;
+mod views;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::http::{Answer, Ask, HttpClient};
+use error::success;
+pub use error::{CallerError, Problem};
+pub use sse::{SseError, SseParser, StreamEvent};
+pub use stream::{EventStream, Transcript};
+pub use turns::TurnRequest;
+pub use views::{CallAnswer, CallView, Placed, ProgramView, SessionView, TurnView};
+
+/// Longest time in which a request is sent again (ours).
+const RETRY_TIME: Duration = Duration::from_secs(30);
+/// Pause before a request is sent again (ours).
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// A session's full name.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionRef {
+    /// Its program.
+    pub program: String,
+    /// Its name in the program.
+    pub session: String,
+}
+
+impl SessionRef {
+    /// A session's name.
+    #[must_use]
+    pub fn new(program: &str, session: &str) -> Self {
+        Self { program: program.to_owned(), session: session.to_owned() }
+    }
+
+    fn path(&self) -> String {
+        format!("/v1/programs/{}/sessions/{}", self.program, self.session)
+    }
+}
+
+/// A call to be made.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct CallRequest {
+    /// The tool.
+    pub tool: String,
+    /// Its arguments.
+    pub arguments: Value,
+    /// `false` makes a route stricter.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub repeat: Option<bool>,
+    /// Longest time that it may take, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+impl CallRequest {
+    /// A call as its route has it.
+    #[must_use]
+    pub fn new(tool: &str, arguments: Value) -> Self {
+        Self { tool: tool.to_owned(), arguments, repeat: None, deadline_ms: 5_000 }
+    }
+}
+
+/// Calls gateways for one tenant. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    gateways: Vec<SocketAddr>,
+    tenant: String,
+    http: HttpClient,
+}
+
+impl Caller {
+    /// A caller that knows these gateways; there must be at least one.
+    #[must_use]
+    pub fn new(gateways: Vec<SocketAddr>, tenant: &str) -> Self {
+        Self { gateways, tenant: tenant.to_owned(), http: HttpClient::default() }
+    }
+
+    fn gateway(&self, index: usize) -> SocketAddr {
+        self.gateways[index % self.gateways.len()]
+    }
+
+    fn signed(&self, ask: Ask) -> Ask {
+        ask.header("x-hooklug-tenant", self.tenant.clone())
+    }
+
+    /// Sends a request to one gateway, once.
+    ///
+    /// # Errors
+    /// A problem, or no answer.
+    pub async fn ask_once(&self, gateway: usize, ask: &Ask) -> Result<Answer, CallerError> {
+        let answer = self.http.ask(self.gateway(gateway), &self.signed(ask.clone())).await?;
+        success(answer)
+    }
+
+    /// Sends a request, again at the next gateway while the answer claims nothing.
+    ///
+    /// # Errors
+    /// A problem that does not pass, or the last one when the time is over.
+    pub async fn ask(&self, mut gateway: usize, ask: &Ask) -> Result<Answer, CallerError> {
+        let deadline = Instant::now() + RETRY_TIME;
+        loop {
+            match self.ask_once(gateway, ask).await {
+                Err(error) if error.is_passing() && Instant::now() < deadline => {
+                    gateway += 1;
+                    sleep(PAUSE).await;
+                }
+                done => return done,
+            }
+        }
+    }
+
+    async fn ask_json<T: DeserializeOwned>(
+        &self,
+        gateway: usize,
+        ask: Ask,
+    ) -> Result<T, CallerError> {
+        let answer = self.ask(gateway, &ask).await?;
+        serde_json::from_slice(&answer.body).map_err(|e| CallerError::Broken(e.to_string()))
+    }
+
+    /// Declares a program.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn put_program(
+        &self,
+        gateway: usize,
+        program: &str,
+        token_budget: u64,
+        end_time_ms: u64,
+    ) -> Result<ProgramView, CallerError> {
+        let body = json!({"token_budget": token_budget, "end_time_ms": end_time_ms});
+        self.ask_json(gateway, Ask::json(Method::PUT, format!("/v1/programs/{program}"), &body))
+            .await
+    }
+
+    /// Reads a program.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn program(&self, gateway: usize, program: &str) -> Result<ProgramView, CallerError> {
+        self.ask_json(gateway, Ask::new(Method::GET, format!("/v1/programs/{program}"))).await
+    }
+
+    /// Opens a session.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn open_session(
+        &self,
+        gateway: usize,
+        session: &SessionRef,
+        model: &str,
+        prefix: Option<&str>,
+    ) -> Result<SessionView, CallerError> {
+        let mut body = json!({"model": model});
+        if let Some(prefix) = prefix {
+            body["prefix"] = prefix.into();
+        }
+        self.ask_json(gateway, Ask::json(Method::PUT, session.path(), &body)).await
+    }
+
+    /// Reads a session.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn session(
+        &self,
+        gateway: usize,
+        session: &SessionRef,
+    ) -> Result<SessionView, CallerError> {
+        self.ask_json(gateway, Ask::new(Method::GET, session.path())).await
+    }
+
+    /// Closes a session.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn close_session(
+        &self,
+        gateway: usize,
+        session: &SessionRef,
+    ) -> Result<SessionView, CallerError> {
+        self.ask_json(gateway, Ask::new(Method::DELETE, session.path())).await
+    }
+
+    /// Reads a turn.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn turn(
+        &self,
+        gateway: usize,
+        session: &SessionRef,
+        turn: &str,
+    ) -> Result<TurnView, CallerError> {
+        let path = format!("{}/turns/{turn}", session.path());
+        self.ask_json(gateway, Ask::new(Method::GET, path)).await
+    }
+
+    /// Aborts a turn.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn abort_turn(
+        &self,
+        gateway: usize,
+        session: &SessionRef,
+        turn: &str,
+    ) -> Result<TurnView, CallerError> {
+        let path = format!("{}/turns/{turn}/abort", session.path());
+        self.ask_json(gateway, Ask::new(Method::POST, path)).await
+    }
+
+    /// Tells the result of a tool call.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn tell_tool_result(
+        &self,
+        gateway: usize,
+        session: &SessionRef,
+        call: &str,
+        result: &Value,
+    ) -> Result<Placed, CallerError> {
+        let body = json!({"call": call, "result": result});
+        let path = format!("{}/tool-results", session.path());
+        self.ask_json(gateway, Ask::json(Method::POST, path, &body)).await
+    }
+
+    /// Makes a call. The same id with the same content again gets the same answer.
+    ///
+    /// # Errors
+    /// A problem that does not pass; `call_unknown` when the answer was lost.
+    pub async fn call(
+        &self,
+        gateway: usize,
+        program: &str,
+        call: &str,
+        request: &CallRequest,
+    ) -> Result<CallAnswer, CallerError> {
+        let ask = Ask::json(Method::PUT, format!("/v1/programs/{program}/calls/{call}"), request);
+        let answer = self.ask(gateway, &ask).await?;
+        let body =
+            serde_json::from_slice(&answer.body).map_err(|e| CallerError::Broken(e.to_string()))?;
+        Ok(CallAnswer { status: answer.status.as_u16(), body })
+    }
+
+    /// Reads a call that may not be repeated.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn call_state(
+        &self,
+        gateway: usize,
+        program: &str,
+        call: &str,
+    ) -> Result<CallView, CallerError> {
+        let path = format!("/v1/programs/{program}/calls/{call}");
+        self.ask_json(gateway, Ask::new(Method::GET, path)).await
+    }
+
+    /// Seals a call: it will not run, unless it was begun.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn seal_call(
+        &self,
+        gateway: usize,
+        program: &str,
+        call: &str,
+        request: &CallRequest,
+    ) -> Result<CallView, CallerError> {
+        let body = json!({"tool": request.tool, "arguments": request.arguments});
+        let path = format!("/v1/programs/{program}/calls/{call}/seal");
+        self.ask_json(gateway, Ask::json(Method::POST, path, &body)).await
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/caller/sse.rs
@@ -0,0 +1,90 @@
+//! Server-sent events, parsed as their bytes come.
+
+use serde_json::Value;
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StreamEvent {
+    /// Its place in the session's stream.
+    pub id: u64,
+    /// Its kind.
+    pub event: String,
+    /// What it says.
+    pub data: Value,
+}
+
+impl StreamEvent {
+    /// Whether it ends a turn.
+    #[must_use]
+    pub fn ends_turn(&self) -> bool {
+        matches!(self.event.as_str(), "finished" | "interrupted" | "aborted" | "failed")
+    }
+
+    /// The turn that it belongs to.
+    #[must_use]
+    pub fn turn(&self) -> Option<&str> {
+        self.data["turn"].as_str()
+    }
+}
+
+/// Bytes that are no event stream.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("not an event stream: {0}")]
+pub struct SseError(String);
+
+/// Takes bytes in pieces of any size and gives whole events.
+#[derive(Debug, Default)]
+pub struct SseParser {
+    line: Vec<u8>,
+    id: Option<u64>,
+    event: String,
+    data: Vec<String>,
+}
+
+impl SseParser {
+    /// The events that these bytes complete.
+    ///
+    /// # Errors
+    /// When a field's value is not what it must be.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<StreamEvent>, SseError> {
+        let mut events = Vec::new();
+        for byte in bytes {
+            if *byte != b'\n' {
+                self.line.push(*byte);
+                continue;
+            }
+            let line = std::mem::take(&mut self.line);
+            let text = String::from_utf8(line).map_err(|e| SseError(e.to_string()))?;
+            events.extend(self.take_line(text.trim_end_matches('\r'))?);
+        }
+        Ok(events)
+    }
+
+    fn take_line(&mut self, line: &str) -> Result<Option<StreamEvent>, SseError> {
+        if line.is_empty() {
+            return self.finish();
+        }
+        let (name, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match name {
+            "id" => self.id = Some(value.parse().map_err(|_| SseError(line.to_owned()))?),
+            "event" => value.clone_into(&mut self.event),
+            "data" => self.data.push(value.to_owned()),
+            // Comments keep the stream open; other fields are to be ignored.
+            _ => {}
+        }
+        Ok(None)
+    }
+
+    fn finish(&mut self) -> Result<Option<StreamEvent>, SseError> {
+        let event = std::mem::take(&mut self.event);
+        let data = std::mem::take(&mut self.data).join("\n");
+        let id = self.id.take();
+        if event.is_empty() && data.is_empty() {
+            return Ok(None);
+        }
+        let id = id.ok_or_else(|| SseError(format!("event {event:?} has no id")))?;
+        let data = serde_json::from_str(&data).map_err(|e| SseError(e.to_string()))?;
+        Ok(Some(StreamEvent { id, event, data }))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,557 @@
+//! A running fleet: its processes, its faults, its evidence.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hooklug_emulator::{Faults, LedgerLine, Restart};
+use http::Method;
+use nix::sys::signal::Signal;
+use serde::{Deserialize, Serialize};
+use tempfile::TempDir;
+
+use crate::addresses::AddressRange;
+use crate::binaries::Binaries;
+use crate::http::{Ask, HttpClient};
+use crate::links::{self, Links};
+use crate::plan::{Common, Job, Plan, plan_all, seeds};
+use crate::process::{Launch, Process, describe, poll_until};
+use crate::topology::{ApplicationGroup, ModelGroup};
+use crate::{FleetError, ProcessKind, ProcessName, Topology};
+
+/// Longest wait for a fleet to come up (issue: 30 s for the largest).
+const START_TIME: Duration = Duration::from_secs(60);
+/// Time beyond the grace period after which a stopping process is killed (ours).
+const STOP_MARGIN: Duration = Duration::from_secs(5);
+
+/// How a fleet is started.
+#[derive(Debug, Clone, Default)]
+pub struct FleetOptions {
+    /// Folder for logs, settings, ledgers and disks; `None` draws one that goes with the fleet.
+    pub data: Option<PathBuf>,
+}
+
+/// A process as `status` shows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessStatus {
+    /// Its name.
+    pub name: ProcessName,
+    /// Its zone.
+    pub zone: String,
+    /// Its HTTP address.
+    pub http: SocketAddr,
+    /// Its process id.
+    pub pid: Option<u32>,
+    /// `running`, `frozen`, `stopped`, or how it ended.
+    pub state: String,
+}
+
+/// A running fleet. Dropping it kills every process.
+#[derive(Debug)]
+pub struct Fleet {
+    inner: Mutex<Inner>,
+    pub(crate) common: Common,
+    pub(crate) http: HttpClient,
+    // Last, so that the folder goes after the processes.
+    _folder: Option<TempDir>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Inner {
+    pub range: AddressRange,
+    pub members: BTreeMap<ProcessName, Member>,
+    pub links: Links,
+}
+
+/// A process of the fleet, running or not.
+#[derive(Debug)]
+pub(crate) struct Member {
+    pub plan: Plan,
+    pub launch: Launch,
+    pub process: Option<Process>,
+    /// Whether it was ended on purpose.
+    pub expected_end: bool,
+}
+
+impl Fleet {
+    /// Starts a fleet in a folder of its own and waits until it serves.
+    ///
+    /// # Errors
+    /// When a process can't be started, ends, or is not ready in time.
+    pub async fn start(topology: Topology) -> Result<Self, FleetError> {
+        Self::start_with(topology, FleetOptions::default()).await
+    }
+
+    /// Starts a fleet and waits until it serves.
+    ///
+    /// # Errors
+    /// When a process can't be started, ends, or is not ready in time.
+    pub async fn start_with(topology: Topology, options: FleetOptions) -> Result<Self, FleetError> {
+        let fleet = Self::launch(topology, options)?;
+        fleet.wait_alive(START_TIME).await?;
+        fleet.tell_zone_delays().await?;
+        fleet.submit_first_bundle(START_TIME).await?;
+        fleet.wait_serving(START_TIME).await?;
+        Ok(fleet)
+    }
+
+    /// Starts all processes without waiting for anything.
+    ///
+    /// # Errors
+    /// When a process can't be started.
+    pub fn launch(topology: Topology, options: FleetOptions) -> Result<Self, FleetError> {
+        let binaries = Binaries::find()?;
+        let mut range = AddressRange::claim()?;
+        let plans = plan_all(&topology, &mut range)?;
+        let (data, folder) = data_folder(options)?;
+        let platform = plans.iter().find(|p| p.job == Job::Platform).map(Plan::http);
+        let platform = platform.ok_or_else(|| FleetError::Unexpected("no platform".to_owned()))?;
+        let secret = format!("{:032x}", rand::random::<u128>());
+        let common = Common { topology, binaries, data, secret, platform };
+        let members = BTreeMap::new();
+        let inner = Mutex::new(Inner { range, members, links: Links::default() });
+        let fleet = Self { inner, common, http: HttpClient::default(), _folder: folder };
+        fleet.launch_all(plans)?;
+        Ok(fleet)
+    }
+
+    fn launch_all(&self, mut plans: Vec<Plan>) -> Result<(), FleetError> {
+        // Stand-ins first, so that nodes find their back ends at once.
+        plans.sort_by_key(|plan| (plan.name.kind.is_node(), plan.name));
+        let addresses = |kind| -> Vec<SocketAddr> {
+            plans.iter().filter(|p| p.name.kind == kind).map(Plan::rpc).collect()
+        };
+        let (stores, cores) = (addresses(ProcessKind::Store), addresses(ProcessKind::Core));
+        let apps: Vec<Plan> =
+            plans.iter().filter(|p| p.name.kind == ProcessKind::App).cloned().collect();
+        for (place, plan) in plans.into_iter().enumerate() {
+            let launch = self.common.launch(&plan, seeds(place, &stores, &cores), &apps)?;
+            self.begin(plan, launch)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a process that the fleet does not hold yet, or holds no longer.
+    pub(crate) fn begin(&self, plan: Plan, launch: Launch) -> Result<(), FleetError> {
+        let process = Some(Process::start(&launch)?);
+        let name = plan.name;
+        let member = Member { plan, launch, process, expected_end: false };
+        self.inner().members.insert(name, member);
+        Ok(())
+    }
+
+    pub(crate) fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn with_member<T>(
+        &self,
+        name: ProcessName,
+        act: impl FnOnce(&mut Member) -> T,
+    ) -> Result<T, FleetError> {
+        self.inner().members.get_mut(&name).map(act).ok_or(FleetError::NoProcess(name))
+    }
+
+    pub(crate) fn plan(&self, name: ProcessName) -> Result<Plan, FleetError> {
+        self.with_member(name, |member| member.plan.clone())
+    }
+
+    /// All processes of a kind.
+    #[must_use]
+    pub fn names(&self, kind: ProcessKind) -> Vec<ProcessName> {
+        self.inner().members.keys().filter(|name| name.kind == kind).copied().collect()
+    }
+
+    /// All processes.
+    #[must_use]
+    pub fn all_names(&self) -> Vec<ProcessName> {
+        self.inner().members.keys().copied().collect()
+    }
+
+    /// The topology that it was started from.
+    #[must_use]
+    pub fn topology(&self) -> &Topology {
+        &self.common.topology
+    }
+
+    /// The folder for logs, settings, ledgers and disks.
+    #[must_use]
+    pub fn data(&self) -> &Path {
+        &self.common.data
+    }
+
+    /// The HTTP address of a process.
+    ///
+    /// # Errors
+    /// When there is none of that name.
+    pub fn http_address(&self, name: ProcessName) -> Result<SocketAddr, FleetError> {
+        self.plan(name).map(|plan| plan.http())
+    }
+
+    /// The HTTP address of the n-th gateway, counted around.
+    ///
+    /// # Panics
+    /// Never: a topology has at least one gateway.
+    #[must_use]
+    pub fn gateway(&self, index: usize) -> SocketAddr {
+        let gateways = self.gateways();
+        gateways[index % gateways.len()]
+    }
+
+    /// The HTTP addresses of all gateways.
+    #[must_use]
+    pub fn gateways(&self) -> Vec<SocketAddr> {
+        let inner = self.inner();
+        let gateways = inner.members.values().filter(|m| m.plan.job == Job::Gateway);
+        gateways.map(|m| m.plan.http()).collect()
+    }
+
+    /// Kills a process without warning.
+    ///
+    /// # Errors
+    /// When there is none of that name.
+    pub fn kill(&self, name: ProcessName) -> Result<(), FleetError> {
+        self.with_member(name, |member| {
+            member.expected_end = true;
+            if let Some(process) = &mut member.process {
+                process.kill();
+            }
+        })
+    }
+
+    /// Freezes a process (`SIGSTOP`).
+    ///
+    /// # Errors
+    /// When there is none of that name, or the signal fails.
+    pub fn freeze(&self, name: ProcessName) -> Result<(), FleetError> {
+        self.signal(name, Signal::SIGSTOP, Some(true))
+    }
+
+    /// Wakes a frozen process (`SIGCONT`).
+    ///
+    /// # Errors
+    /// When there is none of that name, or the signal fails.
+    pub fn wake(&self, name: ProcessName) -> Result<(), FleetError> {
+        self.signal(name, Signal::SIGCONT, Some(false))
+    }
+
+    fn signal(
+        &self,
+        name: ProcessName,
+        signal: Signal,
+        frozen: Option<bool>,
+    ) -> Result<(), FleetError> {
+        self.with_member(name, |member| {
+            let Some(process) = &mut member.process else { return Ok(()) };
+            process.frozen = frozen.unwrap_or(process.frozen);
+            process.signal(signal)
+        })?
+    }
+
+    /// Tells a process to stop, as the platform does, without waiting for its end. A stand-in of an
+    /// application engine or model server begins to refuse new work instead.
+    ///
+    /// # Errors
+    /// When there is none of that name, or it can't be told.
+    pub async fn drain(&self, name: ProcessName) -> Result<(), FleetError> {
+        if matches!(name.kind, ProcessKind::Model | ProcessKind::App) {
+            return self.set_faults(name, &Faults { draining: true, ..Faults::default() }).await;
+        }
+        self.with_member(name, |member| member.expected_end = true)?;
+        self.signal(name, Signal::SIGTERM, None)
+    }
+
+    /// Stops a process as the platform does: `SIGTERM`, the grace period, then `SIGKILL`. Tells
+    /// whether it ended in time by itself with success.
+    ///
+    /// # Errors
+    /// When there is none of that name.
+    pub async fn stop(&self, name: ProcessName) -> Result<bool, FleetError> {
+        self.with_member(name, |member| member.expected_end = true)?;
+        self.signal(name, Signal::SIGTERM, None)?;
+        let grace = Duration::from_millis(self.common.topology.grace_ms) + STOP_MARGIN;
+        poll_until(grace, || self.exit_status(name).is_some()).await;
+        let clean = self.exit_status(name).is_some_and(|status| status.success());
+        self.kill(name)?;
+        Ok(clean)
+    }
+
+    fn exit_status(&self, name: ProcessName) -> Option<std::process::ExitStatus> {
+        self.with_member(name, |member| member.process.as_mut().and_then(Process::ended))
+            .ok()
+            .flatten()
+    }
+
+    /// Starts a process again at its address with its disk, stopping it first if it runs. Its link
+    /// faults are told again once it answers.
+    ///
+    /// # Errors
+    /// When it can't be started or does not answer in time.
+    pub async fn restart(&self, name: ProcessName) -> Result<(), FleetError> {
+        if self.is_running(name)? {
+            self.stop(name).await?;
+        }
+        let (plan, launch) =
+            self.with_member(name, |member| (member.plan.clone(), member.launch.clone()))?;
+        self.begin(plan, launch)?;
+        self.answer_again(name).await
+    }
+
+    pub(crate) async fn answer_again(&self, name: ProcessName) -> Result<(), FleetError> {
+        self.wait_answers(name, START_TIME).await?;
+        self.tell_links(name).await
+    }
+
+    /// Whether a process has been started and has not ended.
+    ///
+    /// # Errors
+    /// When there is none of that name.
+    pub fn is_running(&self, name: ProcessName) -> Result<bool, FleetError> {
+        self.with_member(name, |member| {
+            member.process.as_mut().is_some_and(|process| process.ended().is_none())
+        })
+    }
+
+    /// A process that ended though nobody ended it.
+    pub(crate) fn ended_by_itself(&self) -> Option<FleetError> {
+        let mut inner = self.inner();
+        inner.members.iter_mut().filter(|(_, member)| !member.expected_end).find_map(
+            |(name, member)| {
+                let status = member.process.as_mut()?.ended()?;
+                let log = member.launch.log_tail();
+                Some(FleetError::Ended { name: *name, status: describe(status), log })
+            },
+        )
+    }
+
+    /// How each process is.
+    #[must_use]
+    pub fn status(&self) -> Vec<ProcessStatus> {
+        let mut inner = self.inner();
+        inner.members.iter_mut().map(|(name, member)| member.status(*name)).collect()
+    }
+
+    /// Cuts the link between two nodes, or only what the first one sends.
+    ///
+    /// # Errors
+    /// When a node that sends can't be told.
+    pub async fn cut(
+        &self,
+        a: ProcessName,
+        b: ProcessName,
+        one_way: bool,
+    ) -> Result<(), FleetError> {
+        let (first, second) = (self.plan(a)?.ip, self.plan(b)?.ip);
+        {
+            let links = &mut self.inner().links;
+            links.set_cut(first, second, true);
+            if !one_way {
+                links.set_cut(second, first, true);
+            }
+        }
+        self.tell_links(a).await?;
+        if one_way { Ok(()) } else { self.tell_links(b).await }
+    }
+
+    /// Cuts a node off from all other nodes.
+    ///
+    /// # Errors
+    /// When a node can't be told.
+    pub async fn cut_off(&self, name: ProcessName) -> Result<(), FleetError> {
+        let others = self.all_names().into_iter().filter(|other| other.kind.is_node());
+        for other in others.filter(|other| *other != name) {
+            if self.is_running(other)? {
+                self.cut(name, other, false).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all cuts.
+    ///
+    /// # Errors
+    /// When a running node can't be told.
+    pub async fn heal(&self) -> Result<(), FleetError> {
+        let changed = self.inner().links.heal();
+        for name in self.all_names() {
+            let plan = self.plan(name)?;
+            if changed.contains(&plan.ip) && self.is_running(name)? {
+                self.tell_links(name).await?;
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) async fn tell_links(&self, name: ProcessName) -> Result<(), FleetError> {
+        let plan = self.plan(name)?;
+        let faults = self.inner().links.of(plan.ip);
+        if !name.kind.is_node() || faults.is_empty() {
+            return Ok(());
+        }
+        Ok(links::tell(&self.http, plan.http(), &faults).await?)
+    }
+
+    async fn tell_zone_delays(&self) -> Result<(), FleetError> {
+        let micros = self.common.topology.zone_delay_micros;
+        if micros == 0 {
+            return Ok(());
+        }
+        let nodes = self.nodes();
+        for (from, from_zone) in &nodes {
+            for (to, to_zone) in nodes.iter().filter(|(to, _)| to != from) {
+                let delay = if from_zone == to_zone { 0 } else { micros };
+                self.inner().links.set_delay(*from, *to, delay);
+            }
+        }
+        for name in self.all_names() {
+            self.tell_links(name).await?;
+        }
+        Ok(())
+    }
+
+    fn nodes(&self) -> Vec<(Ipv4Addr, String)> {
+        let inner = self.inner();
+        let nodes = inner.members.values().filter(|m| m.plan.name.kind.is_node());
+        nodes.map(|m| (m.plan.ip, m.plan.zone.to_string())).collect()
+    }
+
+    /// Replaces the faults of a stand-in.
+    ///
+    /// # Errors
+    /// When it can't be told.
+    pub async fn set_faults(&self, name: ProcessName, faults: &Faults) -> Result<(), FleetError> {
+        self.switch(name, Ask::json(Method::PUT, "/emulator/faults", faults)).await
+    }
+
+    /// Restarts a stand-in in place, perhaps as another service or version.
+    ///
+    /// # Errors
+    /// When it can't be told.
+    pub async fn restart_stand_in(
+        &self,
+        name: ProcessName,
+        restart: &Restart,
+    ) -> Result<(), FleetError> {
+        self.switch(name, Ask::json(Method::PUT, "/emulator/restart", restart)).await
+    }
+
+    async fn switch(&self, name: ProcessName, ask: Ask) -> Result<(), FleetError> {
+        let answer = self.http.ask(self.http_address(name)?, &ask).await?;
+        if answer.status.is_success() {
+            return Ok(());
+        }
+        Err(answer
+            .json::<serde_json::Value>()
+            .map_or_else(FleetError::Http, |value| FleetError::Unexpected(value.to_string())))
+    }
+
+    /// All that a stand-in ran, over its restarts; read from its file, so also after its end.
+    ///
+    /// # Errors
+    /// When the file does not decode.
+    pub fn ledger(&self, name: ProcessName) -> Result<Vec<LedgerLine>, FleetError> {
+        let path = self.common.folder(name).join("ledger");
+        let text = std::fs::read_to_string(&path).unwrap_or_default();
+        // A line cut by a kill is none.
+        let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+        whole
+            .lines()
+            .map(serde_json::from_str)
+            .collect::<Result<_, _>>()
+            .map_err(|e| FleetError::Unexpected(format!("{}: {e}", path.display())))
+    }
+
+    /// The ledgers of all stand-ins of a kind.
+    ///
+    /// # Errors
+    /// When a file does not decode.
+    pub fn ledgers(&self, kind: ProcessKind) -> Result<Vec<LedgerLine>, FleetError> {
+        let mut lines = Vec::new();
+        for name in self.names(kind) {
+            lines.extend(self.ledger(name)?);
+        }
+        Ok(lines)
+    }
+
+    /// The last lines that a process wrote.
+    ///
+    /// # Errors
+    /// When there is none of that name.
+    pub fn log(&self, name: ProcessName, lines: usize) -> Result<String, FleetError> {
+        let log = self.with_member(name, |member| member.launch.log.clone())?;
+        Ok(crate::process::tail(&log, lines))
+    }
+
+    /// Adds a session-host engine with a model server, in a release for example.
+    ///
+    /// # Errors
+    /// When one of them can't be started or does not answer.
+    pub async fn add_engine(&self, group: &ModelGroup) -> Result<ProcessName, FleetError> {
+        let model = self.add(ProcessKind::Model, Job::Model { group: group.clone() }).await?;
+        let model = self.http_address(model)?;
+        self.add(ProcessKind::Engine, Job::Engine { group: group.clone(), model }).await
+    }
+
+    /// Adds an application engine and lists it.
+    ///
+    /// # Errors
+    /// When it can't be started or the list can't be changed.
+    pub async fn add_application(
+        &self,
+        group: &ApplicationGroup,
+    ) -> Result<ProcessName, FleetError> {
+        let name = self.add(ProcessKind::App, Job::App { group: group.clone() }).await?;
+        self.list_applications().await?;
+        Ok(name)
+    }
+
+    async fn add(&self, kind: ProcessKind, job: Job) -> Result<ProcessName, FleetError> {
+        let index = self.names(kind).last().map_or(0, |name| name.index + 1);
+        let name = ProcessName::new(kind, index);
+        let ip = self.inner().range.draw()?;
+        let zone = self.common.topology.zone(index).clone();
+        self.begin_planned(Plan { name, ip, zone, job })?;
+        self.answer_again(name).await?;
+        Ok(name)
+    }
+
+    /// Starts a process from its plan, with seeds as they are now.
+    pub(crate) fn begin_planned(&self, plan: Plan) -> Result<(), FleetError> {
+        let rpc = |kind| -> Vec<SocketAddr> {
+            let inner = self.inner();
+            let of_kind = inner.members.values().filter(|m| m.plan.name.kind == kind);
+            of_kind.map(|m| m.plan.rpc()).filter(|rpc| *rpc != plan.rpc()).collect()
+        };
+        let (stores, cores) = (rpc(ProcessKind::Store), rpc(ProcessKind::Core));
+        let launch = self.common.launch(&plan, seeds(plan.name.index, &stores, &cores), &[])?;
+        self.begin(plan, launch)
+    }
+}
+
+impl Member {
+    fn status(&mut self, name: ProcessName) -> ProcessStatus {
+        let (pid, state) = match &mut self.process {
+            None => (None, "stopped".to_owned()),
+            Some(process) => match process.ended() {
+                Some(status) => (None, describe(status)),
+                None if process.frozen => (Some(process.id()), "frozen".to_owned()),
+                None => (Some(process.id()), "running".to_owned()),
+            },
+        };
+        let zone = self.plan.zone.to_string();
+        ProcessStatus { name, zone, http: self.plan.http(), pid, state }
+    }
+}
+
+fn data_folder(options: FleetOptions) -> Result<(PathBuf, Option<TempDir>), FleetError> {
+    let Some(data) = options.data else {
+        let made = tempfile::Builder::new().prefix("hooklug-fleet-").tempdir();
+        let folder = made.map_err(FleetError::io("cannot make a folder"))?;
+        return Ok((folder.path().to_owned(), Some(folder)));
+    };
+    std::fs::create_dir_all(&data).map_err(FleetError::io("cannot make the data folder"))?;
+    let data = data.canonicalize().map_err(FleetError::io("cannot find the data folder"))?;
+    Ok((data, None))
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,32 @@
-//! See docs/ARCHITECTURE.md.
+//! A whole fleet on one machine: every node a process of its own at its own loopback address, with
+//! stand-ins for model servers, application engines and the platform's list.
+//!
+//! Tests and the demo drive it through [`Fleet`] and [`Caller`]. Nothing is left behind: processes are
+//! ended by their ids when the fleet is dropped.
+
+#![deny(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod addresses;
+mod binaries;
+mod bundle;
+pub mod caller;
+pub mod control;
+
+pub mod demo;
+mod error;
+mod fleet;
+pub mod http;
+mod links;
+mod names;
+mod plan;
+mod process;
+mod readiness;
+mod repair;
+mod topology;
+
+pub use caller::{Caller, CallerError};
+pub use error::FleetError;
+pub use fleet::{Fleet, FleetOptions, ProcessStatus};
+pub use names::{ProcessKind, ProcessName};
+pub use topology::{ApplicationGroup, ModelGroup, ModelPace, Tool, Topology};
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -1,3 +1,206 @@
-//! See docs/ARCHITECTURE.md.
+//! `hooklug-fleet`: a whole fleet on this machine, for developers.
 
-fn main() {}
+#![deny(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::{Args, Parser, Subcommand};
+use hooklug_fleet::control::{CommandServer, FleetCommand, Target, send};
+use hooklug_fleet::demo::{self, DemoError};
+use hooklug_fleet::{Fleet, FleetError, FleetOptions, ProcessName, Topology};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code after Ctrl-C.
+const EXIT_INTERRUPTED: u8 = 130;
+
+/// Runs a whole hooklug fleet on this machine, each node a process at its own loopback address.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Start a fleet and keep it until Ctrl-C
+    Up(UpArgs),
+    /// Start a small fleet, drive the ordinary path through it, stop it
+    Demo(DemoArgs),
+    /// Show the processes of a running fleet
+    Status(RunningArgs),
+    /// Kill a process without warning
+    Kill(TargetArgs),
+    /// Freeze a process
+    Freeze(NameArgs),
+    /// Wake a frozen process
+    Wake(NameArgs),
+    /// Cut the link between two nodes
+    Cut(CutArgs),
+    /// End all cuts
+    Heal(RunningArgs),
+    /// Replace a machine by an empty one at a new address
+    Replace(NameArgs),
+    /// Kill a store, empty its disk and start it again
+    LoseDisk(NameArgs),
+    /// Tell a process to stop, or a stand-in to refuse new work
+    Drain(NameArgs),
+    /// Start a process again, stopping it first if it runs
+    Restart(NameArgs),
+    /// Restart all nodes in turn
+    RollingRestart(RunningArgs),
+    /// Show the last lines that a process wrote
+    Logs(LogArgs),
+}
+
+#[derive(Debug, Args)]
+struct RunningArgs {
+    /// Data folder of the running fleet
+    #[arg(long, default_value = "fleet-data")]
+    data: PathBuf,
+}
+
+#[derive(Debug, Args)]
+struct UpArgs {
+    /// Topology file [default: the demo's]
+    #[arg(long)]
+    topology: Option<PathBuf>,
+    #[command(flatten)]
+    running: RunningArgs,
+}
+
+#[derive(Debug, Args)]
+struct DemoArgs {
+    /// Topology file [default: the demo's]
+    #[arg(long)]
+    topology: Option<PathBuf>,
+    /// Kill a process in the middle: store:1, gateway:0, engine:owner, core:leader, ...
+    #[arg(long)]
+    kill: Option<Target>,
+}
+
+#[derive(Debug, Args)]
+struct NameArgs {
+    /// The process, such as store:1
+    name: ProcessName,
+    #[command(flatten)]
+    running: RunningArgs,
+}
+
+#[derive(Debug, Args)]
+struct TargetArgs {
+    /// The process, such as store:1, or core:leader
+    target: Target,
+    #[command(flatten)]
+    running: RunningArgs,
+}
+
+#[derive(Debug, Args)]
+struct CutArgs {
+    /// One node; the sender of a one-way cut
+    a: ProcessName,
+    /// The other
+    b: ProcessName,
+    /// Cut only what the first one sends
+    #[arg(long)]
+    one_way: bool,
+    #[command(flatten)]
+    running: RunningArgs,
+}
+
+#[derive(Debug, Args)]
+struct LogArgs {
+    /// The process, such as store:1
+    name: ProcessName,
+    /// How many lines
+    #[arg(long, default_value_t = 50)]
+    lines: usize,
+    #[command(flatten)]
+    running: RunningArgs,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let filter = tracing_subscriber::EnvFilter::from_default_env();
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+    match until_interrupted(Cli::parse().command).await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("hooklug-fleet: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a command; an interrupt drops it, and with it every process that it started.
+async fn until_interrupted(command: Command) -> Result<ExitCode, DemoError> {
+    let stop = |kind| {
+        signal(kind)
+            .map_err(|source| FleetError::Io { what: "cannot wait for signals".to_owned(), source })
+    };
+    let mut interrupt = stop(SignalKind::interrupt())?;
+    let mut terminate = stop(SignalKind::terminate())?;
+    tokio::select! {
+        done = run(command) => done.map(|()| ExitCode::SUCCESS),
+        _ = interrupt.recv() => Ok(ExitCode::from(EXIT_INTERRUPTED)),
+        _ = terminate.recv() => Ok(ExitCode::from(EXIT_INTERRUPTED)),
+    }
+}
+
+async fn run(command: Command) -> Result<(), DemoError> {
+    let (running, command) = match command {
+        Command::Up(args) => return Ok(up(args).await?),
+        Command::Demo(args) => return run_demo(args).await,
+        Command::Status(args) => (args, FleetCommand::Status),
+        Command::Kill(args) => (args.running, kill(args.target)?),
+        Command::Freeze(args) => (args.running, FleetCommand::Freeze(args.name)),
+        Command::Wake(args) => (args.running, FleetCommand::Wake(args.name)),
+        Command::Cut(CutArgs { a, b, one_way, running }) => {
+            (running, FleetCommand::Cut { a, b, one_way })
+        }
+        Command::Heal(args) => (args, FleetCommand::Heal),
+        Command::Replace(args) => (args.running, FleetCommand::Replace(args.name)),
+        Command::LoseDisk(args) => (args.running, FleetCommand::LoseDisk(args.name)),
+        Command::Drain(args) => (args.running, FleetCommand::Drain(args.name)),
+        Command::Restart(args) => (args.running, FleetCommand::Restart(args.name)),
+        Command::RollingRestart(args) => (args, FleetCommand::RollingRestart),
+        Command::Logs(LogArgs { name, lines, running }) => {
+            (running, FleetCommand::Log { name, lines })
+        }
+    };
+    println!("{}", send(&running.data, &command).await?);
+    Ok(())
+}
+
+fn kill(target: Target) -> Result<FleetCommand, FleetError> {
+    match target {
+        Target::Process(name) => Ok(FleetCommand::Kill(name)),
+        Target::CoreLeader => Ok(FleetCommand::KillCoreLeader),
+        Target::SessionOwner => {
+            Err(FleetError::Unexpected("engine:owner is known to the demo only".to_owned()))
+        }
+    }
+}
+
+fn topology(path: Option<&Path>) -> Result<Topology, FleetError> {
+    path.map_or_else(|| Ok(Topology::small()), Topology::read)
+}
+
+async fn up(args: UpArgs) -> Result<(), FleetError> {
+    let began = std::time::Instant::now();
+    let topology = topology(args.topology.as_deref())?;
+    let options = FleetOptions { data: Some(args.running.data) };
+    let fleet = Arc::new(Fleet::start_with(topology, options).await?);
+    let _commands = CommandServer::start(fleet.clone()).await?;
+    println!("{}", fleet.carry_out(FleetCommand::Status).await?);
+    println!("ready after {:.1} s; Ctrl-C ends it", began.elapsed().as_secs_f64());
+    std::future::pending().await
+}
+
+async fn run_demo(args: DemoArgs) -> Result<(), DemoError> {
+    let topology = topology(args.topology.as_deref())?;
+    demo::run(topology, args.kill, &|line| println!("{line}")).await
+}
