control: tests of discovery, fail-over, cut-off leaders and spreading bundles

Cause: the promises of the control plane need runs that show them. Change: a cluster inside one process, with real connections and the stores' state in memory.

--- /dev/null
+++ b/crates/control/tests/cluster.rs
@@ -0,0 +1,269 @@
+//! Node agents and cores together, over real connections.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use common::{Cluster, Node, bundle, eventually};
+use hooklug_control::view::revision_epoch;
+use hooklug_protocol::control::MemberHealth;
+use hooklug_rpc::{LinkFault, RpcServer};
+use hooklug_state::meta::{MetaRefusal, MetaReply};
+use hooklug_types::{BundleVersion, NodeRole, Revision};
+
+fn sees_alive(observer: &Node, other: &Node) -> bool {
+    let view = observer.view();
+    view.members.get(&other.id()).is_some_and(|m| m.health == MemberHealth::Alive)
+}
+
+fn leader_of<'a>(cores: &'a [Node], observer: &Node) -> Option<&'a Node> {
+    let leader = observer.view().meta.leader.clone().filter(|l| !l.expired)?;
+    cores.iter().find(|core| core.id() == leader.core)
+}
+
+async fn wait_for_leader<'a>(cores: &'a [Node], observer: &Node) -> &'a Node {
+    eventually("a core leads", || leader_of(cores, observer).is_some()).await;
+    leader_of(cores, observer).expect("just seen")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn nodes_find_each_other_from_one_seed_of_any_role() {
+    let cluster = Cluster::new(11).await;
+    let mut nodes = vec![cluster.start(NodeRole::Gateway, &[]).await];
+    for role in [NodeRole::Gateway, NodeRole::Store, NodeRole::Core, NodeRole::Gateway] {
+        let seed = nodes.last().expect("not empty").rpc();
+        nodes.push(cluster.start(role, &[seed]).await);
+    }
+    for observer in &nodes {
+        for other in &nodes {
+            eventually("each node sees each other", || sees_alive(observer, other)).await;
+        }
+        let stores = observer.context.node.stores.borrow().clone();
+        assert_eq!(stores, vec![nodes[2].rpc()]);
+        assert_eq!(observer.context.identity.cluster(), 77);
+        eventually("ready", || observer.context.node.readiness.reasons().is_empty()).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_at_a_reused_address_replaces_the_one_before() {
+    let cluster = Cluster::new(12).await;
+    let core = cluster.start(NodeRole::Core, &[]).await;
+    let observer = cluster.start(NodeRole::Gateway, &[core.rpc()]).await;
+    let first = cluster.start(NodeRole::Gateway, &[core.rpc()]).await;
+    eventually("the first is seen", || sees_alive(&observer, &first)).await;
+    let place = first.rpc();
+    first.kill();
+    let mut listener = RpcServer::bind(place).await;
+    while listener.is_err() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        listener = RpcServer::bind(place).await;
+    }
+    let listener = listener.expect("free by now");
+    let second = cluster.start_on(NodeRole::Gateway, &[core.rpc()], listener, None);
+    eventually("the second is seen", || sees_alive(&observer, &second)).await;
+    assert!(!observer.view().members.contains_key(&first.id()), "the address was reused");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn another_core_leads_when_the_leader_is_killed_and_the_view_never_goes_back() {
+    let cluster = Cluster::new(13).await;
+    let mut cores = vec![cluster.start(NodeRole::Core, &[]).await];
+    let seed = cores[0].rpc();
+    for _ in 0..2 {
+        cores.push(cluster.start(NodeRole::Core, &[seed]).await);
+    }
+    let seeds: Vec<_> = cores.iter().map(Node::rpc).collect();
+    let gateway = cluster.start(NodeRole::Gateway, &seeds).await;
+    let store = cluster.start(NodeRole::Store, &seeds).await;
+    let leader = wait_for_leader(&cores, &gateway).await;
+    for node in cores.iter().chain([&gateway, &store]) {
+        eventually("all are seen", || sees_alive(&gateway, node)).await;
+    }
+    let before = gateway.view();
+    let revisions = watch_revisions(&gateway);
+    leader.kill();
+    let killed = leader.id();
+    eventually("another leads", || {
+        leader_of(&cores, &gateway).is_some_and(|leader| leader.id() != killed)
+    })
+    .await;
+    let after = gateway.view();
+    assert!(revision_epoch(after.revision) > revision_epoch(before.revision));
+    assert!(sees_alive(&gateway, &store), "living nodes stay in the view");
+    let late = cluster.start(NodeRole::Gateway, &seeds).await;
+    eventually("the view goes on", || sees_alive(&gateway, &late)).await;
+    eventually("the dead core is given up", || {
+        gateway.view().members.get(&killed).is_none_or(|m| m.health == MemberHealth::Dead)
+    })
+    .await;
+    assert_rising(&revisions.all());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_core_that_was_cut_off_and_comes_back_changes_nothing() {
+    let cluster = Cluster::new(14).await;
+    let first = cluster.start(NodeRole::Core, &[]).await;
+    let second = cluster.start(NodeRole::Core, &[first.rpc()]).await;
+    let cores = [first, second];
+    let seeds: Vec<_> = cores.iter().map(Node::rpc).collect();
+    let gateway = cluster.start(NodeRole::Gateway, &seeds).await;
+    let leader = wait_for_leader(&cores, &gateway).await;
+    for node in &cores {
+        eventually("both cores are seen", || sees_alive(&gateway, node)).await;
+    }
+    let revisions = watch_revisions(&gateway);
+    let old_epoch = revision_epoch(gateway.view().revision);
+    cut(leader, &[&cores[0], &cores[1], &gateway], true);
+    eventually("the other core leads", || {
+        leader_of(&cores, &gateway).is_some_and(|l| l.id() != leader.id())
+            && revision_epoch(gateway.view().revision) > old_epoch
+    })
+    .await;
+    let new_epoch = revision_epoch(gateway.view().revision);
+    cut(leader, &[&cores[0], &cores[1], &gateway], false);
+    eventually("the old leader follows", || {
+        sees_alive(&gateway, leader) && revision_epoch(leader.view().revision) == new_epoch
+    })
+    .await;
+    assert_eq!(revision_epoch(gateway.view().revision), new_epoch);
+    assert_rising(&revisions.all());
+}
+
+/// Cuts a node off from others in both directions, and from the stores' state.
+fn cut(node: &Node, others: &[&Node], cut: bool) {
+    let fault = LinkFault { cut, delay_micros: 0 };
+    let others = others.iter().filter(|o| o.id() != node.id());
+    let links: BTreeMap<_, _> = others.clone().map(|o| (o.ip(), fault)).collect();
+    node.context.identity.faults.set(links);
+    for other in others {
+        other.context.identity.faults.set(BTreeMap::from([(node.ip(), fault)]));
+    }
+    node.state.set_cut(cut);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_bundle_spreads_to_thirty_nodes_and_none_slips_back() {
+    let cluster = Cluster::new(15).await;
+    let mut nodes = vec![cluster.start(NodeRole::Core, &[]).await];
+    let seed = nodes[0].rpc();
+    nodes.push(cluster.start(NodeRole::Store, &[seed]).await);
+    for _ in 0..28 {
+        nodes.push(cluster.start(NodeRole::Gateway, &[seed]).await);
+    }
+    let installed: Vec<_> = nodes.iter().map(watch_installed).collect();
+    for version in 1..=5 {
+        let record = cluster.submit_accepted(&bundle(version, "growers")).await;
+        nodes[7].context.identity.bundles.saw(record.version);
+    }
+    for node in &nodes {
+        eventually("all install the newest", || node.installed() == BundleVersion(5)).await;
+        assert_eq!(node.context.identity.bundles.installed(), BundleVersion(5));
+    }
+    let observer = &nodes[9];
+    eventually("the view shows it", || {
+        let view = observer.view();
+        view.members.len() == nodes.len()
+            && view.members.values().all(|m| m.bundle == BundleVersion(5))
+    })
+    .await;
+    for seen in installed {
+        assert_rising(&seen.all());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_without_a_core_still_gets_the_newest_bundle() {
+    let cluster = Cluster::new(16).await;
+    let store = cluster.start(NodeRole::Store, &[]).await;
+    let gateway = cluster.start(NodeRole::Gateway, &[store.rpc()]).await;
+    eventually("ready without a core", || gateway.context.node.readiness.reasons().is_empty())
+        .await;
+    cluster.submit_accepted(&bundle(1, "growers")).await;
+    eventually("installed", || gateway.installed() == BundleVersion(1)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_is_not_ready_before_it_has_the_newest_bundle_or_reaches_anyone() {
+    let cluster = Cluster::new(17).await;
+    cluster.submit_accepted(&bundle(1, "growers")).await;
+    let alone = cluster.start(NodeRole::Gateway, &[]).await;
+    alone.state.set_cut(true);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reasons = alone.context.node.readiness.reasons();
+    assert!(reasons.contains_key("reach") && reasons.contains_key("bundle"), "{reasons:?}");
+    alone.state.set_cut(false);
+    eventually("the stores answer", || alone.context.node.readiness.reasons().is_empty()).await;
+    assert_eq!(alone.installed(), BundleVersion(1), "ready only with the newest bundle");
+    alone.state.set_cut(true);
+    eventually("out of reach of everyone", || {
+        alone.context.node.readiness.reasons().contains_key("reach")
+    })
+    .await;
+    assert_eq!(alone.installed(), BundleVersion(1), "it goes on under its last bundle");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn of_two_racing_bundles_one_is_accepted_and_a_resend_gets_the_first_answer() {
+    let cluster = Cluster::new(18).await;
+    let core = cluster.start(NodeRole::Core, &[]).await;
+    let gateway = cluster.start(NodeRole::Gateway, &[core.rpc()]).await;
+    let (one, two) = (bundle(1, "growers"), bundle(1, "dispatchers"));
+    let (first, second) = tokio::join!(cluster.submit(&one), cluster.submit(&two));
+    let accepted = |reply: &MetaReply| matches!(reply, MetaReply::Bundle(_));
+    assert!(accepted(&first) != accepted(&second), "{first:?} {second:?}");
+    let (winner, loser) = if accepted(&first) { (&one, &two) } else { (&two, &one) };
+    let record = cluster.submit_accepted(winner).await;
+    cluster.submit_accepted(&bundle(2, "growers")).await;
+    assert_eq!(cluster.submit_accepted(winner).await, record, "a resend gets the first answer");
+    let refused = cluster.submit(loser).await;
+    assert!(matches!(refused, MetaReply::Refused(MetaRefusal::VersionTaken { .. })), "{refused:?}");
+    eventually("the newest is in force", || gateway.installed() == BundleVersion(2)).await;
+}
+
+/// Values that a watch channel has shown.
+struct Seen<T> {
+    values: std::sync::Arc<std::sync::Mutex<Vec<T>>>,
+}
+
+impl<T: Clone> Seen<T> {
+    fn all(&self) -> Vec<T> {
+        self.values.lock().expect("not poisoned").clone()
+    }
+}
+
+fn watch_revisions(node: &Node) -> Seen<Revision> {
+    let values = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let (seen, mut view) = (values.clone(), node.context.node.view.clone());
+    tokio::spawn(async move {
+        loop {
+            let revision = view.borrow_and_update().revision;
+            seen.lock().expect("not poisoned").push(revision);
+            if view.changed().await.is_err() {
+                return;
+            }
+        }
+    });
+    Seen { values }
+}
+
+fn watch_installed(node: &Node) -> Seen<BundleVersion> {
+    let values = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let (seen, mut bundle) = (values.clone(), node.context.node.bundle.clone());
+    tokio::spawn(async move {
+        loop {
+            let installed = bundle.borrow_and_update().as_ref().map(|b| b.record.version);
+            seen.lock().expect("not poisoned").extend(installed);
+            if bundle.changed().await.is_err() {
+                return;
+            }
+        }
+    });
+    Seen { values }
+}
+
+fn assert_rising<T: PartialOrd + std::fmt::Debug>(values: &[T]) {
+    assert!(!values.is_empty());
+    assert!(values.windows(2).all(|pair| pair[0] <= pair[1]), "went back: {values:?}");
+}
