--- /dev/null
+++ b/crates/control/tests/judge.rs
@@ -0,0 +1,281 @@
+//! The judge on simulated traffic: time and chance are inputs, so each run is the same.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use hooklug_bundle::{Bundle, Service};
+use hooklug_control::judge::{Judge, JudgedVersion};
+use hooklug_control::latency_bucket;
+use hooklug_protocol::control::{LATENCY_BUCKETS, VersionStatistics};
+use hooklug_state::meta::HarmReport;
+use hooklug_types::{RouteName, ServiceName, ServiceVersion};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SERVICE: &str = "alarms";
+const OTHER_SERVICE: &str = "reports";
+const ROUTE: &str = "send-alarm";
+const OTHER_ROUTE: &str = "read-sensor";
+const SEEDS: std::ops::Range<u64> = 0..20;
+
+/// What the back ends of one version do on one route in one second.
+#[derive(Clone, Copy)]
+struct Behaviour {
+    requests: u32,
+    error_share: f64,
+    /// Middle of the latency, in milliseconds; single requests lie between half and twice that.
+    latency_ms: f64,
+}
+
+fn well(requests: u32) -> Behaviour {
+    Behaviour { requests, error_share: 0.01, latency_ms: 40.0 }
+}
+
+struct Simulation {
+    judge: Judge,
+    bundle: Bundle,
+    start: Instant,
+    second: u32,
+    random: ChaCha8Rng,
+    lost: BTreeSet<JudgedVersion>,
+}
+
+/// Harm and the simulated second in which it was reported.
+type Report = (u32, HarmReport);
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        let service: Service = serde_json::from_str(
+            r#"{"kind": "application", "slots": 10, "versions": [{"version": "v1"}, {"version": "v2"}]}"#,
+        )
+        .expect("valid");
+        let mut bundle = Bundle::default();
+        bundle.services.insert(ServiceName::new(SERVICE).expect("valid"), service);
+        Self {
+            judge: Judge::default(),
+            bundle,
+            start: Instant::now(),
+            second: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            lost: BTreeSet::new(),
+        }
+    }
+
+    fn at(&self, millis: u64) -> Instant {
+        self.start + Duration::from_secs(self.second.into()) + Duration::from_millis(millis)
+    }
+
+    fn statistics(
+        &mut self,
+        service: &str,
+        version: &str,
+        route: &str,
+        behaviour: Behaviour,
+    ) -> VersionStatistics {
+        let mut seen = VersionStatistics {
+            service: ServiceName::new(service).expect("valid"),
+            version: ServiceVersion::new(version).expect("valid"),
+            route: RouteName::new(route).expect("valid"),
+            successes: 0,
+            failures: 0,
+            latency: [0; LATENCY_BUCKETS],
+        };
+        for _ in 0..behaviour.requests {
+            let factor = 2_f64.powf(self.random.random_range(-1.0..1.0));
+            let latency = Duration::from_secs_f64(behaviour.latency_ms * factor / 1_000.0);
+            seen.latency[latency_bucket(latency)] += 1;
+            if self.random.random_bool(behaviour.error_share) {
+                seen.failures += 1;
+            } else {
+                seen.successes += 1;
+            }
+        }
+        seen
+    }
+
+    /// One second in which versions 1 and 2 behave so on a route; the first report, if any.
+    fn second(&mut self, seen: &[(&str, &str, &str, Behaviour)]) -> Option<Report> {
+        self.second += 1;
+        let statistics: Vec<VersionStatistics> = seen
+            .iter()
+            .map(|(service, version, route, behaviour)| {
+                self.statistics(service, version, route, *behaviour)
+            })
+            .collect();
+        let now = self.at(0);
+        self.judge.observe(&statistics, now);
+        (0..4).find_map(|quarter| {
+            let now = self.at(quarter * 250);
+            let reports = self.judge.evaluate(&self.bundle, &self.lost, now);
+            reports.into_iter().next().map(|report| (self.second, report))
+        })
+    }
+
+    /// Many such seconds; stops at the first report.
+    fn run(&mut self, seconds: u32, old: Behaviour, new: Behaviour) -> Option<Report> {
+        (0..seconds)
+            .find_map(|_| self.second(&[(SERVICE, "v1", ROUTE, old), (SERVICE, "v2", ROUTE, new)]))
+    }
+}
+
+fn expect_report(report: Option<Report>, seed: u64) -> Report {
+    let (second, harm) = report.unwrap_or_else(|| panic!("seed {seed}: no harm was found"));
+    assert_eq!((harm.service.as_str(), harm.version.as_str()), (SERVICE, "v2"), "seed {seed}");
+    assert!(!harm.reason.is_empty());
+    (second, harm)
+}
+
+#[test]
+fn failing_from_the_first_second_is_found_within_five() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        let bad = Behaviour { error_share: 0.9, ..well(20) };
+        let (second, harm) = expect_report(simulation.run(20, well(380), bad), seed);
+        assert!(second <= 5, "seed {seed}: found in second {second}: {}", harm.reason);
+        assert!(harm.reason.contains("failed"), "{}", harm.reason);
+    }
+}
+
+#[test]
+fn failing_on_one_route_only_is_found_and_the_route_is_named() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        let bad = Behaviour { error_share: 0.5, ..well(10) };
+        let report = (0..20).find_map(|_| {
+            simulation.second(&[
+                (SERVICE, "v1", ROUTE, well(200)),
+                (SERVICE, "v2", ROUTE, well(200)),
+                (SERVICE, "v1", OTHER_ROUTE, well(30)),
+                (SERVICE, "v2", OTHER_ROUTE, bad),
+            ])
+        });
+        let (_, harm) = expect_report(report, seed);
+        assert_eq!(harm.route.map(|r| r.to_string()).as_deref(), Some(OTHER_ROUTE), "seed {seed}");
+    }
+}
+
+#[test]
+fn slow_under_load_only_is_found_when_the_load_comes() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        assert_eq!(simulation.run(60, well(40), well(10)), None, "seed {seed}: no load, no harm");
+        let slow = Behaviour { latency_ms: 400.0, ..well(40) };
+        let (second, harm) = expect_report(simulation.run(20, well(160), slow), seed);
+        assert!(second <= 65, "seed {seed}: found in second {second}");
+        assert!(harm.reason.contains("latency"), "{}", harm.reason);
+    }
+}
+
+#[test]
+fn failing_after_minutes_is_found_while_the_old_version_has_traffic() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        assert_eq!(simulation.run(240, well(50), well(50)), None, "seed {seed}");
+        let bad = Behaviour { error_share: 0.4, ..well(50) };
+        let (second, _) = expect_report(simulation.run(20, well(50), bad), seed);
+        assert!(second <= 245, "seed {seed}: found in second {second}");
+    }
+}
+
+#[test]
+fn failing_after_minutes_is_found_when_the_old_version_has_no_traffic_any_more() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        assert_eq!(simulation.run(30, well(50), well(50)), None, "seed {seed}");
+        assert_eq!(simulation.run(240, well(0), well(100)), None, "seed {seed}");
+        let bad = Behaviour { error_share: 0.8, ..well(100) };
+        let (second, harm) = expect_report(simulation.run(20, well(0), bad), seed);
+        assert!(second <= 276, "seed {seed}: found in second {second}: {}", harm.reason);
+    }
+}
+
+#[test]
+fn no_alarm_when_both_versions_suffer_alike() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        assert_eq!(simulation.run(30, well(100), well(25)), None, "seed {seed}");
+        let suffering = |requests| Behaviour { requests, error_share: 0.4, latency_ms: 900.0 };
+        assert_eq!(simulation.run(120, suffering(100), suffering(25)), None, "seed {seed}");
+        assert_eq!(simulation.run(60, well(100), well(25)), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn no_alarm_by_chance_over_an_hour_of_equal_versions() {
+    for seed in 0..4 {
+        let mut simulation = Simulation::new(seed);
+        let noisy = |requests| Behaviour { error_share: 0.05, ..well(requests) };
+        assert_eq!(simulation.run(3_600, noisy(30), noisy(3)), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn no_alarm_before_there_are_samples_enough() {
+    let mut simulation = Simulation::new(1);
+    let bad = Behaviour { error_share: 1.0, ..well(1) };
+    assert_eq!(simulation.run(19, well(100), bad), None, "19 samples of 20");
+    expect_report(simulation.run(10, well(100), bad), 1);
+}
+
+#[test]
+fn latency_is_held_under_a_load_that_the_old_version_never_saw() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        assert_eq!(simulation.run(60, well(50), well(50)), None, "seed {seed}");
+        assert_eq!(simulation.run(60, well(0), well(100)), None, "seed {seed}");
+        let loaded = Behaviour { latency_ms: 800.0, ..well(400) };
+        assert_eq!(simulation.run(60, well(0), loaded), None, "seed {seed}: held");
+        let slow = Behaviour { latency_ms: 800.0, ..well(100) };
+        let (_, harm) = expect_report(simulation.run(60, well(0), slow), seed);
+        assert!(harm.reason.contains("latency"), "{}", harm.reason);
+    }
+}
+
+#[test]
+fn errors_are_held_while_other_services_fail_too_and_the_old_version_has_no_traffic() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        assert_eq!(simulation.run(60, well(50), well(50)), None, "seed {seed}");
+        let bad = |requests| Behaviour { error_share: 0.8, ..well(requests) };
+        let report = (0..60).find_map(|_| {
+            simulation.second(&[
+                (SERVICE, "v2", ROUTE, bad(100)),
+                (OTHER_SERVICE, "v1", OTHER_ROUTE, bad(50)),
+            ])
+        });
+        assert_eq!(report, None, "seed {seed}: something else is at fault");
+    }
+}
+
+#[test]
+fn failures_while_an_engine_is_lost_are_no_harm_by_the_version() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        assert_eq!(simulation.run(30, well(50), well(50)), None, "seed {seed}");
+        simulation.lost.insert(JudgedVersion {
+            service: ServiceName::new(SERVICE).expect("valid"),
+            version: ServiceVersion::new("v2").expect("valid"),
+        });
+        let losing = Behaviour { error_share: 0.35, ..well(50) };
+        assert_eq!(simulation.run(2, well(50), losing), None, "seed {seed}");
+        assert_eq!(simulation.run(60, well(50), well(50)), None, "seed {seed}");
+        let bad = Behaviour { error_share: 0.6, ..well(50) };
+        let (second, _) = expect_report(simulation.run(20, well(50), bad), seed);
+        assert!(second <= 99, "seed {seed}: lasting harm is found, in second {second}");
+    }
+}
+
+#[test]
+fn a_report_of_a_gateway_counts_only_for_the_version_under_watch() {
+    let mut simulation = Simulation::new(1);
+    let harm = |version: &str| HarmReport {
+        service: ServiceName::new(SERVICE).expect("valid"),
+        version: ServiceVersion::new(version).expect("valid"),
+        route: None,
+        reason: "seen by a gateway".to_owned(),
+    };
+    simulation.judge.report(harm("v1"));
+    assert_eq!(simulation.run(1, well(1), well(1)), None, "v1 is the old version");
+    simulation.judge.report(harm("v2"));
+    assert_eq!(simulation.run(1, well(1), well(1)), Some((2, harm("v2"))));
+}
