hooklug: roles, check, bundle, status, sessions and cluster commands

Cause: one binary runs every process and serves operators. Change: composition of node agent and role, signals, settings from file, variables and flags, logs for people or as JSON, and the operators' commands over the HTTP API.

--- /dev/null
+++ b/crates/hooklug/src/logging.rs
@@ -0,0 +1,19 @@
+//! Logs of a process, for people or as JSON.
+
+use tracing_subscriber::EnvFilter;
+
+use crate::cli::LogFormat;
+
+/// Filter when `RUST_LOG` gives none.
+const DEFAULT_FILTER: &str = "info";
+
+/// Starts writing logs to standard error.
+pub(crate) fn start(format: LogFormat) {
+    let filter =
+        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match format {
+        LogFormat::Human => builder.init(),
+        LogFormat::Json => builder.json().init(),
+    }
+}
--- /dev/null
+++ b/crates/hooklug/src/node/signals.rs
@@ -0,0 +1,31 @@
+//! Signals of the platform: the first asks to stop, the second ends the process at once.
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+use tracing::warn;
+
+/// Exit code after a second signal.
+const EXIT_AT_ONCE: i32 = 1;
+
+/// A token that is cancelled by the first signal.
+pub(super) fn listen() -> std::io::Result<CancellationToken> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let stop = CancellationToken::new();
+    let stopping = stop.clone();
+    tokio::spawn(async move {
+        either(&mut terminate, &mut interrupt).await;
+        stopping.cancel();
+        either(&mut terminate, &mut interrupt).await;
+        warn!("second signal, ending at once");
+        std::process::exit(EXIT_AT_ONCE);
+    });
+    Ok(stop)
+}
+
+async fn either(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/hooklug/src/table.rs
@@ -0,0 +1,42 @@
+//! Tables for people: columns as wide as their longest cell.
+
+/// A table with a header.
+#[derive(Debug)]
+pub(crate) struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    pub(crate) fn new(header: &[&str]) -> Self {
+        Self { rows: vec![header.iter().map(|cell| (*cell).to_owned()).collect()] }
+    }
+
+    pub(crate) fn row(&mut self, cells: Vec<String>) {
+        self.rows.push(cells);
+    }
+
+    /// Prints a title and the table, or that there is nothing.
+    pub(crate) fn print(&self, title: &str) {
+        println!("{title}");
+        if self.rows.len() == 1 {
+            println!("  (none)\n");
+            return;
+        }
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let width = |column: usize| {
+            self.rows.iter().filter_map(|r| r.get(column)).map(|c| c.chars().count()).max()
+        };
+        let widths: Vec<usize> = (0..columns).map(|c| width(c).unwrap_or(0)).collect();
+        for row in &self.rows {
+            let cells: Vec<String> =
+                row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
+            println!("  {}", cells.join("  ").trim_end());
+        }
+        println!();
+    }
+}
+
+/// A value that may be missing.
+pub(crate) fn or_dash<T: ToString>(value: Option<T>) -> String {
+    value.map_or_else(|| "-".to_owned(), |v| v.to_string())
+}
