fleet: tenants of a topology

Cause: gateways take only callers of tenants that the bundle names. Change: topologies list tenants; the demo calls for the first one.

--- a/crates/fleet/src/bundle.rs
+++ b/crates/fleet/src/bundle.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use hooklug_bundle::{
-    Bundle, HarmThresholds, Route, RouteMatch, Service, ServiceKind, VersionEntry, VersionState,
+    Bundle, HarmThresholds, Route, RouteMatch, Service, ServiceKind, Tenant, TenantLimits,
+    VersionEntry, VersionState,
 };
 use hooklug_types::{BundleVersion, IdError, RouteName, ServiceName, ServiceVersion};
 
@@ -25,6 +26,11 @@
         for group in &self.applications {
             add_application(&mut bundle, group)?;
         }
+        for id in &self.tenants {
+            let limits = TenantLimits::default();
+            let tenant = Tenant { key_digests: Vec::new(), group: None, limits };
+            bundle.tenants.insert(id.clone(), tenant);
+        }
         Ok(bundle)
     }
 }
--- a/crates/fleet/src/demo/mod.rs
+++ b/crates/fleet/src/demo/mod.rs
@@ -14,7 +14,6 @@
 
 const PROGRAM: &str = "frost-watch";
 const SESSION: &str = "house-4";
-const TENANT: &str = "serra-verde";
 const PREFIX: &str = "greenhouse";
 const BUDGET: u64 = 2_000;
 /// Time that the program has (ours).
@@ -86,7 +85,9 @@
         fleet.all_names().len(),
         began.elapsed().as_secs_f64()
     ));
-    let caller = Caller::new(fleet.gateways(), TENANT);
+    let tenant = fleet.topology().tenants.first().cloned();
+    let tenant = tenant.ok_or_else(|| FleetError::Unexpected("no tenants".to_owned()))?;
+    let caller = Caller::new(fleet.gateways(), tenant.as_str());
     let mut demo = Demo {
         fleet,
         caller,
--- a/crates/fleet/src/topology.rs
+++ b/crates/fleet/src/topology.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use hooklug_types::{ModelName, ServiceName, ServiceVersion, ZoneName};
+use hooklug_types::{ModelName, ServiceName, ServiceVersion, TenantId, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::FleetError;
@@ -24,6 +24,8 @@
     pub cores: usize,
     /// Number of gateways.
     pub gateways: usize,
+    /// Tenants, without keys and with the default limits.
+    pub tenants: Vec<TenantId>,
     /// Session-host engines, each with a model server, by service and version, oldest version first.
     #[serde(default)]
     pub models: Vec<ModelGroup>,
@@ -152,6 +154,9 @@
         if self.stores == 0 || self.cores == 0 || self.gateways == 0 {
             return Err("stores, cores, gateways: at least one of each is needed".to_owned());
         }
+        if self.tenants.is_empty() {
+            return Err("tenants: at least one is needed".to_owned());
+        }
         if addresses > crate::addresses::MAX_ADDRESSES {
             return Err(format!("{addresses} addresses are needed, too many for one fleet"));
         }
