--- a/crates/fleet/src/http.rs
+++ b/crates/fleet/src/http.rs
@@ -152,7 +152,7 @@
         time: Duration,
     ) -> Result<Answer, HttpError> {
         let exchange = async {
-            let (parts, body) = self.open(to, ask).await?.into_parts();
+            let (parts, body) = self.send(to, ask).await?.into_parts();
             let body = body.collect().await.map_err(|e| broken(to, &e))?.to_bytes();
             Ok(Answer { from: to, status: parts.status, headers: parts.headers, body })
         };
@@ -164,6 +164,11 @@
     /// # Errors
     /// [`HttpError`] when no answer came; any status is an answer.
     pub async fn open(&self, to: SocketAddr, ask: &Ask) -> Result<Response<Incoming>, HttpError> {
+        let sent = timeout(ANSWER_TIME, self.send(to, ask)).await;
+        sent.map_err(|_| HttpError::TimedOut { to })?
+    }
+
+    async fn send(&self, to: SocketAddr, ask: &Ask) -> Result<Response<Incoming>, HttpError> {
         let mut request = Request::builder()
             .method(ask.method.clone())
             .uri(format!("http://{to}{}", ask.path))
@@ -174,8 +179,7 @@
         let request = request
             .body(Full::new(ask.body.clone()))
             .map_err(|e| HttpError::Body { to, reason: e.to_string() })?;
-        let sent = timeout(ANSWER_TIME, self.client.request(request)).await;
-        sent.map_err(|_| HttpError::TimedOut { to })?.map_err(|e| broken(to, &e))
+        self.client.request(request).await.map_err(|e| broken(to, &e))
     }
 }
 
--- /dev/null
+++ b/crates/fleet/tests/machines.rs
@@ -0,0 +1,146 @@
+//! What can be done to the machines of a fleet, and that nothing is left behind.
+
+use std::time::Duration;
+
+use hooklug_fleet::caller::{CallerError, SessionRef, TurnRequest};
+use hooklug_fleet::{Caller, Fleet, FleetError, ProcessKind, ProcessName, Topology};
+use hooklug_types::UnixMillis;
+use nix::errno::Errno;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+
+const MODEL: &str = "advisor-7b";
+const READY_TIME: Duration = Duration::from_secs(60);
+
+/// A fleet with one of everything that the test needs not many of.
+fn topology() -> Topology {
+    let mut topology = Topology::small();
+    topology.gateways = 2;
+    topology.cores = 2;
+    topology.models.truncate(1);
+    topology.applications.truncate(1);
+    topology
+}
+
+fn name(text: &str) -> ProcessName {
+    text.parse().unwrap()
+}
+
+async fn session(fleet: &Fleet, program: &str) -> (Caller, SessionRef) {
+    let caller = Caller::new(fleet.gateways(), "serra-verde");
+    let end = UnixMillis::now().plus(Duration::from_secs(600));
+    caller.put_program(0, program, 1_000, end.0).await.unwrap();
+    let session = SessionRef::new(program, "s");
+    caller.open_session(0, &session, MODEL, None).await.unwrap();
+    (caller, session)
+}
+
+async fn run_turn(
+    caller: &Caller,
+    session: &SessionRef,
+    turn: &str,
+    after: Option<&str>,
+) -> Result<(), CallerError> {
+    let request = TurnRequest::new(turn, after, "[tokens 5]", 64);
+    let transcript = caller.run_turn(0, session, &request).await?;
+    transcript.check(turn)?;
+    assert_eq!(transcript.end(), "finished");
+    Ok(())
+}
+
+fn process_ids(fleet: &Fleet) -> Vec<i32> {
+    fleet
+        .status()
+        .into_iter()
+        .filter_map(|p| p.pid)
+        .map(|pid| i32::try_from(pid).unwrap())
+        .collect()
+}
+
+fn is_gone(pid: i32) -> bool {
+    kill(Pid::from_raw(pid), None) == Err(Errno::ESRCH)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_left_behind_also_after_a_panic_and_of_frozen_processes() {
+    let fleet = Fleet::start(topology()).await.unwrap();
+    let (ids, data) = (process_ids(&fleet), fleet.data().to_owned());
+    assert_eq!(ids.len(), fleet.all_names().len());
+    fleet.freeze(name("engine:0")).unwrap();
+    let panicked = tokio::spawn(async move {
+        let _held = fleet;
+        panic!("on purpose");
+    });
+    assert!(panicked.await.unwrap_err().is_panic());
+    assert!(ids.into_iter().all(is_gone));
+    assert!(!data.exists());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sessions_go_on_while_stores_are_replaced_and_lose_their_disks() {
+    let fleet = Fleet::start(topology()).await.unwrap();
+    let (caller, session) = session(&fleet, "p").await;
+    run_turn(&caller, &session, "t1", None).await.unwrap();
+    let before = fleet.http_address(name("store:1")).unwrap();
+    fleet.replace(name("store:1")).await.unwrap();
+    assert_ne!(before, fleet.http_address(name("store:1")).unwrap());
+    fleet.wait_ready(name("store:1"), READY_TIME).await.unwrap();
+    run_turn(&caller, &session, "t2", Some("t1")).await.unwrap();
+    fleet.lose_disk(name("store:1")).await.unwrap();
+    fleet.wait_ready(name("store:1"), READY_TIME).await.unwrap();
+    run_turn(&caller, &session, "t3", Some("t2")).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_gateway_answers_again_when_woken() {
+    let fleet = Fleet::start(topology()).await.unwrap();
+    let (caller, session) = session(&fleet, "p").await;
+    fleet.freeze(name("gateway:0")).unwrap();
+    assert_eq!(fleet.status().iter().filter(|p| p.state == "frozen").count(), 1);
+    let others = Caller::new(vec![fleet.gateway(1)], "serra-verde");
+    run_turn(&others, &session, "t1", None).await.unwrap();
+    fleet.wake(name("gateway:0")).unwrap();
+    fleet.wait_ready(name("gateway:0"), READY_TIME).await.unwrap();
+    run_turn(&caller, &session, "t2", Some("t1")).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_cut_off_is_unready_until_healed() {
+    let fleet = Fleet::start(topology()).await.unwrap();
+    fleet.cut_off(name("gateway:0")).await.unwrap();
+    let unready = fleet.wait_ready(name("gateway:0"), Duration::ZERO);
+    let mut last = unready.await;
+    while last.is_ok() {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        last = fleet.wait_ready(name("gateway:0"), Duration::ZERO).await;
+    }
+    assert!(matches!(last, Err(FleetError::TimedOut { .. })), "{last:?}");
+    fleet.heal().await.unwrap();
+    fleet.wait_ready(name("gateway:0"), READY_TIME).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_nodes_restart_in_turn_and_sessions_go_on() {
+    use ProcessKind::{Core, Engine, Gateway, Store};
+    let fleet = Fleet::start(topology()).await.unwrap();
+    let (caller, session) = session(&fleet, "p").await;
+    run_turn(&caller, &session, "t1", None).await.unwrap();
+    fleet.rolling_restart(&[Store, Core, Engine, Gateway]).await.unwrap();
+    run_turn(&caller, &session, "t2", Some("t1")).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_application_engine_can_be_added() {
+    let fleet = Fleet::start(topology()).await.unwrap();
+    let group = fleet.topology().applications[0].clone();
+    let added = fleet.add_application(&group).await.unwrap();
+    assert_eq!(added, name("app:2"));
+    let shown = || async {
+        let http = hooklug_fleet::http::HttpClient::default();
+        let ask = hooklug_fleet::http::Ask::new(http::Method::GET, "/admin/v1/engines");
+        let answer = http.ask(fleet.gateway(0), &ask).await.map_err(|e| e.to_string())?;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        if text.contains("app-2") { Ok(()) } else { Err(text) }
+    };
+    fleet.wait_until("a gateway sees the new engine", READY_TIME, shown).await.unwrap();
+}
