raft: activity of a member does not flap at each quorum check

Cause: a status read right after the check showed every member as silent, so repair and promotion held back at random. Change: the status and the promotion check count the interval before too; the quorum check itself is as strict as it was.

--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -101,7 +101,7 @@
         let is_active = |node| node == id || self.progress.get(&node).is_some_and(Progress::active);
         let has_quorum = self.log.conf().is_quorum(is_active);
         for progress in self.progress.values_mut() {
-            progress.set_active(false);
+            progress.begin_interval();
         }
         has_quorum
     }
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -88,7 +88,7 @@
         let last_index = self.log.last_index();
         let progress = self.progress.get(&node);
         let matched = progress.map_or(0, Progress::matched);
-        let is_active = progress.is_some_and(Progress::active);
+        let is_active = progress.is_some_and(Progress::lately_active);
         if !is_active || matched + MAX_PROMOTE_LAG_ENTRIES < last_index {
             return Err(ProposeError::LearnerLags { node, matched, last_index });
         }
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -33,6 +33,8 @@
     sent_commit: u64,
     /// Heard from since the last quorum check.
     active: bool,
+    /// Heard from between the last two quorum checks.
+    active_before: bool,
     /// Newest read round that it has answered.
     acked_round: u64,
 }
@@ -51,6 +53,7 @@
             check_wanted: false,
             sent_commit: 0,
             active: false,
+            active_before: false,
             acked_round: 0,
         }
     }
@@ -85,6 +88,18 @@
         self.active
     }
 
+    /// Whether it was heard from within the last one or two intervals between quorum checks: steady
+    /// right after a check too, when nothing can have been heard yet.
+    #[must_use]
+    pub fn lately_active(&self) -> bool {
+        self.active || self.active_before
+    }
+
+    /// Begins the next interval between quorum checks.
+    pub fn begin_interval(&mut self) {
+        self.active_before = std::mem::take(&mut self.active);
+    }
+
     /// Notes whether it was heard from.
     pub fn set_active(&mut self, active: bool) {
         self.active = active;
--- a/crates/raft/src/status.rs
+++ b/crates/raft/src/status.rs
@@ -23,7 +23,7 @@
     pub node: NodeId,
     /// Highest index known to match the leader's log.
     pub matched: u64,
-    /// Whether it was heard from since the last quorum check; the leader itself always.
+    /// Whether it was heard from within the last two election timeouts; the leader itself always.
     pub active: bool,
 }
 
@@ -83,7 +83,7 @@
         let of = |(node, progress): (&NodeId, &crate::progress::Progress)| ReplicaProgress {
             node: *node,
             matched: progress.matched(),
-            active: progress.active() || *node == self.config.id,
+            active: progress.lately_active() || *node == self.config.id,
         };
         self.progress.iter().map(of).collect()
     }
