--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -169,9 +169,11 @@
         self.shared.replicator.failure()
     }
 
-    /// Whether the store is of use: a member whose disk works and whose groups all know a leader.
+    /// Whether the store is of use: a member that knows the cluster, whose disk works and whose groups
+    /// all know a leader.
     pub async fn is_ready(&self) -> bool {
-        if self.failure().is_some() || !self.shared.is_member() {
+        let knows_cluster = self.shared.meta.borrow().cluster != 0;
+        if self.failure().is_some() || !self.shared.is_member() || !knows_cluster {
             return false;
         }
         self.replicas().await.iter().all(|replica| replica.leader.is_some())
--- a/crates/store/tests/support/repair.rs
+++ b/crates/store/tests/support/repair.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeSet;
 
 use hooklug_protocol::store::{ChangeReplicas, GroupStatus};
+use hooklug_raft::Role;
 use hooklug_rpc::RpcClient;
 use hooklug_state::meta::{MetaAnswer, MetaCommand, MetaQuery, MetaReply, MetaState, StoreState};
 use hooklug_store::placement::{PlannedChange, StoreReport, plan};
 use hooklug_store::{StateAccess, StoreClient};
-use hooklug_types::{FencingEpoch, Incarnation, NodeId};
+use hooklug_types::{FencingEpoch, GroupId, Incarnation, NodeId};
 
 use crate::support::{TestCluster, rpc_client, soon, until};
 
@@ -46,32 +47,29 @@
         assert_eq!(reply, MetaReply::Done);
     }
 
-    /// Plans and makes changes until nothing is left to do; stores that do not run count as lost.
+    /// Plans and makes changes until all members of all groups are level and nothing is left to do;
+    /// stores that do not run count as lost.
     pub async fn settle(&self, cluster: &TestCluster) {
-        until("the cluster is repaired", async || self.round(cluster).await == 0).await;
+        until("the cluster is repaired", async || self.round(cluster).await).await;
     }
 
-    async fn round(&self, cluster: &TestCluster) -> usize {
+    /// One round; gives whether there was nothing to do.
+    async fn round(&self, cluster: &TestCluster) -> bool {
         let meta = self.meta().await;
         let mut reports = Vec::new();
         for store in cluster.stores.iter().filter(|store| store.running.is_some()) {
             let Ok(replicas) = self.rpc.call(store.address, &GroupStatus, soon()).await else {
-                return 1;
+                return false;
             };
             let node = store.running.as_ref().unwrap().identity.address.node;
             reports.push(StoreReport { node, replicas });
         }
         let alive: BTreeSet<NodeId> = reports.iter().map(|report| report.node).collect();
-        let led = |group| {
-            let replicas = reports.iter().flat_map(|report| &report.replicas);
-            replicas.filter(|r| r.group == group).any(|r| r.role == hooklug_raft::Role::Leader)
-        };
-        let unled = meta.placements.keys().filter(|group| !led(**group)).count();
         let changes = plan(&meta, &reports, &alive);
         for change in &changes {
             self.make(&meta, change).await;
         }
-        changes.len() + unled
+        changes.is_empty() && meta.placements.keys().all(|group| is_level(*group, &reports))
     }
 
     /// Makes a change; one that is refused now is planned again.
@@ -94,3 +92,12 @@
         self.access.execute_meta(&command, soon()).await.unwrap();
     }
 }
+
+/// Whether a group is led and all its members have what is committed.
+fn is_level(group: GroupId, reports: &[StoreReport]) -> bool {
+    let replicas = reports.iter().flat_map(|report| &report.replicas);
+    let mut leaders = replicas.filter(|r| r.group == group && r.role == Role::Leader);
+    leaders.next().is_some_and(|leader| {
+        leader.progress.iter().all(|member| member.active && member.matched >= leader.commit)
+    })
+}
