Test the transport over real sockets

Cause: every promise between processes rests on replies that are one's own and streams without gaps. Change: tests for replies among many, whole streams, slow readers, secrets, cluster ids, bundle versions, cuts.

--- /dev/null
+++ b/crates/rpc/tests/transport.rs
@@ -0,0 +1,201 @@
+//! The transport between two processes, over real sockets: replies, streams, secrets, cuts.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use hooklug_protocol::control::NodeAddress;
+use hooklug_protocol::{Method, Request, StreamRequest};
+use hooklug_rpc::{LinkFault, LocalIdentity, Router, RpcClient, RpcError, RpcServer};
+use hooklug_types::{BundleVersion, Incarnation, NodeId, NodeRole, ZoneName};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct Echo(String);
+
+impl Request for Echo {
+    type Reply = String;
+    const METHOD: Method = Method::Echo;
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct Count(u32);
+
+impl StreamRequest for Count {
+    type Item = u32;
+    const METHOD: Method = Method::WatchView;
+}
+
+/// A request that no server here handles.
+#[derive(Debug, Serialize, Deserialize)]
+struct Unhandled;
+
+impl Request for Unhandled {
+    type Reply = ();
+    const METHOD: Method = Method::Discover;
+}
+
+fn identity(node: u64, secret: &str) -> LocalIdentity {
+    let address = NodeAddress {
+        node: NodeId(node),
+        incarnation: Incarnation(1),
+        role: NodeRole::Core,
+        rpc: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
+        http: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
+        zone: ZoneName::new("z1").expect("a valid zone"),
+    };
+    LocalIdentity::new(address, secret)
+}
+
+struct Running {
+    address: SocketAddr,
+    identity: LocalIdentity,
+    stop: CancellationToken,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+async fn start(secret: &str) -> Running {
+    let router = Router::new()
+        .route(|peer, Echo(text)| async move { format!("{} from {}", text, peer.node) })
+        .stream(|_, Count(to), sink| async move {
+            for i in 1..=to {
+                if sink.send(&i).await.is_err() {
+                    return;
+                }
+            }
+        });
+    let listener = RpcServer::bind("127.0.0.1:0".parse().expect("an address")).await.expect("bind");
+    let address = listener.local_addr().expect("an address");
+    let identity = identity(1, secret);
+    let stop = CancellationToken::new();
+    tokio::spawn(RpcServer::new(listener, identity.clone(), router).run(stop.clone()));
+    Running { address, identity, stop }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(10)
+}
+
+#[tokio::test]
+async fn a_call_gets_its_own_reply_among_many() {
+    let server = start("a shared secret").await;
+    let client = RpcClient::new(identity(2, "a shared secret"));
+    let calls = (0..200).map(|i| {
+        let (client, to) = (client.clone(), server.address);
+        tokio::spawn(async move { client.call(to, &Echo(i.to_string()), soon()).await })
+    });
+    for (i, call) in calls.collect::<Vec<_>>().into_iter().enumerate() {
+        assert_eq!(call.await.expect("no panic"), Ok(format!("{i} from 2")));
+    }
+}
+
+#[tokio::test]
+async fn a_stream_is_whole_and_ends() {
+    let server = start("a shared secret").await;
+    let client = RpcClient::new(identity(2, "a shared secret"));
+    let mut items = client.open(server.address, &Count(500), soon()).await.expect("opened");
+    for expected in 1..=500 {
+        assert_eq!(items.next().await, Ok(Some(expected)));
+    }
+    assert_eq!(items.next().await, Ok(None));
+}
+
+#[tokio::test]
+async fn a_slow_reader_is_cut_and_others_go_on() {
+    let server = start("a shared secret").await;
+    let client = RpcClient::new(identity(2, "a shared secret"));
+    let mut slow = client.open(server.address, &Count(100_000), soon()).await.expect("opened");
+    assert_eq!(
+        client.call(server.address, &Echo("on".into()), soon()).await,
+        Ok("on from 2".to_owned())
+    );
+    let mut expected = 1;
+    let end = loop {
+        match slow.next().await {
+            Ok(Some(item)) => {
+                assert_eq!(item, expected, "items come in order, without gaps");
+                expected += 1;
+            }
+            other => break other,
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    };
+    assert_eq!(end, Err(RpcError::SlowReader));
+}
+
+#[tokio::test]
+async fn another_secret_and_an_unknown_method_are_refused() {
+    let server = start("a shared secret").await;
+    let stranger = RpcClient::new(identity(2, "another secret"));
+    let refused = stranger.call(server.address, &Echo("x".into()), soon()).await;
+    assert!(refused.expect_err("refused").is_not_sent());
+    let client = RpcClient::new(identity(3, "a shared secret"));
+    let unknown = client.call(server.address, &Unhandled, soon()).await;
+    assert!(matches!(unknown, Err(RpcError::Fault(_))), "{unknown:?}");
+}
+
+#[tokio::test]
+async fn a_peer_of_another_cluster_is_refused() {
+    let server = start("a shared secret").await;
+    server.identity.set_cluster(7);
+    let other = identity(2, "a shared secret");
+    other.set_cluster(8);
+    let refused = RpcClient::new(other).call(server.address, &Echo("x".into()), soon()).await;
+    assert!(refused.expect_err("refused").is_not_sent());
+}
+
+#[tokio::test]
+async fn bundle_versions_spread_with_ordinary_frames() {
+    let server = start("a shared secret").await;
+    let own = identity(2, "a shared secret");
+    let client = RpcClient::new(own.clone());
+    server.identity.bundles.set_installed(BundleVersion(9));
+    client.call(server.address, &Echo("x".into()), soon()).await.expect("a reply");
+    assert_eq!(*own.bundles.watch_newest().borrow(), BundleVersion(9));
+    server.identity.bundles.set_installed(BundleVersion(4));
+    assert_eq!(server.identity.bundles.installed(), BundleVersion(9), "never slips back");
+}
+
+#[tokio::test]
+async fn a_cut_link_holds_replies_back_until_it_heals() {
+    let server = start("a shared secret").await;
+    let client = RpcClient::new(identity(2, "a shared secret"));
+    client.call(server.address, &Echo("before".into()), soon()).await.expect("a reply");
+    let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    server
+        .identity
+        .faults
+        .set(BTreeMap::from([(here, LinkFault { cut: true, delay_micros: 0 })]));
+    let short = Instant::now() + Duration::from_millis(200);
+    let cut = client.call(server.address, &Echo("during".into()), short).await;
+    assert_eq!(cut, Err(RpcError::DeadlineExceeded));
+    let waiting = {
+        let (client, to) = (client.clone(), server.address);
+        tokio::spawn(async move { client.call(to, &Echo("after".into()), soon()).await })
+    };
+    server.identity.faults.set(BTreeMap::new());
+    assert_eq!(waiting.await.expect("no panic"), Ok("after from 2".to_owned()));
+}
+
+#[tokio::test]
+async fn nothing_listening_is_not_sent() {
+    let server = start("a shared secret").await;
+    let to = server.address;
+    let client = RpcClient::new(identity(2, "a shared secret"));
+    client.call(to, &Echo("x".into()), soon()).await.expect("a reply");
+    server.stop.cancel();
+    // Calls on the dying connection may be lost; once it is closed, a new one cannot be had.
+    loop {
+        match client.call(to, &Echo("x".into()), soon()).await {
+            Err(error) if error.is_not_sent() => break,
+            _ => tokio::task::yield_now().await,
+        }
+    }
+}
