--- a/crates/engine/src/drain.rs
+++ b/crates/engine/src/drain.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hooklug_session::Message;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
@@ -124,14 +124,8 @@
     /// Whether the last session has gone by an instant.
     async fn emptied_by(&self, deadline: Instant) -> bool {
         let mut sessions = self.shared.table.watch_len();
-        let emptied = sessions.wait_for(|count| *count == 0);
-        match timeout_at(deadline, emptied).await {
-            Ok(Ok(_)) => true,
-            Ok(Err(_)) => {
-                sleep_until(deadline).await;
-                false
-            }
-            Err(_) => false,
-        }
+        // The table, which sends the counts, lives as long as `self`: only the condition ends the wait.
+        let emptied = async { sessions.wait_for(|count| *count == 0).await.is_ok() };
+        timeout_at(deadline, emptied).await.unwrap_or(false)
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -103,11 +103,13 @@
         let (slots_owner, slots_stop) = (shared.clone(), ended.clone());
         tasks.spawn(async move { slots_owner.slots.run(slots_stop).await });
         let drain = Drain::new(shared.clone());
+        let expired = async move {
+            // The keeper drops its end only once it is stopped, together with this future.
+            let _ = lease.wait_for(|l| *l == LeaseState::Expired).await.map(|state| *state);
+        };
         tokio::select! {
             () = drain.run(stop, grace) => Ok(()),
-            _ = lease.wait_for(|l| *l == LeaseState::Expired) => {
-                Err(EngineError::LeaseExpired(shared.engine.clone()))
-            }
+            () = expired => Err(EngineError::LeaseExpired(shared.engine.clone())),
         }
     }
 }
--- a/crates/engine/src/model/generate.rs
+++ b/crates/engine/src/model/generate.rs
@@ -58,10 +58,10 @@
     }
 
     /// Notes who is there now; connections to another run are dropped.
-    pub fn expect(&self, identity: Option<BackendIdentity>) {
+    pub fn expect(&self, identity: Option<&BackendIdentity>) {
         let changed = self.expected.send_if_modified(|known| {
-            let changed = *known != identity;
-            known.clone_from(&identity);
+            let changed = known.as_ref() != identity;
+            *known = identity.cloned();
             changed
         });
         if changed {
@@ -108,7 +108,7 @@
             Ok(connection) if *connection.identity() == expected => Some(connection),
             // The same server, started anew since the last probe: nothing was sent to it yet.
             Ok(connection) if self.is_new_run(connection.identity(), &expected) => {
-                self.expect(Some(connection.identity().clone()));
+                self.expect(Some(connection.identity()));
                 Some(connection)
             }
             Ok(connection) => {
--- a/crates/engine/src/model/probe.rs
+++ b/crates/engine/src/model/probe.rs
@@ -72,7 +72,7 @@
             match probed {
                 Ok((identity, status)) => {
                     failures = 0;
-                    self.note(identity, status);
+                    self.note(&identity, status);
                 }
                 Err(error) => {
                     connection = None;
@@ -106,8 +106,8 @@
         Ok((identity, status))
     }
 
-    fn note(&self, identity: BackendIdentity, status: ServerStatus) {
-        if !self.client.accepts(&identity) {
+    fn note(&self, identity: &BackendIdentity, status: ServerStatus) {
+        if !self.client.accepts(identity) {
             let reason = format!("{identity} is not this engine's model server");
             self.client.expect(None);
             self.health.send_replace(ModelHealth::Unready(reason));
