--- /dev/null
+++ b/crates/engine/tests/leaving.rs
@@ -0,0 +1,177 @@
+//! How sessions leave an engine: drain, stop, roll-back, lost model server, no clients.
+
+mod support;
+
+use std::time::Duration;
+
+use hooklug_bundle::model::VersionState;
+use hooklug_protocol::engine::{EngineRefusal, JoinItem};
+use hooklug_types::EndReason;
+use support::model_server::ModelServer;
+use support::*;
+
+const SUPERSEDED: [(&str, VersionState); 2] =
+    [("v1", VersionState::Sound), ("v2", VersionState::Sound)];
+
+fn named(name: &'static str, version: &'static str) -> EngineOptions {
+    EngineOptions { name, version, ..EngineOptions::default() }
+}
+
+async fn ended(engine: RunningEngine) {
+    let ended = tokio::time::timeout(PATIENCE, engine.ended).await.expect("ends in time");
+    assert_eq!(ended.unwrap(), Ok(()));
+}
+
+#[tokio::test]
+async fn a_superseded_engine_keeps_its_sessions_and_exits_after_the_last() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let engine = world.engine(&model, named("e1", "v1")).await;
+    let place = world.session(&engine, "p1").await;
+    world.run(&engine, &run_turn(&place, "t1", None, "say 1")).await;
+    engine.install(bundle(2, &SUPERSEDED));
+    let mut report = engine.feeds.report.clone();
+    let draining = report.wait_for(|r| r.engine.as_ref().is_some_and(|e| e.draining));
+    tokio::time::timeout(PATIENCE, draining).await.unwrap().unwrap();
+
+    let refused = world.open(&engine, key("p1", "s2")).await.unwrap_err();
+    assert_eq!(refused, EngineRefusal::Draining);
+    let kept = world.run(&engine, &run_turn(&place, "t2", Some("t1"), "say 2")).await;
+    assert_eq!(kept.end(), Some(&EndReason::Finished));
+    assert!(!engine.ended.is_finished());
+    world.close(&engine, &place).await.unwrap();
+    ended(engine).await;
+}
+
+#[tokio::test]
+async fn a_superseded_engine_takes_sessions_again_after_a_roll_back() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let engine = world.engine(&model, named("e1", "v1")).await;
+    let place = world.session(&engine, "p1").await;
+    engine.install(bundle(2, &SUPERSEDED));
+    let refusing =
+        async || world.open(&engine, key("p1", "s2")).await == Err(EngineRefusal::Draining);
+    eventually("draining", refusing).await;
+    engine.install(bundle(3, &[("v1", VersionState::Sound), ("v2", VersionState::RolledBack)]));
+    eventually("open again", async || world.open(&engine, key("p1", "s2")).await.is_ok()).await;
+    assert_eq!(world.record(&place.key).await.owner, Some(engine.engine.clone()));
+}
+
+#[tokio::test]
+async fn a_rolled_back_engine_gives_its_sessions_up_between_turns() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let (old, new) = (
+        world.engine(&model, named("e1", "v1")).await,
+        world.engine(&model, named("e2", "v2")).await,
+    );
+    let idle = world.session(&new, "p1").await;
+    let busy = world.session(&new, "p2").await;
+    let mut stream = world.stream(&new, &run_turn(&busy, "t1", None, "gated 3")).await;
+    read_events(&mut stream, 1).await;
+    let mut joined = world.stream(&new, &join(&idle, None)).await;
+    assert!(matches!(next_join(&mut joined).await, Some(JoinItem::Sync { .. })));
+
+    new.install(bundle(3, &[("v1", VersionState::Sound), ("v2", VersionState::RolledBack)]));
+    let refused = next_join(&mut joined).await;
+    assert_eq!(refused, Some(JoinItem::Refused(EngineRefusal::HandedOver)));
+    assert_eq!(world.record(&idle.key).await.owner, None);
+    assert_eq!(world.record(&busy.key).await.owner, Some(new.engine.clone()));
+    model.let_through("t1", 10);
+    assert_eq!(read_turn(&mut stream).await.end(), Some(&EndReason::Finished));
+    eventually("given up", async || world.record(&busy.key).await.owner.is_none()).await;
+
+    let given_up = world.record(&busy.key).await;
+    let taken =
+        world.take(&old, &hooklug_types::SessionPlace { epoch: given_up.epoch, ..busy }).await;
+    let taken = taken.unwrap();
+    let next = world.run(&old, &run_turn(&taken, "t2", Some("t1"), "say 1")).await;
+    assert_eq!(next.end(), Some(&EndReason::Finished));
+    ended(new).await;
+}
+
+#[tokio::test]
+async fn a_stop_hands_sessions_over_and_gives_turns_the_grace_period() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let options = EngineOptions { grace_ms: 2_000, ..named("e1", "v1") };
+    let engine = world.engine(&model, options).await;
+    let idle = world.session(&engine, "p1").await;
+    let ends = world.session(&engine, "p2").await;
+    let lasts = world.session(&engine, "p3").await;
+    let mut long = world.stream(&engine, &run_turn(&lasts, "long", None, "gated 100")).await;
+    read_events(&mut long, 1).await;
+    let mut short = world.stream(&engine, &run_turn(&ends, "short", None, "gated 2")).await;
+    read_events(&mut short, 1).await;
+
+    engine.stop.cancel();
+    eventually("idle one given up", async || world.record(&idle.key).await.owner.is_none()).await;
+    assert!(engine.node.readiness.reasons().contains_key("engine"));
+    let refused = world.open(&engine, key("p1", "s2")).await.unwrap_err();
+    assert_eq!(refused, EngineRefusal::Draining);
+    // Both turns go on within the grace period.
+    model.let_through("long", 20);
+    model.let_through("short", 20);
+    assert_eq!(read_turn(&mut short).await.end(), Some(&EndReason::Finished));
+    let cut = read_turn(&mut long).await;
+    assert_eq!(cut.end(), Some(&EndReason::Interrupted));
+    ended(engine).await;
+    for key in [&idle.key, &ends.key, &lasts.key] {
+        let record = world.record(key).await;
+        assert_eq!((record.owner, record.open_turn), (None, None));
+    }
+}
+
+#[tokio::test]
+async fn a_session_without_clients_is_closed() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let options = EngineOptions { unconnected_keep_ms: 300, ..named("e1", "v1") };
+    let engine = world.engine(&model, options).await;
+    let left = world.session(&engine, "p1").await;
+    let joined = world.session(&engine, "p2").await;
+    let mut stream = world.stream(&engine, &join(&joined, None)).await;
+    next_join(&mut stream).await;
+    eventually("closed", async || world.record(&left.key).await.closed).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert!(!world.record(&joined.key).await.closed);
+    drop(stream);
+    eventually("closed", async || world.record(&joined.key).await.closed).await;
+}
+
+#[tokio::test]
+async fn an_engine_without_its_model_server_is_unready_and_gives_idle_sessions_up() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let engine = world.engine(&model, named("e1", "v1")).await;
+    let place = world.session(&engine, "p1").await;
+    model.set_ready(false);
+    let unready = async || engine.node.readiness.reasons().contains_key("engine");
+    eventually("unready", unready).await;
+    let refused = world.open(&engine, key("p1", "s2")).await.unwrap_err();
+    assert!(matches!(refused, EngineRefusal::NotReady { .. }), "{refused:?}");
+    eventually("given up", async || world.record(&place.key).await.owner.is_none()).await;
+    model.set_ready(true);
+    eventually("ready again", async || world.open(&engine, key("p1", "s2")).await.is_ok()).await;
+}
+
+#[tokio::test]
+async fn a_model_server_of_another_service_is_never_asked() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let engine = world.engine(&model, named("e1", "v1")).await;
+    let place = world.session(&engine, "p1").await;
+    model.set_identity("service", "another".into());
+    model.set_identity("incarnation", 8.into());
+    let ran = world.run(&engine, &run_turn(&place, "t1", None, "say 1")).await;
+    assert!(matches!(ran.end(), Some(EndReason::Failed { .. })), "{ran:?}");
+    assert!(model.asked().is_empty());
+}
+
+#[tokio::test]
+async fn an_engine_whose_version_is_not_released_yet_stays_and_takes_nothing() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let state = std::sync::Arc::new(world.state.clone());
+    let released = bundle(1, &[("v1", VersionState::Sound)]);
+    let engine = world.engine_with(&model, named("e2", "v2"), state, released).await;
+    world.put_program("p1", 10, hooklug_types::UnixMillis::now().plus(PATIENCE)).await;
+    let refused = world.open(&engine, key("p1", "s1")).await.unwrap_err();
+    assert!(matches!(refused, EngineRefusal::NotReady { .. }), "{refused:?}");
+    assert!(!engine.ended.is_finished());
+    engine.install(bundle(2, &SUPERSEDED));
+    eventually("open", async || world.open(&engine, key("p1", "s1")).await.is_ok()).await;
+}
--- /dev/null
+++ b/crates/engine/tests/ownership.rs
@@ -0,0 +1,197 @@
+//! One owner at a time: takeover, frozen engines, lost answers, budgets over engines.
+
+mod support;
+
+use std::sync::Arc;
+
+use hooklug_bundle::model::VersionState;
+use hooklug_engine::EngineError;
+use hooklug_protocol::engine::EngineRefusal;
+use hooklug_state::shard::{Event, EventBody, ShardAnswer, ShardQuery, ShardRefusal};
+use hooklug_store::StateAccess;
+use hooklug_types::{EndReason, FailureCode, ProgramId, TokenCount, UnixMillis, shard_of};
+use support::model_server::ModelServer;
+use support::stalled::StalledState;
+use support::*;
+
+fn named(name: &'static str) -> EngineOptions {
+    EngineOptions { name, ..EngineOptions::default() }
+}
+
+fn tokens_of(events: &[Event]) -> u64 {
+    let counts = events.iter().map(|e| match e.body {
+        EventBody::Tokens { count, .. } => count.0,
+        _ => 0,
+    });
+    counts.sum()
+}
+
+#[tokio::test]
+async fn a_killed_engines_session_is_taken_and_its_turn_sealed() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let (first, second) =
+        (world.engine(&model, named("e1")).await, world.engine(&model, named("e2")).await);
+    let place = world.session(&first, "p1").await;
+    let request = run_turn(&place, "t1", None, "gated 9");
+    let mut stream = world.stream(&first, &request).await;
+    model.let_through("t1", 3);
+    let seen = read_events(&mut stream, 4).await;
+    first.kill();
+    drop(stream);
+
+    let refused = world.take(&second, &place).await.unwrap_err();
+    assert!(matches!(refused, EngineRefusal::NotOwner { .. }), "{refused:?}");
+    let taken = world.take_when_free(&second, &place).await;
+    assert_eq!(taken.epoch, place.epoch.next());
+    // A lost answer: the same request again gives the same place.
+    assert_eq!(world.take(&second, &place).await.unwrap(), taken);
+
+    let mut resumed = request.clone();
+    resumed.place = taken.clone();
+    resumed.last_seen = seen[1].seq;
+    let rest = world.run(&second, &resumed).await;
+    assert!(rest.accepted);
+    assert_eq!(rest.events[..2], seen[2..]);
+    assert_eq!(rest.end(), Some(&EndReason::Interrupted));
+    let mut other = resumed.clone();
+    other.max_tokens = TokenCount(7);
+    let refused = world.run(&second, &other).await.refusal;
+    assert_eq!(refused, Some(EngineRefusal::Ledger(ShardRefusal::TurnDiffers)));
+
+    let next = world.run(&second, &run_turn(&taken, "t2", Some("t1"), "say 2")).await;
+    assert_eq!(next.end(), Some(&EndReason::Finished));
+    let spent = tokens_of(&world.history(&place.key).await);
+    let program = ShardQuery::Program(place.key.program.clone());
+    let answer = world.state.query_shard(group(&place.key), &program, soon()).await.unwrap();
+    let ShardAnswer::Program(Some(program)) = answer else { panic!("{answer:?}") };
+    assert_eq!((program.spent, program.reserved), (TokenCount(spent), TokenCount(0)));
+}
+
+#[tokio::test]
+async fn a_frozen_engine_that_wakes_releases_nothing() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let link = StalledState::new(world.state.clone());
+    let bundle = bundle(1, &[("v1", VersionState::Sound)]);
+    let state: Arc<dyn StateAccess> = Arc::new(link.clone());
+    let mut first = world.engine_with(&model, named("e1"), state, bundle).await;
+    first.ready().await;
+    let second = world.engine(&model, named("e2")).await;
+    let place = world.session(&first, "p1").await;
+    let request = run_turn(&place, "t1", None, "gated 50");
+    let mut stream = world.stream(&first, &request).await;
+    model.let_through("t1", 3);
+    let mut seen = read_events(&mut stream, 4).await;
+
+    link.stall(true);
+    // Said by the model, never committed in time.
+    model.let_through("t1", 5);
+    let taken = world.take_when_free(&second, &place).await;
+    link.stall(false);
+    let late = read_turn(&mut stream).await;
+    assert_eq!(late.refusal, Some(EngineRefusal::LeaseLost));
+    seen.extend(late.events);
+    let ended = tokio::time::timeout(PATIENCE, first.ended).await.unwrap().unwrap();
+    assert_eq!(ended, Err(EngineError::LeaseExpired(first.engine)));
+
+    let mut resumed = request;
+    resumed.place = taken.clone();
+    let whole = world.run(&second, &resumed).await;
+    assert_eq!(whole.events[..seen.len()], seen);
+    assert_eq!(whole.end(), Some(&EndReason::Interrupted));
+    // What arrived late changed nothing.
+    assert_eq!(world.history(&place.key).await, whole.events);
+    eventually("the model stopped", async || model.aborted() == ["t1"]).await;
+}
+
+#[tokio::test]
+async fn lost_answers_neither_lose_nor_repeat_an_event() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let engine = world.engine(&model, named("e1")).await;
+    let place = world.session(&engine, "p1").await;
+    let mut after: Option<String> = None;
+    for round in 0..5_u32 {
+        let name = format!("t{round}");
+        world.state.lose_answers(group(&place.key), 2 * round);
+        let request = run_turn(&place, &name, after.as_deref(), "say 20");
+        let ran = world.run(&engine, &request).await;
+        assert_eq!(ran.end(), Some(&EndReason::Finished));
+        assert_eq!(tokens_of(&ran.events), 20);
+        after = Some(name);
+    }
+    let history = world.history(&place.key).await;
+    let seqs: Vec<u64> = history.iter().map(|e| e.seq.0).collect();
+    assert_eq!(seqs, (1..=5 * 22).collect::<Vec<u64>>());
+}
+
+#[tokio::test]
+async fn two_engines_asked_at_once_agree_on_one_owner() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let (first, second) =
+        (world.engine(&model, named("e1")).await, world.engine(&model, named("e2")).await);
+    world.put_program("p1", 1_000, UnixMillis::now().plus(PATIENCE)).await;
+    for round in 0..20 {
+        let key = key("p1", &format!("s{round}"));
+        let (a, b) =
+            tokio::join!(world.open(&first, key.clone()), world.open(&second, key.clone()));
+        let owner = world.record(&key).await.owner.unwrap();
+        let (winner, loser) = if owner == first.engine { (a, b) } else { (b, a) };
+        assert_eq!(winner.unwrap().owner, owner);
+        let Err(EngineRefusal::NotOwner { record: Some(record) }) = loser else {
+            panic!("{loser:?}")
+        };
+        assert_eq!(record.owner, Some(owner));
+    }
+}
+
+#[tokio::test]
+async fn a_budget_holds_over_sessions_and_engines() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let (first, second) =
+        (world.engine(&model, named("e1")).await, world.engine(&model, named("e2")).await);
+    world.put_program("p1", 10, UnixMillis::now().plus(PATIENCE)).await;
+    let one = world.open(&first, key("p1", "s1")).await.unwrap();
+    let two = world.open(&second, key("p1", "s2")).await.unwrap();
+    let mut first_turn = run_turn(&one, "t1", None, "gated 6");
+    first_turn.max_tokens = TokenCount(6);
+    let mut stream = world.stream(&first, &first_turn).await;
+    read_events(&mut stream, 1).await;
+
+    // Four tokens are left: asked for that many, and stopped when the model does not keep to it.
+    let over = world.run(&second, &run_turn(&two, "t1", None, "heavy 5")).await;
+    assert_eq!(over.end(), Some(&EndReason::Failed { code: FailureCode::BudgetSpent }));
+    assert_eq!(tokens_of(&over.events), 0);
+    assert_eq!(model.asked()[1].max_tokens, 4);
+    let ran = world.run(&second, &run_turn(&two, "t2", Some("t1"), "say 4")).await;
+    assert_eq!(tokens_of(&ran.events), 4);
+    let held = world.run(&second, &run_turn(&two, "t3", Some("t2"), "say 1")).await.refusal;
+    assert_eq!(held, Some(EngineRefusal::Ledger(ShardRefusal::BudgetReserved)));
+
+    model.let_through("t1", 100);
+    assert_eq!(read_turn(&mut stream).await.end(), Some(&EndReason::Finished));
+    let spent = world.run(&second, &run_turn(&two, "t3", Some("t2"), "say 1")).await.refusal;
+    assert_eq!(spent, Some(EngineRefusal::Ledger(ShardRefusal::BudgetSpent)));
+    let program = ShardQuery::Program(ProgramId::new("p1").unwrap());
+    let answer = world.state.query_shard(shard_of("p1"), &program, soon()).await.unwrap();
+    let ShardAnswer::Program(Some(program)) = answer else { panic!("{answer:?}") };
+    assert_eq!((program.spent, program.reserved), (TokenCount(10), TokenCount(0)));
+}
+
+#[tokio::test]
+async fn a_programs_end_and_a_turns_deadline_end_its_turn() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let engine = world.engine(&model, named("e1")).await;
+    let place = world.session(&engine, "p1").await;
+    let mut hurried = run_turn(&place, "t1", None, "gated 5");
+    hurried.deadline_ms = 200;
+    let ran = world.run(&engine, &hurried).await;
+    assert_eq!(ran.end(), Some(&EndReason::Failed { code: FailureCode::DeadlineExceeded }));
+
+    let end = UnixMillis::now().plus(std::time::Duration::from_millis(400));
+    world.put_program("p2", 1_000, end).await;
+    let place = world.open(&engine, key("p2", "s1")).await.unwrap();
+    let ran = world.run(&engine, &run_turn(&place, "t1", None, "gated 5")).await;
+    assert_eq!(ran.end(), Some(&EndReason::Failed { code: FailureCode::ProgramEnded }));
+    let late = world.run(&engine, &run_turn(&place, "t2", Some("t1"), "say 1")).await;
+    assert_eq!(late.refusal, Some(EngineRefusal::Ledger(ShardRefusal::ProgramEnded)));
+    eventually("the model stopped", async || model.aborted().len() == 2).await;
+}
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod model_server;
+pub mod stalled;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/engine/tests/support/model_server.rs
+++ b/crates/engine/tests/support/model_server.rs
@@ -27,8 +27,8 @@
     asked: Mutex<Vec<Asked>>,
     /// Generations whose connection was closed before their end.
     aborted: Mutex<Vec<String>>,
-    /// Tokens that gated generations may still say.
-    gate: Semaphore,
+    /// Lines that gated generations may still say, by turn.
+    gates: Mutex<BTreeMap<String, Arc<Semaphore>>>,
     ready: Mutex<bool>,
 }
 
@@ -47,7 +47,7 @@
             identity: Mutex::new(identity),
             asked: Mutex::default(),
             aborted: Mutex::default(),
-            gate: Semaphore::new(0),
+            gates: Mutex::default(),
             ready: Mutex::new(true),
         });
         let router = Router::new()
@@ -61,9 +61,9 @@
         Self { address, inner }
     }
 
-    /// Lets gated generations say so many tokens more.
-    pub fn let_through(&self, tokens: usize) {
-        self.inner.gate.add_permits(tokens);
+    /// Lets a turn's gated generation say so many lines more.
+    pub fn let_through(&self, turn: &str, lines: usize) {
+        self.inner.gate(turn).add_permits(lines);
     }
 
     pub fn asked(&self) -> Vec<Asked> {
@@ -83,6 +83,13 @@
     }
 }
 
+impl Inner {
+    fn gate(&self, turn: &str) -> Arc<Semaphore> {
+        let mut gates = self.gates.lock().unwrap();
+        gates.entry(turn.to_owned()).or_insert_with(|| Arc::new(Semaphore::new(0))).clone()
+    }
+}
+
 async fn identity_answer(State(inner): State<Arc<Inner>>) -> Json<Value> {
     Json(inner.identity.lock().unwrap().clone())
 }
@@ -191,10 +198,11 @@
     lines: Vec<String>,
     sink: mpsc::Sender<Result<Bytes, std::io::Error>>,
 ) {
+    let gate = inner.gate(&turn);
     for line in lines {
         if kind == "gated" {
             let permit = tokio::select! {
-                permit = inner.gate.acquire() => permit.unwrap(),
+                permit = gate.acquire() => permit.unwrap(),
                 () = sink.closed() => {
                     inner.aborted.lock().unwrap().push(turn);
                     return;
--- a/crates/engine/tests/turns.rs
+++ b/crates/engine/tests/turns.rs
@@ -47,7 +47,7 @@
     let request = run_turn(&place, "t1", None, "gated 4");
 
     let mut first = world.stream(&engine, &request).await;
-    model.let_through(2);
+    model.let_through("t1", 2);
     let seen = read_events(&mut first, 3).await;
     drop(first);
     let mut resend = world.stream(&engine, &request).await;
@@ -57,7 +57,7 @@
     // Both are attached before the rest is said.
     assert!(matches!(next_item(&mut resend).await, Some(TurnItem::Accepted { .. })));
     assert!(matches!(next_item(&mut resume).await, Some(TurnItem::Accepted { .. })));
-    model.let_through(3);
+    model.let_through("t1", 3);
 
     let whole = read_turn(&mut resend).await;
     whole_and_ordered(&whole.events, 1);
@@ -126,7 +126,7 @@
     let engine = world.engine(&model, EngineOptions::default()).await;
     let place = world.session(&engine, "p1").await;
     let mut stream = world.stream(&engine, &run_turn(&place, "t1", None, "gated 9")).await;
-    model.let_through(2);
+    model.let_through("t1", 2);
     read_events(&mut stream, 3).await;
     let abort = AbortTurn { place: place.clone(), turn: turn("t1") };
     let record = world.call(&engine, &abort).await.unwrap();
