--- a/crates/gateway/src/api/turns.rs
+++ b/crates/gateway/src/api/turns.rs
@@ -83,6 +83,9 @@
         last_seen,
     };
     let running = shared.owners.run_turn(&request, deadline).await?;
+    if has_seen_end(&running.record, last_seen) {
+        return Ok(StatusCode::NO_CONTENT.into_response());
+    }
     let entry = running.entry;
     let span = info_span!("turn", program = %key.program, session = %key.session, turn = %turn,
         epoch = %entry.epoch, engine = %entry.owner);
@@ -101,6 +104,11 @@
     Ok(event_stream(body))
 }
 
+/// Whether the caller has the turn's terminal event already.
+fn has_seen_end(record: &TurnRecord, last_seen: EventSeq) -> bool {
+    matches!(&record.state, TurnState::Ended { last_seq, .. } if last_seen >= *last_seq)
+}
+
 /// Place before a turn's first event.
 fn start_of(record: &TurnRecord) -> EventSeq {
     EventSeq(record.started.0.saturating_sub(1))
--- a/crates/gateway/src/calls/once.rs
+++ b/crates/gateway/src/calls/once.rs
@@ -11,6 +11,7 @@
 use super::record::{ClaimError, Claimed};
 use super::{CallRequest, Calls, draw_attempt};
 use crate::api::problem::{Claim, Code, Problem};
+use crate::api::refusals;
 use crate::backend::Target;
 use crate::backend::answer::Answer;
 use crate::backend::exchange::ExchangeError;
@@ -85,15 +86,21 @@
 
     async fn claim_and_run(self: Arc<Self>, request: CallRequest) -> Result<Settled, Problem> {
         let attempt = draw_attempt();
-        match self.claim(&request, &attempt, request.deadline).await {
-            Ok(Claimed::Granted) => Ok(self.run_claimed(&request, &attempt).await),
-            Ok(Claimed::Held(record)) => self.await_other(&request, *record).await,
-            Err(ClaimError::Uncertain(error)) => {
+        let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        loop {
+            let error = match self.claim(&request, &attempt, request.deadline).await {
+                Ok(Claimed::Granted) => return Ok(self.run_claimed(&request, &attempt).await),
+                Ok(Claimed::Held(record)) => return self.await_other(&request, *record).await,
+                Err(ClaimError::Refused(refusal)) => return Err(refusals::ledger(&refusal)),
+                Err(ClaimError::Uncertain(error)) => error,
+            };
+            let wait = backoff.next_wait();
+            if Instant::now() + wait >= request.deadline {
                 let calls = self.clone();
                 self.running.spawn(calls.follow_up(request, attempt));
-                Err(error.into())
+                return Err(error.into());
             }
-            Err(error) => Err(error.into()),
+            sleep(wait).await;
         }
     }
 
--- a/crates/gateway/src/calls/record.rs
+++ b/crates/gateway/src/calls/record.rs
@@ -7,8 +7,6 @@
 use tokio::time::{Instant, sleep};
 
 use super::{CallRequest, Calls};
-use crate::api::problem::Problem;
-use crate::api::refusals;
 use crate::backend::exchange::CallName;
 use crate::backoff::Backoff;
 use crate::shards::ShardError;
@@ -97,12 +95,3 @@
     #[error(transparent)]
     Uncertain(#[from] ShardError),
 }
-
-impl From<ClaimError> for Problem {
-    fn from(error: ClaimError) -> Self {
-        match error {
-            ClaimError::Refused(refusal) => refusals::ledger(&refusal),
-            ClaimError::Uncertain(error) => error.into(),
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,310 @@
+//! A gateway over in-memory shards, scripted engines and a view that the test sets.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod app_engine;
+pub mod fake_engine;
+pub mod http;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_bundle::{
+    Bundle, HarmThresholds, Route, RouteMatch, Service, ServiceKind, Tenant, TenantLimits,
+    VersionEntry, VersionState,
+};
+use hooklug_control::{InstalledBundle, NodeContext, NodeFeeds, NodeHandle, Reach};
+use hooklug_gateway::Gateway;
+use hooklug_protocol::control::{
+    ApplicationEngine, ClusterView, HostedEngine, Member, MemberHealth, NodeAddress,
+};
+use hooklug_rpc::{LocalIdentity, RpcClient};
+use hooklug_settings::{
+    CoreSettings, GatewayMode, GatewaySettings, OperatorSettings, Secret, Settings, StoreSettings,
+};
+use hooklug_state::meta::{BundleOrigin, BundleRecord};
+use hooklug_state::shard::{ShardAnswer, ShardCommand, ShardQuery, ShardReply, TurnRecord};
+use hooklug_store::MemoryState;
+use hooklug_store::StateAccess;
+use hooklug_types::*;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+pub const SECRET: &str = "sixteen characters or more";
+/// Long enough to see a lease held, short enough for a test.
+pub const LEASE_TIME: Duration = Duration::from_millis(300);
+
+pub fn id<T: std::str::FromStr<Err = IdError>>(text: &str) -> T {
+    text.parse().expect("a valid identifier")
+}
+
+pub fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub fn address(role: NodeRole, node: u64, rpc: SocketAddr, zone: &str) -> NodeAddress {
+    NodeAddress {
+        node: NodeId(node),
+        incarnation: Incarnation(node * 1000),
+        role,
+        rpc,
+        http: loopback(),
+        zone: id(zone),
+    }
+}
+
+pub fn settings(mode: GatewayMode) -> Settings {
+    Settings {
+        rpc: loopback(),
+        http: loopback(),
+        zone: id("z1"),
+        region: id("local"),
+        seeds: Vec::new(),
+        data_folder: None,
+        cluster_secret: Secret::new(SECRET),
+        grace_ms: 3_000,
+        enable_faults: true,
+        store: StoreSettings::default(),
+        engine: None,
+        gateway: GatewaySettings { mode, body_bytes: 4096, ..GatewaySettings::default() },
+        core: CoreSettings::default(),
+        operators: OperatorSettings::default(),
+    }
+}
+
+fn service(kind: ServiceKind, versions: &[&str]) -> Service {
+    let versions =
+        versions.iter().map(|v| VersionEntry { version: id(v), state: VersionState::Sound });
+    Service {
+        kind,
+        model: (kind == ServiceKind::Model).then(|| id("advisor-7b")),
+        versions: versions.collect(),
+        slots: 64,
+        concurrency_per_engine: 64,
+        queue_per_engine: 256,
+        steps: vec![5, 25, 50, 100],
+        step_seconds: 5,
+        harm: HarmThresholds::default(),
+    }
+}
+
+pub fn tool_route(tool: &str, may_repeat: bool) -> Route {
+    Route {
+        matches: RouteMatch::Tool { tool: tool.to_owned() },
+        service: id("farm"),
+        may_repeat,
+        deadline_ms: 4_000,
+        urgent: false,
+    }
+}
+
+/// Services `advisor` (sessions) and `farm` (tools); tenants `dalatek` (open) and `serra` (with key `k1`).
+pub fn bundle() -> Bundle {
+    let session = Route {
+        matches: RouteMatch::Session { model: id("advisor-7b") },
+        service: id("advisor"),
+        may_repeat: false,
+        deadline_ms: 8_000,
+        urgent: false,
+    };
+    let open = Tenant { key_digests: Vec::new(), group: None, limits: TenantLimits::default() };
+    let key = blake3::hash(b"k1").to_hex().to_string();
+    Bundle {
+        version: BundleVersion(3),
+        base: BundleVersion(2),
+        services: BTreeMap::from([
+            (id("advisor"), service(ServiceKind::Model, &["v1", "v2"])),
+            (id("farm"), service(ServiceKind::Application, &["v1"])),
+        ]),
+        routes: BTreeMap::from([
+            (id("sessions"), session),
+            (id("alarms"), tool_route("send_alarm", false)),
+            (id("sensors"), tool_route("read_sensor", true)),
+        ]),
+        windows: BTreeMap::new(),
+        tenants: BTreeMap::from([
+            (id("dalatek"), open.clone()),
+            (id("serra"), Tenant { key_digests: vec![key], ..open }),
+        ]),
+    }
+}
+
+pub fn installed(bundle: Bundle) -> Arc<InstalledBundle> {
+    let record = BundleRecord {
+        version: bundle.version,
+        base: bundle.base,
+        digest: Digest::of(b"test"),
+        sections: BTreeMap::new(),
+        origin: BundleOrigin::Operators(Vec::new()),
+        committed: UnixMillis(0),
+    };
+    Arc::new(InstalledBundle { record, bundle })
+}
+
+/// One gateway with its HTTP listener.
+pub struct TestGateway {
+    pub http: SocketAddr,
+    pub feeds: NodeFeeds,
+    pub node: NodeHandle,
+    pub identity: LocalIdentity,
+    pub stop: CancellationToken,
+    pub ran: tokio::task::JoinHandle<()>,
+}
+
+impl TestGateway {
+    /// Waits until the gateway says that it is not ready.
+    pub async fn wait_unready(&self) {
+        while self.node.readiness.reasons().is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+pub fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(5)
+}
+
+/// Gives a session up, as its owner would.
+pub async fn hand_over(world: &World, program: &str, session: &str, epoch: u64) {
+    let key = SessionKey { program: id(program), session: id(session) };
+    let command = ShardCommand::HandOver { key, epoch: SessionEpoch(epoch) };
+    let reply = world.state.execute_shard(shard_of(program), &command, soon()).await;
+    assert!(matches!(reply, Ok(ShardReply::Session(_))), "{reply:?}");
+}
+
+/// Shards, engines and gateways of one test.
+pub struct World {
+    pub state: MemoryState,
+    pub view: ClusterView,
+    pub bundle: Bundle,
+    pub gateways: Vec<TestGateway>,
+}
+
+impl World {
+    pub async fn new() -> Self {
+        Self::with(bundle(), GatewayMode::Full, 1).await
+    }
+
+    pub async fn with(bundle: Bundle, mode: GatewayMode, gateways: u64) -> Self {
+        let state = MemoryState::new(LEASE_TIME, Duration::from_secs(3600));
+        let mut world = Self { state, view: ClusterView::default(), bundle, gateways: Vec::new() };
+        for node in 0..gateways {
+            let gateway = world.start_gateway(900 + node, mode).await;
+            world.gateways.push(gateway);
+        }
+        world
+    }
+
+    async fn start_gateway(&self, node: u64, mode: GatewayMode) -> TestGateway {
+        let (handle, feeds) = NodeHandle::new();
+        feeds.reach.send_replace(Reach { core: true, store: true, newest_bundle: true });
+        feeds.bundle.send_replace(Some(installed(self.bundle.clone())));
+        feeds.view.send_replace(Arc::new(self.view.clone()));
+        let identity =
+            LocalIdentity::new(address(NodeRole::Gateway, node, loopback(), "z1"), SECRET);
+        let stop = CancellationToken::new();
+        let ctx = NodeContext {
+            settings: Arc::new(settings(mode)),
+            identity: identity.clone(),
+            client: RpcClient::new(identity.clone()),
+            state: Arc::new(self.state.clone()),
+            node: handle.clone(),
+            stop: stop.clone(),
+        };
+        let gateway = Gateway::new(ctx);
+        let router = gateway.http_router();
+        let listener = tokio::net::TcpListener::bind(loopback()).await.expect("a port");
+        let http = listener.local_addr().expect("an address");
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        let ran = tokio::spawn(gateway.run());
+        TestGateway { http, feeds, node: handle, identity, stop, ran }
+    }
+
+    /// Gives all gateways the present view.
+    pub fn publish(&self) {
+        for gateway in &self.gateways {
+            gateway.feeds.view.send_replace(Arc::new(self.view.clone()));
+        }
+    }
+
+    /// Gives all gateways the present bundle.
+    pub fn publish_bundle(&self) {
+        for gateway in &self.gateways {
+            gateway.feeds.bundle.send_replace(Some(installed(self.bundle.clone())));
+        }
+    }
+
+    /// Lists a session-host engine.
+    pub fn list(&mut self, engine: &fake_engine::FakeEngine, zone: &str) {
+        let address = NodeAddress {
+            node: NodeId(engine.me.incarnation.0),
+            incarnation: engine.me.incarnation,
+            ..address(NodeRole::Engine, 0, engine.rpc, zone)
+        };
+        let hosted = HostedEngine {
+            engine: engine.me.engine.clone(),
+            service: id("advisor"),
+            version: engine.version.clone(),
+            ready: true,
+            draining: false,
+            slots: 4,
+        };
+        let member = Member {
+            address: address.clone(),
+            health: MemberHealth::Alive,
+            bundle: BundleVersion(3),
+            engine: Some(hosted),
+        };
+        self.view.members.insert(address.node, member);
+        self.publish();
+    }
+
+    /// Takes a session-host engine out of the view.
+    pub fn unlist(&mut self, engine: &fake_engine::FakeEngine) {
+        self.view.members.remove(&NodeId(engine.me.incarnation.0));
+        self.publish();
+    }
+
+    /// Lists an application engine of service `farm`.
+    pub fn list_app(&mut self, engine: &app_engine::AppEngine, version: &str, zone: &str) {
+        let listed = ApplicationEngine {
+            engine: engine.engine.clone(),
+            incarnation: engine.incarnation,
+            service: id("farm"),
+            version: id(version),
+            address: engine.address,
+            zone: id(zone),
+            draining: false,
+            healthy: true,
+        };
+        self.view.engines.insert(engine.engine.clone(), listed);
+        self.publish();
+    }
+
+    /// A turn as its shard has it.
+    pub async fn turn(&self, program: &str, session: &str, turn: &str) -> Option<TurnRecord> {
+        let key = SessionKey { program: id(program), session: id(session) };
+        let query = ShardQuery::Turn { key, turn: id(turn) };
+        match self.state.query_shard(shard_of(program), &query, soon()).await {
+            Ok(ShardAnswer::Turn(record)) => record,
+            other => panic!("no answer: {other:?}"),
+        }
+    }
+
+    pub fn url(&self, gateway: usize) -> SocketAddr {
+        self.gateways[gateway].http
+    }
+
+    pub async fn put_program(&self, program: &str) {
+        let body = serde_json::json!({"token_budget": 1000, "end_time_ms": 99_999_999_999_999_u64});
+        let path = format!("/v1/programs/{program}");
+        let answer = http::put(self.url(0), &path, &body).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    pub async fn open_session(&self, program: &str, session: &str) -> http::Answer {
+        let body = serde_json::json!({"model": "advisor-7b"});
+        http::put(self.url(0), &format!("/v1/programs/{program}/sessions/{session}"), &body).await
+    }
+}
