--- a/crates/gateway/tests/support/app_engine.rs
+++ b/crates/gateway/tests/support/app_engine.rs
@@ -131,6 +131,13 @@
         self.script.lock().expect("no panic under the lock").ran.get(call).copied().unwrap_or(0)
     }
 
+    /// Waits until a call has run here.
+    pub async fn wait_ran(&self, call: &str) {
+        while self.runs(call) == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     pub fn received(&self) -> u32 {
         self.script.lock().expect("no panic under the lock").received
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -24,7 +24,9 @@
     CoreSettings, GatewayMode, GatewaySettings, OperatorSettings, Secret, Settings, StoreSettings,
 };
 use hooklug_state::meta::{BundleOrigin, BundleRecord};
-use hooklug_state::shard::{ShardAnswer, ShardCommand, ShardQuery, ShardReply, TurnRecord};
+use hooklug_state::shard::{
+    BeginCall, ShardAnswer, ShardCommand, ShardQuery, ShardReply, TurnRecord,
+};
 use hooklug_store::MemoryState;
 use hooklug_store::StateAccess;
 use hooklug_types::*;
@@ -108,7 +110,9 @@
         deadline_ms: 8_000,
         urgent: false,
     };
-    let open = Tenant { key_digests: Vec::new(), group: None, limits: TenantLimits::default() };
+    // Tests of other things send as fast as they can; tests of the limits set their own.
+    let limits = TenantLimits { requests_per_second: 1e6, concurrency: 10_000 };
+    let open = Tenant { key_digests: Vec::new(), group: None, limits };
     let key = blake3::hash(b"k1").to_hex().to_string();
     Bundle {
         version: BundleVersion(3),
@@ -292,6 +296,40 @@
         }
     }
 
+    /// Claims a call for an attempt that nobody works on.
+    pub async fn begin_call(
+        &self,
+        program: &str,
+        call: &str,
+        attempt: &str,
+        body: &serde_json::Value,
+    ) {
+        let tool = body["tool"].as_str().expect("a tool");
+        let command = ShardCommand::BeginCall(BeginCall {
+            program: id(program),
+            call: id(call),
+            attempt: id(attempt),
+            digest: hooklug_gateway::calls::content_digest(tool, &body["arguments"]),
+            route: id("alarms"),
+        });
+        let reply = self.state.execute_shard(shard_of(program), &command, soon()).await;
+        assert_eq!(reply, Ok(ShardReply::CallGranted));
+    }
+
+    /// Waits until a call has an outcome.
+    pub async fn wait_outcome(&self, program: &str, call: &str) -> CallOutcome {
+        let query = ShardQuery::Call { program: id(program), call: id(call) };
+        loop {
+            let answer = self.state.query_shard(shard_of(program), &query, soon()).await;
+            if let Ok(ShardAnswer::Call(Some(record))) = answer
+                && let Some(outcome) = record.outcome
+            {
+                return outcome;
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
     pub fn url(&self, gateway: usize) -> SocketAddr {
         self.gateways[gateway].http
     }
