--- /dev/null
+++ b/crates/store/tests/disks.rs
@@ -0,0 +1,116 @@
+//! Disks that lose what was not synced, fail, or are damaged.
+
+#[path = "support/disk.rs"]
+mod disk;
+mod support;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+use disk::TestDisk;
+use hooklug_protocol::store::{Execute, StoreFault};
+use hooklug_rpc::{LocalIdentity, RpcClient};
+use hooklug_state::encode;
+use hooklug_store::{StateAccess, Store, StoreError, load_node_id};
+use hooklug_types::{NodeId, shard_of};
+use support::{TestCluster, fast_options, has_program, put, put_program, soon, until};
+
+async fn cluster_on(disks: &[TestDisk]) -> TestCluster {
+    let mut cluster = TestCluster::new(disks.len(), fast_options()).await;
+    for (number, disk) in disks.iter().enumerate() {
+        cluster.stores[number].files = Arc::new(disk.clone());
+        cluster.start(number).await;
+    }
+    cluster.until_formed().await;
+    cluster
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn what_was_acknowledged_survives_a_loss_of_power_of_all_machines() {
+    let disks = [TestDisk::default(), TestDisk::default(), TestDisk::default()];
+    let mut cluster = cluster_on(&disks).await;
+    let (acknowledged, over) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicBool::new(false)));
+    let writers: Vec<_> = (0..16)
+        .map(|writer| {
+            let client = cluster.client();
+            let (acknowledged, over) = (acknowledged.clone(), over.clone());
+            tokio::spawn(async move {
+                for number in 0.. {
+                    let name = format!("program-{writer}-{number}");
+                    let command = put(&name);
+                    let writing = client.execute_shard(shard_of(&name), &command, soon());
+                    if writing.await.is_ok() && !over.load(Ordering::SeqCst) {
+                        acknowledged.lock().unwrap().push(name);
+                    }
+                }
+            })
+        })
+        .collect();
+    until("enough is written", async || acknowledged.lock().unwrap().len() > 400).await;
+    for number in 0..3 {
+        cluster.kill(number).await;
+    }
+    over.store(true, Ordering::SeqCst);
+    writers.iter().for_each(tokio::task::JoinHandle::abort);
+    disks.iter().for_each(TestDisk::lose_power);
+    for number in 0..3 {
+        cluster.start(number).await;
+    }
+    let client = cluster.client();
+    let names = acknowledged.lock().unwrap().clone();
+    for name in names {
+        assert!(has_program(&client, &name).await, "{name}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_store_whose_disk_fails_acknowledges_nothing_and_the_others_go_on() {
+    let disks = [TestDisk::default(), TestDisk::default(), TestDisk::default()];
+    let cluster = cluster_on(&disks).await;
+    let client = cluster.client();
+    let group = shard_of("program-0");
+    let failing = cluster.until_leader(group).await;
+    disks[failing].fail();
+    for number in 0..20 {
+        put_program(&client, &format!("program-{number}")).await;
+    }
+    assert!(cluster.handle(failing).failure().is_some());
+    assert!(!cluster.handle(failing).is_ready().await);
+    let request = Execute { group, command: encode(&put("other")) };
+    let address = cluster.stores[failing].address;
+    let answer = support::rpc_client().call(address, &request, soon()).await.unwrap();
+    assert!(matches!(answer, Err(StoreFault::DiskFailed { .. })), "{answer:?}");
+    for number in 0..20 {
+        assert!(has_program(&client, &format!("program-{number}")).await);
+    }
+}
+
+fn open_folder(cluster: &TestCluster, number: usize, node: NodeId) -> Result<Store, StoreError> {
+    let address = cluster.address_of(number, node);
+    let identity = LocalIdentity::new(address, support::SECRET);
+    let client = RpcClient::new(identity.clone());
+    Store::open(Arc::new(cluster.settings(number)), identity, client)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_folder_that_is_in_use_damaged_or_of_another_node_is_refused() {
+    let mut cluster = TestCluster::formed(3, fast_options()).await;
+    let node = cluster.node(0);
+    let in_use = open_folder(&cluster, 0, node);
+    assert!(matches!(in_use, Err(StoreError::FolderInUse { .. })), "{in_use:?}");
+    cluster.kill(0).await;
+    let other = open_folder(&cluster, 0, NodeId(1));
+    assert!(matches!(other, Err(StoreError::OtherNode { .. })), "{other:?}");
+    let folder = cluster.stores[0].folder.path().to_owned();
+    let membership = folder.join("membership");
+    let bytes = std::fs::read(&membership).unwrap();
+    let mut damaged = bytes.clone();
+    *damaged.last_mut().unwrap() ^= 1;
+    std::fs::write(&membership, damaged).unwrap();
+    let refused = open_folder(&cluster, 0, node);
+    assert!(matches!(refused, Err(StoreError::Damaged { .. })), "{refused:?}");
+    std::fs::write(&membership, bytes).unwrap();
+    std::fs::remove_file(folder.join("node")).unwrap();
+    let lost = load_node_id(&folder);
+    assert!(matches!(lost, Err(StoreError::Damaged { .. })), "{lost:?}");
+}
--- /dev/null
+++ b/crates/store/tests/support/disk.rs
@@ -0,0 +1,110 @@
+//! A disk that forgets what was not synced, and fails on demand.
+
+use std::collections::BTreeMap;
+use std::fs::OpenOptions;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+use hooklug_wal::{Files, LogFile, OsFiles};
+
+#[derive(Debug, Default)]
+struct Disk {
+    /// Bytes of each file that are synced.
+    synced: Mutex<BTreeMap<PathBuf, u64>>,
+    fails: AtomicBool,
+}
+
+/// Files of one machine. Clones share the disk.
+#[derive(Debug, Clone, Default)]
+pub struct TestDisk {
+    disk: Arc<Disk>,
+}
+
+impl TestDisk {
+    /// Cuts every file to what was synced, as a loss of power may.
+    pub fn lose_power(&self) {
+        for (path, length) in self.disk.synced.lock().unwrap().iter() {
+            if let Ok(file) = OpenOptions::new().write(true).open(path) {
+                assert!(file.metadata().unwrap().len() >= *length, "{}", path.display());
+                file.set_len(*length).unwrap();
+            }
+        }
+    }
+
+    /// Makes every sync fail from now on.
+    pub fn fail(&self) {
+        self.disk.fails.store(true, Ordering::SeqCst);
+    }
+
+    fn open(&self, inner: Box<dyn LogFile>, path: &Path, length: u64) -> Box<dyn LogFile> {
+        self.disk.synced.lock().unwrap().insert(path.to_owned(), length);
+        let (disk, path) = (self.disk.clone(), path.to_owned());
+        Box::new(TestFile { inner, disk, path, length })
+    }
+}
+
+struct TestFile {
+    inner: Box<dyn LogFile>,
+    disk: Arc<Disk>,
+    path: PathBuf,
+    length: u64,
+}
+
+impl LogFile for TestFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.inner.append(bytes)?;
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        if self.disk.fails.load(Ordering::SeqCst) {
+            return Err(io::Error::other("the disk is gone"));
+        }
+        self.inner.sync()?;
+        self.disk.synced.lock().unwrap().insert(self.path.clone(), self.length);
+        Ok(())
+    }
+}
+
+impl Files for TestDisk {
+    fn create_folder(&self, folder: &Path) -> io::Result<()> {
+        OsFiles.create_folder(folder)
+    }
+
+    fn list(&self, folder: &Path) -> io::Result<Vec<PathBuf>> {
+        OsFiles.list(folder)
+    }
+
+    fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
+        OsFiles.read(path)
+    }
+
+    fn create(&self, path: &Path) -> io::Result<Box<dyn LogFile>> {
+        Ok(self.open(OsFiles.create(path)?, path, 0))
+    }
+
+    fn open_cut(&self, path: &Path, length: u64) -> io::Result<Box<dyn LogFile>> {
+        Ok(self.open(OsFiles.open_cut(path, length)?, path, length))
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        OsFiles.rename(from, to)?;
+        let mut synced = self.disk.synced.lock().unwrap();
+        if let Some(length) = synced.remove(from) {
+            synced.insert(to.to_owned(), length);
+        }
+        Ok(())
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        self.disk.synced.lock().unwrap().remove(path);
+        OsFiles.remove(path)
+    }
+
+    fn sync_folder(&self, folder: &Path) -> io::Result<()> {
+        OsFiles.sync_folder(folder)
+    }
+}
--- a/crates/store/tests/support/mod.rs
+++ b/crates/store/tests/support/mod.rs
@@ -126,7 +126,11 @@
         store.running = Some(Running { handle, identity, stop, server, store: store_task });
     }
 
-    fn settings(&self, number: usize) -> Settings {
+    pub fn address_of(&self, number: usize, node: NodeId) -> NodeAddress {
+        address(node, &self.stores[number])
+    }
+
+    pub fn settings(&self, number: usize) -> Settings {
         let store = &self.stores[number];
         Settings {
             rpc: store.address,
