--- a/crates/replication/src/compaction.rs
+++ b/crates/replication/src/compaction.rs
@@ -24,7 +24,7 @@
         match job {
             SnapshotJob::Write { group, meta, data } => {
                 let input = match store.write(group, meta.index, &data) {
-                    Ok(()) => Input::SnapshotWritten { group, meta },
+                    Ok(()) => Input::SnapshotWritten { group, meta, bytes: data.len() as u64 },
                     Err(error) => Input::Failed { reason: error.to_string() },
                 };
                 let _ = driver.send(input);
--- a/crates/replication/src/driver.rs
+++ b/crates/replication/src/driver.rs
@@ -149,7 +149,9 @@
                 Ok(()) => self.persisted(groups, now),
                 Err(error) => self.fail(error.to_string()),
             },
-            Input::SnapshotWritten { group, meta } => self.snapshot_written(group, meta),
+            Input::SnapshotWritten { group, meta, bytes } => {
+                self.snapshot_written(group, meta, bytes);
+            }
             Input::SnapshotReceived { group, from, term, snapshot } => {
                 if let Ok(replica) = self.replica_or_new(group) {
                     replica.receive_snapshot(from, term, snapshot, now);
--- a/crates/replication/src/input.rs
+++ b/crates/replication/src/input.rs
@@ -38,7 +38,7 @@
     /// Records of these groups are written, and synced, or never will be.
     Persisted { groups: Vec<GroupId>, outcome: Result<(), WalError> },
     /// A snapshot of the own state is durable.
-    SnapshotWritten { group: GroupId, meta: SnapshotMeta },
+    SnapshotWritten { group: GroupId, meta: SnapshotMeta, bytes: u64 },
     /// A leader's snapshot is whole, verified and durable.
     SnapshotReceived { group: GroupId, from: NodeId, term: u64, snapshot: Snapshot },
     /// How the transfer of a snapshot ended.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -15,6 +15,9 @@
 use crate::ReplicationError;
 use crate::input::Reply;
 
+/// Bytes of commands after which a group takes a snapshot, however few they are (ours).
+const SNAPSHOT_LOG_BYTES: u64 = 32 << 20;
+
 /// A committed entry and who waits for its result.
 #[derive(Debug)]
 pub struct Proposal {
@@ -84,6 +87,10 @@
     /// The newest durable snapshot.
     snapshot: Option<SnapshotMeta>,
     snapshotting: bool,
+    /// Bytes of that snapshot, as far as it was taken here.
+    snapshot_bytes: u64,
+    /// Bytes of commands handed to the state machine since the snapshot.
+    log_bytes: u64,
     leading_since: Option<Instant>,
     /// Messages that wait for the sync under way; `None` when none is.
     after_sync: Option<Vec<Message>>,
@@ -110,6 +117,8 @@
             handed_over: snapshot.as_ref().map_or(0, |meta| meta.index),
             snapshot,
             snapshotting: false,
+            snapshot_bytes: 0,
+            log_bytes: 0,
             leading_since: None,
             after_sync: None,
         }
@@ -255,8 +264,10 @@
 
     fn commit(&mut self, entry: Entry) -> Proposal {
         self.handed_over = entry.index;
-        if let EntryKind::ConfChange(change) = entry.kind {
-            self.node.apply_conf_change(change);
+        match &entry.kind {
+            EntryKind::Command(command) => self.log_bytes += command.len() as u64,
+            EntryKind::ConfChange(change) => drop(self.node.apply_conf_change(*change)),
+            EntryKind::Noop => {}
         }
         let Some(pending) = self.proposals.remove(&entry.index) else {
             return Proposal { entry, reply: None };
@@ -302,22 +313,32 @@
         fail_reads(std::mem::take(&mut self.arrived), error);
     }
 
-    /// Whether enough was applied since the last snapshot to take another.
+    /// Whether enough was applied since the last snapshot to take another: so many entries, or more bytes
+    /// than both a fixed amount and the last snapshot, so that a large state is not written too often.
     #[must_use]
     pub fn wants_snapshot(&self, snapshot_entries: u64) -> bool {
         let covered = self.snapshot.as_ref().map_or(0, |meta| meta.index);
-        !self.snapshotting && self.handed_over.saturating_sub(covered) >= snapshot_entries
+        let entries = self.handed_over.saturating_sub(covered);
+        let is_large = self.log_bytes >= SNAPSHOT_LOG_BYTES.max(self.snapshot_bytes);
+        !self.snapshotting && (entries >= snapshot_entries || (is_large && entries > 0))
     }
 
     /// Notes that a snapshot of the state was asked for.
     pub fn begin_snapshot(&mut self) {
         self.snapshotting = true;
+        self.log_bytes = 0;
     }
 
     /// Notes that a snapshot of the state is durable and drops the entries that it covers, but for
     /// some. Gives the record to persist; `None` when a newer snapshot stands already.
-    pub fn finish_snapshot(&mut self, meta: SnapshotMeta, trailing: u64) -> Option<Record> {
+    pub fn finish_snapshot(
+        &mut self,
+        meta: SnapshotMeta,
+        bytes: u64,
+        trailing: u64,
+    ) -> Option<Record> {
         self.snapshotting = false;
+        self.snapshot_bytes = bytes;
         if self.snapshot.as_ref().is_some_and(|newest| newest.index >= meta.index) {
             return None;
         }
--- a/crates/replication/src/rounds.rs
+++ b/crates/replication/src/rounds.rs
@@ -89,11 +89,11 @@
         });
     }
 
-    pub(crate) fn snapshot_written(&mut self, group: GroupId, meta: SnapshotMeta) {
+    pub(crate) fn snapshot_written(&mut self, group: GroupId, meta: SnapshotMeta, bytes: u64) {
         let trailing = self.settings.trailing_entries();
         let index = meta.index;
         let Ok(replica) = self.replica(group) else { return };
-        let Some(record) = replica.finish_snapshot(meta, trailing) else { return };
+        let Some(record) = replica.finish_snapshot(meta, bytes, trailing) else { return };
         self.append_snapshot(group, index, record);
     }
 
--- a/crates/replication/src/snapshot_inbox.rs
+++ b/crates/replication/src/snapshot_inbox.rs
@@ -70,3 +70,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/replication/src/transport.rs
+++ b/crates/replication/src/transport.rs
@@ -19,6 +19,8 @@
 
 /// Messages that may wait for one store; more are dropped, consensus sends them again.
 const MAX_QUEUED_MESSAGES: usize = 16_384;
+/// Entries that may wait for one store, in bytes, so that a store that is frozen costs no more memory.
+const MAX_QUEUED_ENTRY_BYTES: usize = 64 << 20;
 /// Messages in one frame at most.
 const MAX_FRAME_MESSAGES: usize = 1_024;
 /// Entries in one frame, in bytes; a frame holds at least one message.
@@ -32,10 +34,45 @@
 
 #[derive(Debug, Default)]
 struct PeerQueue {
-    messages: Mutex<Vec<(GroupId, Message)>>,
+    waiting: Mutex<Waiting>,
     filled: Notify,
 }
 
+#[derive(Debug, Default)]
+struct Waiting {
+    messages: Vec<(GroupId, Message)>,
+    entry_bytes: usize,
+}
+
+impl Waiting {
+    fn push(&mut self, group: GroupId, message: Message) {
+        let bytes = entry_bytes(&message);
+        let is_full = self.messages.len() >= MAX_QUEUED_MESSAGES
+            || self.entry_bytes + bytes > MAX_QUEUED_ENTRY_BYTES;
+        if !is_full {
+            self.entry_bytes += bytes;
+            self.messages.push((group, message));
+        }
+    }
+
+    /// The messages of the next frame.
+    fn take_frame(&mut self) -> Vec<(GroupId, Message)> {
+        let mut bytes = 0;
+        let mut fits = |(_, message): &(GroupId, Message)| {
+            bytes += entry_bytes(message);
+            bytes <= MAX_FRAME_ENTRY_BYTES
+        };
+        let first = self.messages.iter().take(MAX_FRAME_MESSAGES);
+        let count = first.take_while(|m| fits(m)).count().max(1).min(self.messages.len());
+        if count == self.messages.len() {
+            return std::mem::take(self).messages;
+        }
+        let frame: Vec<_> = self.messages.drain(..count).collect();
+        self.entry_bytes -= frame.iter().map(|(_, message)| entry_bytes(message)).sum::<usize>();
+        frame
+    }
+}
+
 /// Queues by store, each with a task of its own.
 #[derive(Debug)]
 pub(crate) struct Transport {
@@ -54,17 +91,17 @@
     pub(crate) fn send(&mut self, group: GroupId, messages: Vec<Message>) {
         for message in messages {
             let peer = self.peer(message.to);
-            let mut queue = peer.messages.lock().unwrap_or_else(PoisonError::into_inner);
-            if queue.len() < MAX_QUEUED_MESSAGES {
-                queue.push((group, message));
-            }
+            let mut waiting = peer.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+            waiting.push(group, message);
         }
     }
 
     /// Starts the sending of what was queued.
     pub(crate) fn flush(&self) {
         for peer in self.peers.values() {
-            let is_empty = peer.messages.lock().unwrap_or_else(PoisonError::into_inner).is_empty();
+            let waiting = peer.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+            let is_empty = waiting.messages.is_empty();
+            drop(waiting);
             if !is_empty {
                 peer.filled.notify_one();
             }
@@ -99,7 +136,7 @@
         while inflight.len() >= MAX_INFLIGHT_FRAMES {
             inflight.next().await;
         }
-        let messages = take_frame(&peer);
+        let messages = peer.waiting.lock().unwrap_or_else(PoisonError::into_inner).take_frame();
         if messages.is_empty() {
             tokio::select! {
                 () = peer.filled.notified() => {}
@@ -122,21 +159,6 @@
     }
 }
 
-fn take_frame(peer: &PeerQueue) -> Vec<(GroupId, Message)> {
-    let mut queue = peer.messages.lock().unwrap_or_else(PoisonError::into_inner);
-    let mut bytes = 0;
-    let mut fits = |(_, message): &(GroupId, Message)| {
-        bytes += entry_bytes(message);
-        bytes <= MAX_FRAME_ENTRY_BYTES
-    };
-    let count = queue.iter().take(MAX_FRAME_MESSAGES).take_while(|m| fits(m)).count();
-    let count = count.max(1).min(queue.len());
-    if count == queue.len() {
-        return std::mem::take(&mut *queue);
-    }
-    queue.drain(..count).collect()
-}
-
 fn entry_bytes(message: &Message) -> usize {
     let MessageBody::Append { entries, .. } = &message.body else { return 0 };
     let command = |kind: &EntryKind| match kind {
--- /dev/null
+++ b/crates/replication/tests/replica.rs
@@ -0,0 +1,161 @@
+//! One replica without I/O: who is answered, when, and what is persisted first.
+
+use std::time::Instant;
+
+use hooklug_raft::{
+    ConfState, Config, Entry, EntryKind, HardState, Message, MessageBody, RawNode, Restored,
+    SnapshotMeta,
+};
+use hooklug_replication::{ReadWaiter, Replica, ReplicationError, Round};
+use hooklug_types::{GroupId, NodeId};
+use hooklug_wal::Record;
+use tokio::sync::oneshot;
+
+const OWN: NodeId = NodeId(1);
+
+/// A replica of a group that began with these voters.
+fn replica(voters: &[u64]) -> Replica {
+    let config = Config {
+        id: OWN,
+        election_ticks: 10,
+        heartbeat_ticks: 2,
+        max_append_bytes: 1 << 20,
+        max_inflight: 16,
+        seed: 7,
+    };
+    let voters = voters.iter().copied().map(NodeId).collect();
+    let conf = ConfState { voters, learners: [].into() };
+    let meta = SnapshotMeta { index: 1, term: 1, conf };
+    let hard_state = HardState { term: 1, vote: None, commit: 1 };
+    let restored = Restored { hard_state, snapshot: meta.clone(), entries: Vec::new() };
+    let node = RawNode::new(config, restored).unwrap();
+    Replica::new(GroupId(1), node, hard_state, Some(meta))
+}
+
+/// Does all rounds at once, as if each sync succeeded; gives them and what went out after the syncs.
+fn settle(replica: &mut Replica) -> (Vec<Round>, Vec<Message>) {
+    let (mut rounds, mut sent) = (Vec::new(), Vec::new());
+    while let Some(round) = replica.round(Instant::now()) {
+        if round.sync {
+            sent.extend(replica.persisted(Instant::now()));
+        }
+        rounds.push(round);
+    }
+    (rounds, sent)
+}
+
+fn command_of(rounds: &[Round]) -> Vec<Vec<u8>> {
+    let committed = rounds.iter().flat_map(|round| &round.committed);
+    let commands = committed.filter_map(|proposal| match &proposal.entry.kind {
+        EntryKind::Command(command) => Some(command.clone()),
+        EntryKind::Noop | EntryKind::ConfChange(_) => None,
+    });
+    commands.collect()
+}
+
+fn leader_alone() -> Replica {
+    let mut replica = replica(&[1]);
+    replica.campaign();
+    settle(&mut replica);
+    assert!(replica.leads());
+    replica
+}
+
+#[test]
+fn a_command_is_handed_over_only_after_its_sync() {
+    let mut replica = leader_alone();
+    let (reply, _result) = oneshot::channel();
+    replica.propose(b"command".to_vec(), reply);
+    let round = replica.round(Instant::now()).expect("entries to persist");
+    assert!(round.sync && command_of(std::slice::from_ref(&round)).is_empty());
+    assert!(round.records.iter().any(|record| matches!(record, Record::Append(_))));
+    assert!(replica.round(Instant::now()).is_none(), "one sync at a time");
+    replica.persisted(Instant::now());
+    let (rounds, _) = settle(&mut replica);
+    assert_eq!(command_of(&rounds), vec![b"command".to_vec()]);
+    let proposals = rounds.into_iter().flat_map(|round| round.committed);
+    assert!(proposals.into_iter().any(|proposal| proposal.reply.is_some()));
+}
+
+#[test]
+fn a_read_waits_for_the_entries_before_it() {
+    let mut replica = leader_alone();
+    let (reply, _result) = oneshot::channel();
+    replica.propose(b"command".to_vec(), reply);
+    let (reply, _answer) = oneshot::channel();
+    replica.read(ReadWaiter { query: b"query".to_vec(), reply });
+    let (rounds, _) = settle(&mut replica);
+    assert_eq!(rounds.iter().map(|round| round.reads.len()).sum::<usize>(), 1);
+    assert!(rounds.iter().all(|round| round.reads.is_empty() || round.leading_since.is_some()));
+}
+
+#[test]
+fn a_follower_refuses_reads_and_commands_and_names_the_leader() {
+    let mut replica = replica(&[1, 2, 3]);
+    let heartbeat = MessageBody::Heartbeat { commit: 1, read_round: 0 };
+    let message = Message { from: NodeId(2), to: OWN, term: 2, body: heartbeat };
+    replica.step(message, Instant::now());
+    let expected = ReplicationError::NotLeader { leader: Some(NodeId(2)) };
+    let (reply, mut result) = oneshot::channel();
+    replica.propose(b"command".to_vec(), reply);
+    assert_eq!(result.try_recv().unwrap(), Err(expected.clone()));
+    let (reply, mut answer) = oneshot::channel();
+    replica.read(ReadWaiter { query: Vec::new(), reply });
+    assert_eq!(answer.try_recv().unwrap(), Err(expected));
+}
+
+/// A leader of three that has proposed a command which no other replica has.
+fn leader_with_a_lonely_command() -> (Replica, oneshot::Receiver<Result<Vec<u8>, ReplicationError>>)
+{
+    let mut replica = replica(&[1, 2, 3]);
+    replica.campaign();
+    for _ in 0..2 {
+        let (rounds, mut sent) = settle(&mut replica);
+        sent.extend(rounds.into_iter().flat_map(|round| round.late));
+        for request in sent.into_iter().filter(|message| message.to == NodeId(2)) {
+            let body = match request.body {
+                MessageBody::PreVote { .. } => MessageBody::PreVoteReply { granted: true },
+                MessageBody::Vote { .. } => MessageBody::VoteReply { granted: true },
+                _ => continue,
+            };
+            let vote = Message { from: NodeId(2), to: OWN, term: request.term, body };
+            replica.step(vote, Instant::now());
+        }
+    }
+    assert!(replica.leads());
+    let (reply, result) = oneshot::channel();
+    replica.propose(b"lost".to_vec(), reply);
+    settle(&mut replica);
+    (replica, result)
+}
+
+#[test]
+fn a_deposed_leader_calls_its_commands_uncertain_and_applies_what_won() {
+    let (mut replica, mut result) = leader_with_a_lonely_command();
+    assert!(result.try_recv().is_err(), "not answered while it leads");
+    let term = replica.term() + 1;
+    let entry =
+        |index, command: &[u8]| Entry { term, index, kind: EntryKind::Command(command.to_vec()) };
+    let entries = vec![entry(2, b"won"), entry(3, b"won too")];
+    let body = MessageBody::Append { prev_index: 1, prev_term: 1, entries, commit: 3 };
+    replica.step(Message { from: NodeId(2), to: OWN, term, body }, Instant::now());
+    assert_eq!(result.try_recv().unwrap(), Err(ReplicationError::Uncertain));
+    let (rounds, _) = settle(&mut replica);
+    assert_eq!(command_of(&rounds), vec![b"won".to_vec(), b"won too".to_vec()]);
+}
+
+#[test]
+fn snapshots_are_asked_for_by_entries_and_by_bytes() {
+    let mut replica = leader_alone();
+    assert!(!replica.wants_snapshot(100));
+    let (reply, _result) = oneshot::channel();
+    replica.propose(vec![0; 33 << 20], reply);
+    settle(&mut replica);
+    assert!(replica.wants_snapshot(100), "33 MiB in one entry");
+    replica.begin_snapshot();
+    assert!(!replica.wants_snapshot(1), "one at a time");
+    let meta = SnapshotMeta { index: 3, ..replica.snapshot().unwrap().clone() };
+    assert!(replica.finish_snapshot(meta.clone(), 9, 0).is_some());
+    assert!(!replica.wants_snapshot(1));
+    assert!(replica.finish_snapshot(meta, 9, 0).is_none(), "not newer");
+}
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -99,10 +99,12 @@
     }
 
     async fn change_replicas(&self, request: ChangeReplicas) -> Result<(), StoreFault> {
-        let known = self.meta.borrow().leader.as_ref().map(|leader| leader.epoch);
-        if known.is_some_and(|newest| request.epoch < newest) {
-            let reason = format!("fencing epoch {} is stale", request.epoch);
-            return Err(StoreFault::Refused { reason });
+        if let Some(leader) = &self.meta.borrow().leader {
+            let is_stale = request.epoch < leader.epoch;
+            if is_stale || (request.epoch == leader.epoch && leader.expired) {
+                let reason = format!("fencing epoch {} is stale", request.epoch);
+                return Err(StoreFault::Refused { reason });
+            }
         }
         let changed = self.replicator.change_members(request.group, request.change).await;
         changed.map_err(|error| self.fault(request.group, error))
