--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -229,7 +229,7 @@
     pub commit: u64,
     /// Highest applied index.
     pub applied: u64,
-    /// Members in force.
+    /// Members as of the applied entries; a change that is not committed yet does not show.
     pub conf: ConfState,
     /// At the leader: highest index that each member is known to hold, and whether it answered lately.
     pub progress: Vec<MemberProgress>,
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -372,7 +372,8 @@
         self.hard_state
     }
 
-    /// The replica for operators and for repair.
+    /// The replica for operators and for repair. Its members are those of the applied entries: a store
+    /// must not act on a removal that may yet be undone.
     #[must_use]
     pub fn status(&self) -> ReplicaStatus {
         let status = self.node.status();
@@ -388,7 +389,7 @@
             leader: status.leader,
             commit: status.commit,
             applied: status.applied,
-            conf: status.conf,
+            conf: self.node.snapshot_meta().conf,
             progress: progress.collect(),
         }
     }
