--- a/crates/raft/src/simulation/checker.rs
+++ b/crates/raft/src/simulation/checker.rs
@@ -55,22 +55,23 @@
         self.committed.last_key_value().map_or(0, |(index, _)| *index)
     }
 
-    /// Checks a replica after a step, and the other leaders against what it committed.
+    /// Checks a replica after a step, and the other leaders against what it committed. Gives
+    /// whether the replica has just become a leader.
     pub(crate) fn check<'a>(
         &mut self,
         raw: &RawNode,
         others: impl Iterator<Item = &'a RawNode>,
-    ) -> Result<(), Violation> {
+    ) -> Result<bool, Violation> {
         self.check_log(raw)?;
         let before = self.committed();
         self.check_commit(raw)?;
-        self.check_leader(raw)?;
+        let is_new_leader = self.check_leader(raw)?;
         if self.committed() > before {
             for other in others.filter(|o| o.role == Role::Leader && o.term > raw.term) {
                 self.check_complete(other, before + 1)?;
             }
         }
-        Ok(())
+        Ok(is_new_leader)
     }
 
     /// A write was acknowledged.
@@ -142,18 +143,19 @@
         Ok(())
     }
 
-    fn check_leader(&mut self, raw: &RawNode) -> Result<(), Violation> {
+    fn check_leader(&mut self, raw: &RawNode) -> Result<bool, Violation> {
         let (node, term) = (raw.config.id, raw.term);
         let checked = self.checked.entry(node).or_default();
         if raw.role != Role::Leader || checked.leader_term == Some(term) {
-            return Ok(());
+            return Ok(false);
         }
         checked.leader_term = Some(term);
         let first = *self.leaders.entry(term).or_insert(node);
         if first != node {
             return Err(Violation::TwoLeaders { term, first, second: node });
         }
-        self.check_complete(raw, 1)
+        self.check_complete(raw, 1)?;
+        Ok(true)
     }
 
     fn check_complete(&self, leader: &RawNode, from: u64) -> Result<(), Violation> {
--- a/crates/raft/src/simulation/clients.rs
+++ b/crates/raft/src/simulation/clients.rs
@@ -17,6 +17,9 @@
 impl World {
     /// Draws the next call and schedules the one after it.
     pub(super) fn next_call(&mut self) {
+        if self.clients_stopped {
+            return;
+        }
         let pause = self.random.random_range(1..=self.weather.max_client_pause);
         self.events.schedule(self.now + pause, Event::NextCall);
         let leaders = self.leaders();
--- a/crates/raft/src/simulation/event.rs
+++ b/crates/raft/src/simulation/event.rs
@@ -15,6 +15,15 @@
     Snapshot { from: NodeId, to: NodeId, term: u64, snapshot: Snapshot },
 }
 
+impl Packet {
+    pub(crate) fn to(&self) -> NodeId {
+        match self {
+            Self::Message(message) => message.to,
+            Self::Snapshot { to, .. } => *to,
+        }
+    }
+}
+
 /// One run of a replica; events of an earlier run are void.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Run {
@@ -26,7 +35,10 @@
 #[derive(Debug, Clone)]
 pub(crate) enum Event {
     Tick(Run),
-    Deliver(Packet),
+    Deliver {
+        packet: Packet,
+        sent_in: Run,
+    },
     SyncDone(Run),
     ReportSnapshot {
         run: Run,
@@ -36,6 +48,8 @@
     Write(NodeId),
     Read(NodeId),
     Restart(NodeId),
+    /// The end that was drawn for a leader.
+    LeaderFalls(NodeId),
     HealLink {
         from: NodeId,
         to: NodeId,
@@ -53,10 +67,13 @@
             Self::Tick(run) | Self::SyncDone(run) | Self::ReportSnapshot { run, .. } => {
                 Some(run.node)
             }
-            Self::Deliver(Packet::Message(message)) => Some(message.to),
-            Self::Deliver(Packet::Snapshot { to, .. }) => Some(*to),
+            Self::Deliver { packet, .. } => Some(packet.to()),
             Self::Write(node) | Self::Read(node) => Some(*node),
-            Self::Restart(_) | Self::HealLink { .. } | Self::NextCall | Self::NextFaults => None,
+            Self::Restart(_)
+            | Self::LeaderFalls(_)
+            | Self::HealLink { .. }
+            | Self::NextCall
+            | Self::NextFaults => None,
         }
     }
 }
--- a/crates/raft/src/simulation/faults.rs
+++ b/crates/raft/src/simulation/faults.rs
@@ -7,6 +7,7 @@
 use super::disk::Disk;
 use super::event::Event;
 use super::network::chance;
+use super::replica::Replica;
 use super::weather::TICK_UNITS;
 use super::world::World;
 
@@ -69,6 +70,31 @@
         self.events.schedule(self.now + down, Event::Restart(node));
     }
 
+    /// Draws whether and when a new leader falls.
+    pub(super) fn draw_fall(&mut self, leader: NodeId) {
+        if chance(&mut self.random, self.weather.leader_falls) {
+            let reign = self.random.random_range(1..=self.weather.max_reign);
+            self.events.schedule(self.now + reign, Event::LeaderFalls(leader));
+        }
+    }
+
+    /// A leader crashes, or none of its messages arrive any more.
+    pub(super) fn fell_leader(&mut self, leader: NodeId) {
+        if self.weather.leader_falls == 0 {
+            return;
+        }
+        if chance(&mut self.random, 500) {
+            self.crash(leader);
+            return;
+        }
+        let until = self.now + self.random.random_range(1..=self.weather.max_cut);
+        let others: Vec<NodeId> = self.replicas.keys().copied().filter(|n| *n != leader).collect();
+        self.totals.cuts += 1;
+        for other in others {
+            self.cut_link(leader, other, until);
+        }
+    }
+
     /// One link in one direction, or a replica's links in one or both directions.
     fn cut_some(&mut self) {
         let node = self.draw_leader_or_replica();
@@ -107,7 +133,7 @@
     /// majority; an empty replica with a new id stands by in its place.
     fn lose_one_disk(&mut self) {
         let node = self.draw_replica();
-        let confs: Vec<_> = self.replicas.values().flat_map(|r| r.confs()).collect();
+        let confs: Vec<_> = self.replicas.values().flat_map(Replica::confs).collect();
         let bearable = confs.iter().all(|conf| self.has_live_quorum(conf, Some(node)));
         let Some(replica) = self.replicas.get_mut(&node) else { return };
         if replica.lost || !bearable {
--- a/crates/raft/src/simulation/network.rs
+++ b/crates/raft/src/simulation/network.rs
@@ -19,6 +19,10 @@
         self.cut.insert((from, to));
     }
 
+    pub(crate) fn is_cut(&self, from: NodeId, to: NodeId) -> bool {
+        self.cut.contains(&(from, to))
+    }
+
     pub(crate) fn heal(&mut self, from: NodeId, to: NodeId) {
         self.cut.remove(&(from, to));
     }
@@ -35,7 +39,7 @@
         weather: &Weather,
         random: &mut ChaCha8Rng,
     ) -> Vec<u64> {
-        if self.cut.contains(&(from, to)) || chance(random, weather.drop) {
+        if self.is_cut(from, to) || chance(random, weather.drop) {
             return Vec::new();
         }
         let copies = if chance(random, weather.duplicate) { 2 } else { 1 };
--- a/crates/raft/src/simulation/tests.rs
+++ b/crates/raft/src/simulation/tests.rs
@@ -69,7 +69,7 @@
 
 #[test]
 fn commit_of_an_older_term_by_counting_is_noticed() {
-    let report = broken(BrokenRule::CommitOlderTermByCounting, 2_000);
+    let report = broken(BrokenRule::CommitOlderTermByCounting, SEEDS);
     assert!(report.failures.iter().any(|failure| is_safety(&failure.violation)));
 }
 
--- a/crates/raft/src/simulation/trace.rs
+++ b/crates/raft/src/simulation/trace.rs
@@ -28,7 +28,7 @@
         self.events += 1;
         self.digest.number(at);
         self.digest.number(event.node().map_or(0, |node| node.0));
-        if let Event::Deliver(Packet::Message(message)) = event {
+        if let Event::Deliver { packet: Packet::Message(message), .. } = event {
             self.digest.number(message.from.0);
             self.digest.number(message.term);
         }
--- a/crates/raft/src/simulation/weather.rs
+++ b/crates/raft/src/simulation/weather.rs
@@ -24,16 +24,57 @@
     pub(crate) change_members: u32,
     pub(crate) compact: u32,
     pub(crate) transfer: u32,
+    /// Chance that a new leader crashes or is cut off within `max_reign` units.
+    pub(crate) leader_falls: u32,
+    pub(crate) max_reign: u64,
     /// Units between two client calls, at most.
     pub(crate) max_client_pause: u64,
     pub(crate) max_down: u64,
     pub(crate) max_cut: u64,
     pub(crate) max_freeze: u64,
+    /// Settings of the replicas, as they decide which entries travel together.
+    pub(crate) max_append_bytes: u32,
+    pub(crate) max_inflight: u32,
+    /// Voters at the start, at least and at most.
+    pub(crate) min_voters: u64,
+    pub(crate) max_voters: u64,
 }
 
 impl Weather {
-    /// Draws the rates of a run.
+    /// Draws the rates of a run; one seed in four is a storm.
     pub(crate) fn draw(random: &mut ChaCha8Rng) -> Self {
+        let usual = Self::draw_usual(random);
+        if random.random_range(0..4) == 0 { usual.into_storm(random) } else { usual }
+    }
+
+    /// Leaders fall one after another while entries trickle one at a time, so that logs part and
+    /// entries of several terms lie uncommitted side by side (Raft, figure 8).
+    fn into_storm(self, random: &mut ChaCha8Rng) -> Self {
+        let max_delay = random.random_range(2..25);
+        Self {
+            drop: random.random_range(0..100),
+            slow: 20,
+            max_delay,
+            max_slow_delay: 100,
+            max_sync: 5,
+            crash: random.random_range(0..10),
+            cut: random.random_range(0..10),
+            leader_falls: 900,
+            max_reign: 4 * max_delay,
+            lose_disk: 0,
+            change_members: 0,
+            max_client_pause: random.random_range(10..60),
+            max_down: random.random_range(20..300),
+            max_cut: random.random_range(50..300),
+            max_append_bytes: 1,
+            max_inflight: 1,
+            min_voters: 3,
+            max_voters: 3,
+            ..self
+        }
+    }
+
+    fn draw_usual(random: &mut ChaCha8Rng) -> Self {
         let mut one_of = |choices: &[u32]| choices[random.random_range(0..choices.len())];
         Self {
             drop: one_of(&[0, 0, 10, 50, 150, 300]),
@@ -49,16 +90,26 @@
             change_members: one_of(&[0, 20, 100]),
             compact: one_of(&[0, 20, 150]),
             transfer: one_of(&[0, 0, 20]),
+            leader_falls: one_of(&[0, 0, 200]),
+            max_reign: u64::from(one_of(&[30, 300])),
             max_client_pause: u64::from(one_of(&[4, 20, 80])),
             max_down: u64::from(one_of(&[5, 50, 200, 600])),
             max_cut: u64::from(one_of(&[50, 300, 800])),
             max_freeze: u64::from(one_of(&[100, 600])),
+            max_append_bytes: one_of(&[1, 100, 400]),
+            max_inflight: one_of(&[1, 4, 16]),
+            min_voters: 1,
+            max_voters: 5,
         }
     }
 
-    /// No faults: what the group recovers in.
-    pub(crate) fn calm() -> Self {
+    /// The same settings without faults: what the group recovers in.
+    pub(crate) fn calm(&self) -> Self {
         Self {
+            max_append_bytes: self.max_append_bytes,
+            max_inflight: self.max_inflight,
+            min_voters: self.min_voters,
+            max_voters: self.max_voters,
             drop: 0,
             duplicate: 0,
             slow: 0,
@@ -72,6 +123,8 @@
             change_members: 0,
             compact: 0,
             transfer: 0,
+            leader_falls: 0,
+            max_reign: 1,
             max_client_pause: 20,
             max_down: 1,
             max_cut: 1,
--- a/crates/raft/src/simulation/world.rs
+++ b/crates/raft/src/simulation/world.rs
@@ -11,19 +11,22 @@
 use super::checker::Checker;
 use super::disk::Write;
 use super::event::{Event, EventQueue, Packet, Run};
-use super::network::Network;
+use super::network::{Network, chance};
 use super::replica::{Process, Replica};
 use super::trace::Trace;
 use super::violation::Violation;
 use super::weather::{TICK_UNITS, Weather};
 use crate::config::Config;
-use crate::message::{ConfState, EntryKind};
-use crate::ready::{Ready, Snapshot};
+use crate::message::{ConfState, Entry, EntryKind, Message};
+use crate::ready::{Ready, Role, Snapshot};
 
 /// Length of the part of a run that has faults.
 const FAULT_UNITS: u64 = 400 * TICK_UNITS;
 /// Time that the group has to recover: several elections that fail, then one that succeeds.
 const RECOVERY_UNITS: u64 = 300 * TICK_UNITS;
+/// Time that members have to catch up with the clients still. Long, as a backlog may travel one
+/// entry a round trip; a run ends as soon as they have.
+const CATCH_UP_UNITS: u64 = 4_000 * TICK_UNITS;
 /// Time after which a snapshot that did not arrive is reported as failed.
 const SNAPSHOT_TIMEOUT_UNITS: u64 = 15 * TICK_UNITS;
 
@@ -107,13 +110,14 @@
     /// Highest index of a write acknowledged that was proposed after the faults ended.
     recovered_to: Option<u64>,
     calm_since_call: Option<u64>,
+    pub(super) clients_stopped: bool,
 }
 
 impl World {
     fn new(scenario: Scenario) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(scenario.seed);
         let weather = Weather::draw(&mut random);
-        let count = random.random_range(1..=5);
+        let count = random.random_range(weather.min_voters..=weather.max_voters);
         let voters: BTreeSet<NodeId> = (1..=count).map(NodeId).collect();
         let first_conf = ConfState { voters, learners: BTreeSet::new() };
         let mut world = Self {
@@ -131,6 +135,7 @@
             trace: Trace::new(scenario.in_words),
             recovered_to: None,
             calm_since_call: None,
+            clients_stopped: false,
         };
         for id in &first_conf.voters {
             world.add_replica(*id, first_conf.clone());
@@ -142,11 +147,27 @@
 
     fn play(&mut self) -> Result<(), Violation> {
         self.play_until(FAULT_UNITS)?;
-        self.weather = Weather::calm();
+        self.weather = self.weather.calm();
         self.calm_down();
         self.calm_since_call = Some(self.calls);
         self.play_until(FAULT_UNITS + RECOVERY_UNITS)?;
-        self.check_recovered()
+        if self.recovered_to.is_none() {
+            return Err(Violation::NoRecovery { units: RECOVERY_UNITS });
+        }
+        self.clients_stopped = true;
+        self.catch_up()
+    }
+
+    /// With the clients still, every member must come to hold everything.
+    fn catch_up(&mut self) -> Result<(), Violation> {
+        let end = self.now + CATCH_UP_UNITS;
+        loop {
+            let behind = self.check_caught_up();
+            if behind.is_ok() || self.now >= end {
+                return behind;
+            }
+            self.play_until(self.now + 10 * TICK_UNITS)?;
+        }
     }
 
     fn play_until(&mut self, end: u64) -> Result<(), Violation> {
@@ -182,7 +203,7 @@
     fn happen(&mut self, event: Event) -> Result<(), Violation> {
         match event {
             Event::Tick(run) => self.tick(run),
-            Event::Deliver(packet) => self.deliver(packet),
+            Event::Deliver { packet, sent_in } => self.deliver(packet, sent_in),
             Event::SyncDone(run) => return self.sync_done(run),
             Event::ReportSnapshot { run, to, sent } => {
                 if let Some(process) = self.process_of(run) {
@@ -192,6 +213,7 @@
             Event::Write(node) => self.write(node),
             Event::Read(node) => self.read(node),
             Event::Restart(node) => self.restart(node),
+            Event::LeaderFalls(node) => self.fell_leader(node),
             Event::HealLink { from, to } => self.network.heal(from, to),
             Event::NextCall => self.next_call(),
             Event::NextFaults => self.next_faults(),
@@ -206,7 +228,10 @@
         self.events.schedule(self.now + units, Event::Tick(run));
     }
 
-    fn deliver(&mut self, packet: Packet) {
+    fn deliver(&mut self, packet: Packet, sent_in: Run) {
+        if self.is_lost_on_the_way(sent_in, packet.to()) {
+            return;
+        }
         match packet {
             Packet::Message(message) => {
                 if let Some(process) = self.process_mut(message.to) {
@@ -221,6 +246,13 @@
         }
     }
 
+    /// A cut or a crash of the sender takes what is on its way, the latter half of the time.
+    fn is_lost_on_the_way(&mut self, sent_in: Run, to: NodeId) -> bool {
+        let sender = self.replicas.get(&sent_in.node);
+        let runs = sender.is_some_and(|r| r.run == sent_in.number && r.process.is_some());
+        self.network.is_cut(sent_in.node, to) || (!runs && chance(&mut self.random, 500))
+    }
+
     pub(super) fn restart(&mut self, node: NodeId) {
         let stopped = self.replicas.get(&node).is_some_and(|r| r.process.is_none() && !r.lost);
         if stopped {
@@ -232,8 +264,9 @@
     pub(super) fn start(&mut self, node: NodeId) {
         let seed = self.random.random_range(0..u64::MAX);
         let broken = self.scenario.broken_rule;
+        let config = self.config(node, seed);
         let Some(replica) = self.replicas.get_mut(&node) else { return };
-        replica.start(config(node, seed), broken);
+        replica.start(config, broken);
         let first_tick = self.random.random_range(1..=replica.tick_units);
         self.events.schedule(self.now + first_tick, Event::Tick(replica.current_run()));
     }
@@ -251,7 +284,7 @@
     fn work(&mut self, node: NodeId) -> Result<(), Violation> {
         while let Some(ready) = self.take_ready(node) {
             let must_sync = ready.must_sync;
-            self.send_all(&ready.messages_before_sync);
+            self.send_all(node, &ready.messages_before_sync);
             let Some(replica) = self.replicas.get_mut(&node) else { return Ok(()) };
             let run = replica.current_run();
             if let Some(process) = &mut replica.process {
@@ -306,7 +339,7 @@
         let Some(ready) = self.process_of(run).and_then(|p| p.syncing.take()) else {
             return Ok(());
         };
-        self.send_all(&ready.messages);
+        self.send_all(run.node, &ready.messages);
         self.apply(run, &ready)?;
         let Some(process) = self.process_of(run) else { return Ok(()) };
         process.raw.advance();
@@ -342,18 +375,21 @@
             if process.writes.remove(&entry.index) == Some(entry.term) {
                 self.totals.writes += 1;
                 self.checker.write_acknowledged(entry.index);
-                self.recovered_to = self.calm_since_call.and(Some(entry.index));
+                if is_call_after(entry, self.calm_since_call) {
+                    self.recovered_to = Some(entry.index);
+                }
             }
         }
         Ok(())
     }
 
-    fn send_all(&mut self, messages: &[crate::message::Message]) {
+    fn send_all(&mut self, sender: NodeId, messages: &[Message]) {
+        let Some(sent_in) = self.replicas.get(&sender).map(Replica::current_run) else { return };
         for message in messages {
             let (from, to) = (message.from, message.to);
             for delay in self.network.fate(from, to, &self.weather, &mut self.random) {
                 let packet = Packet::Message(message.clone());
-                self.events.schedule(self.now + delay, Event::Deliver(packet));
+                self.events.schedule(self.now + delay, Event::Deliver { packet, sent_in });
             }
         }
     }
@@ -368,7 +404,10 @@
         let delays = self.network.fate(from, to, &self.weather, &mut self.random);
         let arrival = delays.first().copied();
         for delay in delays {
-            self.events.schedule(self.now + delay, Event::Deliver(packet.clone()));
+            self.events.schedule(
+                self.now + delay,
+                Event::Deliver { packet: packet.clone(), sent_in: run },
+            );
         }
         let (wait, sent) = match arrival {
             Some(delay) => (delay, true),
@@ -384,42 +423,46 @@
         self.trace.state(self.now, &process.raw);
         let others = self.replicas.values().filter(|r| r.id != node);
         let others = others.filter_map(|r| r.process.as_ref()).map(|process| &process.raw);
-        self.checker.check(&process.raw, others)
+        let is_new_leader = self.checker.check(&process.raw, others)?;
+        if is_new_leader {
+            self.draw_fall(node);
+        }
+        Ok(())
     }
 
-    /// With the faults gone, a write must have been committed and every member have applied it.
-    fn check_recovered(&self) -> Result<(), Violation> {
-        let Some(recovered_to) = self.recovered_to else {
-            return Err(Violation::NoRecovery { units: RECOVERY_UNITS });
-        };
-        let leaders = self.leaders();
-        let leading = leaders.iter().filter_map(|id| self.replicas[id].process.as_ref());
-        let newest = leading.max_by_key(|process| process.raw.term);
-        let Some(leader) = newest else {
+    /// Whether every member of the newest leader's group has applied all that is committed.
+    fn check_caught_up(&self) -> Result<(), Violation> {
+        let processes = self.replicas.values().filter_map(|r| r.process.as_ref());
+        let leaders = processes.filter(|process| process.raw.role == Role::Leader);
+        let Some(leader) = leaders.max_by_key(|process| process.raw.term) else {
             return Err(Violation::NoRecovery { units: RECOVERY_UNITS });
         };
+        let commit = self.checker.committed();
         for node in leader.raw.log.conf().members() {
             let process = self.replicas.get(&node).and_then(|r| r.process.as_ref());
-            let Some(process) = process else { continue };
-            let applied = process.machine.applied;
-            // The newest writes may still be on their way.
-            let due = recovered_to.saturating_sub(20);
-            if applied < due {
-                let commit = self.checker.committed();
+            let applied = process.map(|process| process.machine.applied);
+            if let Some(applied) = applied.filter(|applied| *applied < commit) {
                 return Err(Violation::NotCaughtUp { node, applied, commit });
             }
         }
         Ok(())
     }
-}
 
-fn config(id: NodeId, seed: u64) -> Config {
-    Config {
-        id,
-        election_ticks: 10,
-        heartbeat_ticks: 2,
-        max_append_bytes: 256,
-        max_inflight: 4,
-        seed,
+    fn config(&self, id: NodeId, seed: u64) -> Config {
+        Config {
+            id,
+            election_ticks: 10,
+            heartbeat_ticks: 2,
+            max_append_bytes: self.weather.max_append_bytes as usize,
+            max_inflight: self.weather.max_inflight as usize,
+            seed,
+        }
     }
 }
+
+/// Whether an entry is a client's write proposed after a call number; never without one.
+fn is_call_after(entry: &Entry, call: Option<u64>) -> bool {
+    let EntryKind::Command(command) = &entry.kind else { return false };
+    let number = command.as_slice().try_into().map(u64::from_le_bytes);
+    matches!((number, call), (Ok(number), Some(call)) if number > call)
+}
