--- a/crates/raft/src/simulation/mod.rs
+++ b/crates/raft/src/simulation/mod.rs
@@ -15,6 +15,7 @@
 mod network;
 mod operator;
 mod replica;
+mod shell;
 mod sweep;
 #[cfg(test)]
 mod tests;
--- a/crates/raft/src/simulation/tests.rs
+++ b/crates/raft/src/simulation/tests.rs
@@ -82,7 +82,7 @@
 
 #[test]
 fn an_unsynced_vote_is_noticed() {
-    let report = broken(BrokenRule::VoteNotSynced, 400);
+    let report = broken(BrokenRule::VoteNotSynced, SEEDS);
     assert!(report.failures.iter().any(|failure| is_safety(&failure.violation)));
 }
 
