raft: simulator: what a late leader may lack, and when a backlog counts as recovery

Now the commit index must grow in that time, and then, the clients still, all of the leader's log be committed and applied by every member, a new write among it.

Tests: cargo test -p hooklug-raft, 8 + 20 passed.

--- a/crates/raft/src/simulation/checker.rs
+++ b/crates/raft/src/simulation/checker.rs
@@ -17,6 +17,14 @@
     prev_term: Option<u64>,
 }
 
+/// A committed entry.
+#[derive(Debug, Clone, Copy)]
+struct CommittedEntry {
+    term: u64,
+    /// Term of the replica at which it was first seen committed, as a rule the leader's.
+    committed_in: u64,
+}
+
 /// What was already checked of one run of one replica.
 #[derive(Debug, Default)]
 struct Checked {
@@ -31,8 +39,7 @@
 pub(crate) struct Checker {
     leaders: HashMap<u64, NodeId>,
     entries: HashMap<(u64, u64), SeenEntry>,
-    /// Term of each committed index.
-    committed: BTreeMap<u64, u64>,
+    committed: BTreeMap<u64, CommittedEntry>,
     /// State after each applied index.
     states: HashMap<u64, u64>,
     checked: HashMap<NodeId, Checked>,
@@ -135,7 +142,8 @@
         let commit = raw.log.commit();
         for index in checked.commit + 1..=commit {
             let Some(term) = raw.log.term_at(index) else { continue };
-            if *self.committed.entry(index).or_insert(term) != term {
+            let committed = CommittedEntry { term, committed_in: raw.term };
+            if self.committed.entry(index).or_insert(committed).term != term {
                 return Err(Violation::CommitMismatch { node, index });
             }
         }
@@ -158,11 +166,13 @@
         Ok(true)
     }
 
+    /// A leader holds what was committed in earlier terms. An old entry may be committed in a later
+    /// term than that of a leader whose votes were long on their way; that leader may lack it.
     fn check_complete(&self, leader: &RawNode, from: u64) -> Result<(), Violation> {
         let first = from.max(leader.log.first_index() - 1);
-        for (index, term) in self.committed.range(first..) {
-            // Entries of the leader's own or a later term were committed after its election.
-            if *term < leader.term && leader.log.term_at(*index) != Some(*term) {
+        for (index, entry) in self.committed.range(first..) {
+            let is_due = entry.committed_in < leader.term;
+            if is_due && leader.log.term_at(*index) != Some(entry.term) {
                 let node = leader.config.id;
                 return Err(Violation::LeaderIncomplete { node, term: leader.term, index: *index });
             }
--- a/crates/raft/src/simulation/world.rs
+++ b/crates/raft/src/simulation/world.rs
@@ -147,15 +147,20 @@
         self.weather = self.weather.calm();
         self.calm_down();
         self.calm_since_call = Some(self.calls);
+        let commit_before = self.checker.committed();
         self.play_until(FAULT_UNITS + RECOVERY_UNITS)?;
-        if self.recovered_to.is_none() {
+        if self.checker.committed() == commit_before {
             return Err(Violation::NoRecovery { units: RECOVERY_UNITS });
         }
         self.clients_stopped = true;
-        self.catch_up()
+        self.catch_up()?;
+        if self.recovered_to.is_none() {
+            return Err(Violation::NoRecovery { units: RECOVERY_UNITS + CATCH_UP_UNITS });
+        }
+        Ok(())
     }
 
-    /// With the clients still, every member must come to hold everything.
+    /// With the clients still, all that a leader has must be committed and every member hold it.
     fn catch_up(&mut self) -> Result<(), Violation> {
         let end = self.now + CATCH_UP_UNITS;
         loop {
@@ -298,7 +303,7 @@
         let Some(leader) = leaders.max_by_key(|process| process.raw.term) else {
             return Err(Violation::NoRecovery { units: RECOVERY_UNITS });
         };
-        let commit = self.checker.committed();
+        let commit = leader.raw.log.last_index();
         for node in leader.raw.log.conf().members() {
             let process = self.replicas.get(&node).and_then(|r| r.process.as_ref());
             let applied = process.map(|process| process.machine.applied);
