--- a/crates/raft/src/simulation/weather.rs
+++ b/crates/raft/src/simulation/weather.rs
@@ -41,10 +41,11 @@
 }
 
 impl Weather {
-    /// Draws the rates of a run; one seed in four is a storm.
-    pub(crate) fn draw(random: &mut ChaCha8Rng) -> Self {
+    /// Draws the rates of a run; one seed in four is a storm, or each one.
+    pub(crate) fn draw(random: &mut ChaCha8Rng, always_storm: bool) -> Self {
         let usual = Self::draw_usual(random);
-        if random.random_range(0..4) == 0 { usual.into_storm(random) } else { usual }
+        let storm = random.random_range(0..4) == 0 || always_storm;
+        if storm { usual.into_storm(random) } else { usual }
     }
 
     /// Leaders fall one after another while entries trickle one at a time, so that logs part and
--- a/crates/raft/src/simulation/world.rs
+++ b/crates/raft/src/simulation/world.rs
@@ -113,7 +113,9 @@
 impl World {
     fn new(scenario: Scenario) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(scenario.seed);
-        let weather = Weather::draw(&mut random);
+        // Breaking this rule shows in storms only.
+        let always_storm = scenario.broken_rule == Some(BrokenRule::CommitOlderTermByCounting);
+        let weather = Weather::draw(&mut random, always_storm);
         let count = random.random_range(weather.min_voters..=weather.max_voters);
         let voters: BTreeSet<NodeId> = (1..=count).map(NodeId).collect();
         let first_conf = ConfState { voters, learners: BTreeSet::new() };
