gateway: adaptive limits, fair queue, circuit, own-evidence judge

Cause: overload was met with nothing but a fixed limit. Change: room at an engine is taken before a call is claimed; calls wait in a bounded queue (urgent first, fair by tenant, earliest deadline first) and are shed at once when they cannot end in time; a circuit by route; the limit follows latency with probes that keep its baseline true; a version without timed successes is not judged by latency.

--- a/crates/gateway/src/backend/mod.rs
+++ b/crates/gateway/src/backend/mod.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod balance;
 pub mod exchange;
+pub mod gate;
 pub mod identity;
 pub mod lookup;
 pub mod pool;
--- a/crates/gateway/src/backend/stats.rs
+++ b/crates/gateway/src/backend/stats.rs
@@ -4,6 +4,8 @@
 
 use tokio::time::Instant;
 
+use super::answer::Refusal;
+
 /// Half-life of the latency average (ours).
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(2);
 
@@ -29,7 +31,7 @@
     /// A whole answer, after this time.
     Answered(Duration),
     /// The engine said no: nothing wrong with it.
-    Refused,
+    Refused(Refusal),
     /// No answer.
     Failed,
     /// The caller gave up.
@@ -91,7 +93,7 @@
                 self.ejected_until = None;
             }
             CallEnd::Failed => self.failed(now),
-            CallEnd::Refused | CallEnd::Cancelled => {}
+            CallEnd::Refused(_) | CallEnd::Cancelled => {}
         }
     }
 
--- a/crates/gateway/src/calls/mod.rs
+++ b/crates/gateway/src/calls/mod.rs
@@ -4,10 +4,10 @@
 pub mod record;
 pub mod repeatable;
 pub mod retry_budget;
+pub mod room;
 pub mod settle;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use hooklug_settings::GatewayMode;
@@ -18,8 +18,7 @@
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
-use crate::backend::Target;
-use crate::backend::exchange::{CallName, Dispatch, ExchangeError};
+use crate::backend::exchange::{CallName, Dispatch};
 use crate::backend::table::Backends;
 use crate::evidence::Evidence;
 use crate::shards::Shards;
@@ -98,36 +97,3 @@
         }
     }
 }
-
-impl Calls {
-    /// Counts what a dispatch showed of its engine's version. Refusals and connections that could
-    /// not be had show nothing of it.
-    pub(crate) fn observe<T>(
-        &self,
-        request: &CallRequest,
-        target: &Target,
-        answered: &Result<T, ExchangeError>,
-        latency: Duration,
-    ) {
-        let success = match answered {
-            Ok(_) => true,
-            Err(ExchangeError::Lost(_)) => false,
-            Err(ExchangeError::Refused(_) | ExchangeError::NotSent(_)) => return,
-        };
-        self.evidence.record(&target.service, &target.version, &request.route, success, latency);
-    }
-
-    /// The engine for the next try, and how to go on without one.
-    pub(crate) fn choose(
-        &self,
-        request: &CallRequest,
-        tried: &[crate::backend::EngineRun],
-    ) -> Option<Target> {
-        let bundle = self.node.bundle.borrow().clone()?;
-        let service = bundle.bundle.services.get(&request.service)?;
-        match self.mode {
-            GatewayMode::Full => self.backends.choose(&request.service, service, tried),
-            GatewayMode::Plain => self.backends.next_in_turn(&request.service, service),
-        }
-    }
-}
--- a/crates/gateway/src/calls/once.rs
+++ b/crates/gateway/src/calls/once.rs
@@ -15,6 +15,7 @@
 use crate::backend::Target;
 use crate::backend::answer::Answer;
 use crate::backend::exchange::ExchangeError;
+use crate::backend::table::Outstanding;
 use crate::backoff::Backoff;
 
 const FIRST_WAIT: Duration = Duration::from_millis(20);
@@ -85,12 +86,20 @@
     }
 
     async fn claim_and_run(self: Arc<Self>, request: CallRequest) -> Result<Settled, Problem> {
+        self.check_circuit(&request)?;
+        // Room first: a call that is shed must not leave a claim behind.
+        let room = self.room(&request, &[]).await?;
         let attempt = draw_attempt();
         let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
         loop {
             let error = match self.claim(&request, &attempt, request.deadline).await {
-                Ok(Claimed::Granted) => return Ok(self.run_claimed(&request, &attempt).await),
-                Ok(Claimed::Held(record)) => return self.await_other(&request, *record).await,
+                Ok(Claimed::Granted) => {
+                    return Ok(self.run_claimed(&request, &attempt, Some(room)).await);
+                }
+                Ok(Claimed::Held(record)) => {
+                    drop(room);
+                    return self.await_other(&request, *record).await;
+                }
                 Err(ClaimError::Refused(refusal)) => return Err(refusals::ledger(&refusal)),
                 Err(ClaimError::Uncertain(error)) => error,
             };
@@ -113,7 +122,7 @@
             match self.claim(&request, &attempt, until).await {
                 Ok(Claimed::Granted) => {
                     request.deadline = request.deadline.max(Instant::now() + LEAST_DISPATCH_TIME);
-                    self.run_claimed(&request, &attempt).await;
+                    self.run_claimed(&request, &attempt, None).await;
                     return;
                 }
                 Ok(Claimed::Held(_)) | Err(ClaimError::Refused(_)) => return,
@@ -124,23 +133,34 @@
     }
 
     /// Dispatches a claimed call and records how it ended.
-    async fn run_claimed(&self, request: &CallRequest, attempt: &CallAttempt) -> Settled {
-        let outcome = self.dispatch_once(request, attempt).await;
+    async fn run_claimed(
+        &self,
+        request: &CallRequest,
+        attempt: &CallAttempt,
+        room: Option<Outstanding>,
+    ) -> Settled {
+        let outcome = self.dispatch_once(request, attempt, room).await;
         let name = request.name(attempt);
         let recorded = self.finish(&name, &outcome, RECORD_TIME).await;
         recorded.map_or(Settled::Unknown, Settled::of)
     }
 
     /// Tries engines until one has taken the call. After that, no other is tried.
-    async fn dispatch_once(&self, request: &CallRequest, attempt: &CallAttempt) -> CallOutcome {
+    async fn dispatch_once(
+        &self,
+        request: &CallRequest,
+        attempt: &CallAttempt,
+        mut room: Option<Outstanding>,
+    ) -> CallOutcome {
         let dispatch = request.dispatch(attempt);
         let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
         let mut tried = Vec::new();
         loop {
-            if let Some(target) = self.choose(request, &tried) {
-                let begun = Instant::now();
-                let answered = self.backends.exchange(&target, &dispatch, request.deadline).await;
-                self.observe(request, &target, &answered, begun.elapsed());
+            if room.is_none() {
+                room = self.room(request, &tried).await.ok();
+            }
+            if let Some(taken) = room.take() {
+                let (target, answered) = self.send(request, taken, &dispatch).await;
                 match answered {
                     Ok(answer) => return answered_outcome(&answer),
                     Err(ExchangeError::Lost(reason)) => {
--- a/crates/gateway/src/calls/repeatable.rs
+++ b/crates/gateway/src/calls/repeatable.rs
@@ -23,18 +23,20 @@
     /// # Errors
     /// `try_again`, `overloaded` or `deadline_exceeded`; none claims that the call did not run.
     pub async fn repeatable(&self, request: &CallRequest) -> Result<Answer, Problem> {
+        self.check_circuit(request)?;
         let attempt = draw_attempt();
         let dispatch = request.dispatch(&attempt);
         let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
         let mut tried = Vec::new();
+        let mut last = None;
         self.retries.sent();
         loop {
-            let Some(target) = self.choose(request, &tried) else {
-                return Err(no_engine(&tried));
+            let room = match (self.room(request, &tried).await, last.take()) {
+                (Ok(room), _) => room,
+                (Err(_), Some(error)) => return Err(failed(&error, request.deadline)),
+                (Err(reason), None) => return Err(reason.into()),
             };
-            let begun = Instant::now();
-            let answered = self.backends.exchange(&target, &dispatch, request.deadline).await;
-            self.observe(request, &target, &answered, begun.elapsed());
+            let (target, answered) = self.send(request, room, &dispatch).await;
             let error = match answered {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
@@ -50,6 +52,7 @@
                 }
                 sleep(wait).await;
             }
+            last = Some(error);
             metrics::counter!("hooklug_gateway_retries_total").increment(1);
         }
     }
@@ -68,14 +71,6 @@
     }
 }
 
-fn no_engine(tried: &[crate::backend::EngineRun]) -> Problem {
-    let after = jittered(RETRY_SOON * 2, &mut rand::rng());
-    if tried.is_empty() {
-        return Problem::try_again("no application engine is open for the call now", after);
-    }
-    Problem::try_again("no application engine answered", after)
-}
-
 fn failed(error: &ExchangeError, deadline: Instant) -> Problem {
     if Instant::now() >= deadline {
         let detail = format!("no answer in time: {error}");
--- /dev/null
+++ b/crates/gateway/src/calls/room.rs
@@ -0,0 +1,153 @@
+//! Finds room for a call at an application engine, and sends it there.
+
+use std::time::Duration;
+
+use hooklug_settings::GatewayMode;
+use tokio::time::Instant;
+
+use super::{CallRequest, Calls};
+use crate::api::problem::{Claim, Code, Problem};
+use crate::api::refusals::RETRY_SOON;
+use crate::backend::answer::Answer;
+use crate::backend::exchange::{Dispatch, ExchangeError};
+use crate::backend::gate::{Crowd, Waiter};
+use crate::backend::stats::CallEnd;
+use crate::backend::table::{Found, Outstanding, Wanted};
+use crate::backend::{EngineRun, Target};
+use crate::backoff::jittered;
+
+/// Why a call gets no engine. Nothing was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum NoRoom {
+    /// No engine could take it.
+    #[error("no application engine is open for the call now")]
+    NoEngine,
+    /// Too much is waiting, or it could not end in time.
+    #[error("too much work is waiting")]
+    Shed(Duration),
+    /// Nearly all calls of the route fail.
+    #[error("calls of this route fail at present")]
+    CircuitOpen(Duration),
+}
+
+impl From<NoRoom> for Problem {
+    fn from(reason: NoRoom) -> Self {
+        let detail = reason.to_string();
+        // Jitter above the time named, so that callers do not all come back at once.
+        let spread = |after: Duration| after + jittered(after / 2, &mut rand::rng());
+        match reason {
+            NoRoom::NoEngine => Problem::try_again(detail, spread(RETRY_SOON)),
+            NoRoom::CircuitOpen(after) => Problem::try_again(detail, spread(after.max(RETRY_SOON))),
+            NoRoom::Shed(after) => Problem::new(Code::Overloaded, detail)
+                .claiming(Claim::TryAgain)
+                .after(spread(after)),
+        }
+    }
+}
+
+impl Calls {
+    /// Whether calls of the request's route may go out at all.
+    pub(super) fn check_circuit(&self, request: &CallRequest) -> Result<(), NoRoom> {
+        match self.mode {
+            GatewayMode::Plain => Ok(()),
+            GatewayMode::Full => self.backends.admit(&request.route).map_err(NoRoom::CircuitOpen),
+        }
+    }
+
+    /// Takes up room at an engine that was not tried, waiting for it in turn.
+    pub(super) async fn room(
+        &self,
+        request: &CallRequest,
+        tried: &[EngineRun],
+    ) -> Result<Outstanding, NoRoom> {
+        let mut in_turn = false;
+        loop {
+            let crowded = !in_turn && self.backends.gates.is_crowded(&request.service);
+            match self.look(request, tried) {
+                Found::None => return Err(NoRoom::NoEngine),
+                // A newcomer goes behind those who wait; the room that it gives back wakes one of them.
+                Found::Engine(room) if crowded && !request.urgent => drop(room),
+                Found::Engine(room) => return Ok(room),
+                Found::Full => {}
+            }
+            self.wait(request, tried).await?;
+            in_turn = true;
+        }
+    }
+
+    fn look(&self, request: &CallRequest, tried: &[EngineRun]) -> Found {
+        let Some(bundle) = self.node.bundle.borrow().clone() else { return Found::None };
+        let Some(service) = bundle.bundle.services.get(&request.service) else {
+            return Found::None;
+        };
+        let wanted = Wanted {
+            route: &request.route,
+            service: &request.service,
+            urgent: request.urgent,
+            tried,
+        };
+        match self.mode {
+            GatewayMode::Full => self.backends.find(&wanted, service),
+            GatewayMode::Plain => self.backends.next_in_turn(&wanted, service),
+        }
+    }
+
+    async fn wait(&self, request: &CallRequest, tried: &[EngineRun]) -> Result<(), NoRoom> {
+        let crowd = self.crowd(request).ok_or(NoRoom::NoEngine)?;
+        let waiter =
+            Waiter { tenant: &request.tenant, urgent: request.urgent, deadline: request.deadline };
+        // Room that is found and given back wakes the first in the queue.
+        let look_again = || drop(self.look(request, tried));
+        let waited = self.backends.gates.wait(&request.service, waiter, crowd, look_again).await;
+        waited.map_err(|shed| {
+            metrics::counter!("hooklug_gateway_calls_shed_total").increment(1);
+            NoRoom::Shed(shed.after)
+        })
+    }
+
+    fn crowd(&self, request: &CallRequest) -> Option<Crowd> {
+        let bundle = self.node.bundle.borrow().clone()?;
+        let service = bundle.bundle.services.get(&request.service)?;
+        let (capacity, engines) = self.backends.capacity(&request.service, service);
+        let bound = (service.queue_per_engine as usize).saturating_mul(engines);
+        Some(Crowd { bound, capacity, average: self.backends.average(&request.route) })
+    }
+
+    /// Sends a call to the engine that has room for it, and counts what that shows.
+    pub(super) async fn send(
+        &self,
+        request: &CallRequest,
+        mut room: Outstanding,
+        dispatch: &Dispatch,
+    ) -> (Target, Result<Answer, ExchangeError>) {
+        let target = room.target.clone();
+        let begun = Instant::now();
+        let answered = self.backends.pool.exchange(&target, dispatch, request.deadline).await;
+        let latency = begun.elapsed();
+        room.ended(match &answered {
+            Ok(_) => CallEnd::Answered(latency),
+            Err(ExchangeError::Refused(refusal)) => CallEnd::Refused(*refusal),
+            Err(ExchangeError::NotSent(_) | ExchangeError::Lost(_)) => CallEnd::Failed,
+        });
+        drop(room);
+        self.observe(request, &target, &answered, latency);
+        (target, answered)
+    }
+
+    /// Counts what a dispatch showed of its engine's version. Refusals and connections that could
+    /// not be had show nothing of it.
+    fn observe(
+        &self,
+        request: &CallRequest,
+        target: &Target,
+        answered: &Result<Answer, ExchangeError>,
+        latency: Duration,
+    ) {
+        let success = match answered {
+            Ok(_) => true,
+            Err(ExchangeError::Lost(_)) => false,
+            Err(ExchangeError::Refused(_) | ExchangeError::NotSent(_)) => return,
+        };
+        self.evidence.record(&target.service, &target.version, &request.route, success, latency);
+    }
+}
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -48,8 +48,9 @@
         self.lock().observe(&seen, Instant::now());
     }
 
-    /// Judges the newest version of each service; stops a harmful one here at once and tells the cluster.
-    pub fn judge(&self, bundle: &Bundle) {
+    /// Judges the newest version of each service; stops a harmful one here at once and tells the
+    /// cluster. Returns whether one was stopped.
+    pub fn judge(&self, bundle: &Bundle) -> bool {
         self.stopped.retain(|name, version| {
             bundle.services.get(name).is_some_and(|service| service.is_sound(version))
         });
@@ -60,14 +61,17 @@
             let services = bundle.services.iter();
             services.filter_map(|(name, service)| judge.harm(name, service, now)).collect()
         };
+        let mut any = false;
         for harm in found {
             if self.stopped.stop(&harm.service, &harm.version) {
                 warn!(service = %harm.service, version = %harm.version, reason = %harm.reason, "version stopped");
                 metrics::counter!("hooklug_gateway_versions_stopped_total").increment(1);
                 // A full channel means that the cluster has not taken earlier reports; the statistics tell it too.
                 let _ = self.harm.try_send(harm);
+                any = true;
             }
         }
+        any
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Judge> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -95,7 +95,9 @@
         let shared = &self.shared;
         shared.owners.engines.forget_unlisted();
         let Some(bundle) = shared.ctx.node.bundle.borrow().clone() else { return };
-        shared.evidence.judge(&bundle.bundle);
+        if shared.evidence.judge(&bundle.bundle) {
+            shared.backends.close_circuits();
+        }
         shared.tenants.sweep(|tenant| {
             bundle.bundle.tenants.get(tenant).map_or(0.0, |t| t.limits.requests_per_second)
         });
--- /dev/null
+++ b/crates/gateway/src/limits/circuit.rs
@@ -0,0 +1,103 @@
+//! A circuit breaker: while nearly all calls of a route fail, its callers hear so at once. Pure.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Ends that are judged: the last ones within this time (ours).
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// Ends needed before the circuit may open (ours).
+const LEAST_ENDS: usize = 20;
+
+/// Ends kept.
+const MOST_ENDS: usize = 200;
+
+/// Share of failures that opens the circuit (ours): far above what one bad engine or version causes,
+/// which ejection and the judge of versions deal with.
+const OPEN_AT: f64 = 0.9;
+
+/// First time that the circuit stays open; doubles while probes fail (ours).
+const FIRST_OPEN: Duration = Duration::from_millis(500);
+const LONGEST_OPEN: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Closed,
+    Open {
+        until: Instant,
+        time: Duration,
+    },
+    /// One probe is under way; a lost probe is replaced after its time.
+    Probing {
+        since: Instant,
+        time: Duration,
+    },
+}
+
+/// The circuit of one route.
+#[derive(Debug, Clone)]
+pub struct Circuit {
+    state: State,
+    ends: VecDeque<(Instant, bool)>,
+}
+
+impl Default for Circuit {
+    fn default() -> Self {
+        Self { state: State::Closed, ends: VecDeque::new() }
+    }
+}
+
+impl Circuit {
+    /// Whether a call may go out.
+    ///
+    /// # Errors
+    /// When to come back.
+    pub fn admit(&mut self, now: Instant) -> Result<(), Duration> {
+        match self.state {
+            State::Closed => Ok(()),
+            State::Open { until, .. } if now < until => Err(until.duration_since(now)),
+            State::Open { time, .. } => {
+                self.state = State::Probing { since: now, time };
+                Ok(())
+            }
+            State::Probing { since, time } => {
+                let waited = now.saturating_duration_since(since);
+                if waited < time {
+                    return Err(time - waited);
+                }
+                self.state = State::Probing { since: now, time };
+                Ok(())
+            }
+        }
+    }
+
+    /// Notes how a call ended: with an answer, or with none.
+    pub fn ended(&mut self, answered: bool, now: Instant) {
+        if answered && self.state != State::Closed {
+            self.state = State::Closed;
+            self.ends.clear();
+        }
+        if let (false, State::Probing { time, .. }) = (answered, self.state) {
+            self.open((time * 2).min(LONGEST_OPEN), now);
+        }
+        self.ends.push_back((now, answered));
+        let is_old = |at: Instant| now.saturating_duration_since(at) > WINDOW;
+        while self.ends.len() > MOST_ENDS || self.ends.front().is_some_and(|(at, _)| is_old(*at)) {
+            self.ends.pop_front();
+        }
+        if self.state == State::Closed && self.fails() {
+            self.open(FIRST_OPEN, now);
+        }
+    }
+
+    fn open(&mut self, time: Duration, now: Instant) {
+        self.state = State::Open { until: now + time, time };
+    }
+
+    fn fails(&self) -> bool {
+        let failures = self.ends.iter().filter(|(_, answered)| !answered).count();
+        self.ends.len() >= LEAST_ENDS && failures as f64 >= self.ends.len() as f64 * OPEN_AT
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/limits.rs
@@ -0,0 +1,317 @@
+//! The pure parts of limits: bucket, adaptive limit, circuit, queue, judge, answers.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hooklug_gateway::backend::answer::{Head, InvalidAnswer, Refusal, judge_body, judge_head};
+use hooklug_gateway::judge::{Judge, Observation};
+use hooklug_gateway::limits::adaptive::{AdaptiveLimit, Sign};
+use hooklug_gateway::limits::baseline::Baseline;
+use hooklug_gateway::limits::circuit::Circuit;
+use hooklug_gateway::limits::queue::{CallQueue, Pushed};
+use hooklug_gateway::limits::token_bucket::TokenBucket;
+use hooklug_types::*;
+use proptest::prelude::*;
+use support::{bundle, id};
+use tokio::time::Instant;
+
+#[test]
+fn a_bucket_gives_its_rate_after_its_burst() {
+    let start = Instant::now();
+    let mut bucket = TokenBucket::new(10.0, start);
+    let burst = (0..100).filter(|_| bucket.take(10.0, start).is_ok()).count();
+    assert_eq!(burst, 10);
+    let wait = bucket.take(10.0, start).unwrap_err();
+    assert_eq!(wait, Duration::from_millis(100));
+    assert_eq!(bucket.take(10.0, start + wait), Ok(()));
+    let minute = start + Duration::from_secs(60);
+    let after_a_minute = (0..100).filter(|_| bucket.take(10.0, minute).is_ok()).count();
+    assert_eq!(after_a_minute, 10);
+    assert!(bucket.take(0.0, minute).is_err());
+}
+
+/// A minute of an engine that answers in `base` up to `slots` calls at once and in proportion to them
+/// above, always asked for as much as the limit lets. Returns the calls done and the largest limit.
+fn saturate(slots: u32, base: Duration, most: u32) -> (f64, u32) {
+    let (start, mut limit) = (Instant::now(), AdaptiveLimit::default());
+    let (mut now, mut done, mut largest) = (start, 0.0, 0);
+    let mut baseline = Baseline::new(base, now);
+    while now.duration_since(start) < Duration::from_secs(60) {
+        let running = limit.get(most);
+        let slower = f64::from(running) / f64::from(slots);
+        let latency = base.mul_f64(slower.max(1.0));
+        let began = now;
+        now += latency;
+        for _ in 0..running {
+            let ratio = baseline.observe(latency, now);
+            limit.learn(Sign::Answered { ratio }, running, most, began, now);
+        }
+        done += f64::from(running);
+        largest = largest.max(running);
+    }
+    (done / now.duration_since(start).as_secs_f64(), largest)
+}
+
+#[test]
+fn the_adaptive_limit_finds_an_engines_capacity() {
+    let base = Duration::from_millis(50);
+    let (per_second, largest) = saturate(20, base, 1000);
+    let capacity = 20.0 / base.as_secs_f64();
+    assert!(per_second >= capacity * 0.9, "{per_second} calls a second of {capacity}");
+    // Latency that counts as load is 2.5 times the baseline; the first growth overshoots once.
+    assert!(largest <= 20 * 4, "{largest} at once for 20 slots");
+    let (_, largest) = saturate(200, base, 64);
+    assert_eq!(largest, 64);
+}
+
+#[test]
+fn the_adaptive_limit_gives_way_to_refusals_and_ignores_idle_calls() {
+    let now = Instant::now();
+    let mut limit = AdaptiveLimit::default();
+    let before = limit.get(64);
+    limit.learn(Sign::Answered { ratio: 1.0 }, 1, 64, now, now);
+    limit.learn(Sign::Answered { ratio: 9.0 }, 1, 64, now, now);
+    assert_eq!(limit.get(64), before);
+    let later = now + Duration::from_millis(10);
+    limit.learn(Sign::Overloaded, 8, 64, now, later);
+    let reduced = limit.get(64);
+    assert!(reduced < before);
+    // Of calls that ran together, the first refusal counts for all.
+    limit.learn(Sign::Overloaded, 8, 64, now, later + Duration::from_millis(10));
+    assert_eq!(limit.get(64), reduced);
+    for step in 1..100 {
+        let began = later + Duration::from_secs(step);
+        limit.learn(Sign::Overloaded, 8, 64, began, began);
+    }
+    assert_eq!(limit.get(64), 1);
+}
+
+#[test]
+fn a_circuit_opens_on_failures_probes_once_and_closes_on_an_answer() {
+    let now = Instant::now();
+    let mut circuit = Circuit::default();
+    for _ in 0..19 {
+        circuit.ended(false, now);
+    }
+    assert_eq!(circuit.admit(now), Ok(()));
+    circuit.ended(false, now);
+    let wait = circuit.admit(now).unwrap_err();
+    let later = now + wait;
+    assert_eq!(circuit.admit(later), Ok(()));
+    assert!(circuit.admit(later).is_err(), "a second probe at once");
+    circuit.ended(false, later);
+    assert_eq!(circuit.admit(later), Err(wait * 2));
+    let probe = later + wait * 2;
+    assert_eq!(circuit.admit(probe), Ok(()));
+    circuit.ended(true, probe);
+    assert_eq!(circuit.admit(probe), Ok(()));
+    // A share of failures that one bad engine causes does not open it.
+    for number in 0..200 {
+        circuit.ended(number % 5 == 0, probe);
+    }
+    assert_eq!(circuit.admit(probe), Ok(()));
+}
+
+fn popped<T>(queue: &mut CallQueue<T>) -> Vec<T> {
+    std::iter::from_fn(|| queue.pop()).collect()
+}
+
+#[test]
+fn the_queue_goes_urgent_first_then_by_tenant_then_by_deadline() {
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let (a, b) = (id::<TenantId>("a"), id::<TenantId>("b"));
+    let mut queue = CallQueue::default();
+    for (tenant, urgent, deadline, name) in [
+        (&a, false, 30, "a30"),
+        (&a, false, 10, "a10"),
+        (&a, false, 20, "a20"),
+        (&b, false, 90, "b90"),
+        (&b, true, 99, "urgent"),
+    ] {
+        let pushed = queue.push(tenant, urgent, at(deadline), 10, name);
+        assert!(matches!(pushed, Pushed::Waiting(_)));
+    }
+    assert_eq!(popped(&mut queue), ["urgent", "a10", "b90", "a20", "a30"]);
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn a_full_queue_takes_from_the_tenant_with_the_most_waiting() {
+    let now = Instant::now();
+    let (a, b) = (id::<TenantId>("a"), id::<TenantId>("b"));
+    let mut queue = CallQueue::default();
+    for number in 0..3 {
+        queue.push(&a, false, now + Duration::from_millis(number), 3, format!("a{number}"));
+    }
+    let crowding = queue.push(&a, false, now, 3, "a3".to_owned());
+    assert_eq!(crowding, Pushed::Full("a3".to_owned()));
+    let fair = queue.push(&b, false, now, 3, "b0".to_owned());
+    assert!(matches!(&fair, Pushed::Displaced(_, shed) if shed == "a2"), "{fair:?}");
+    let Pushed::Displaced(ticket, _) = fair else { unreachable!() };
+    assert_eq!(queue.remove(&ticket), Some("b0".to_owned()));
+    assert_eq!(queue.remove(&ticket), None);
+    assert_eq!(popped(&mut queue), ["a0", "a1"]);
+}
+
+proptest! {
+    #[test]
+    fn the_queue_loses_and_repeats_nothing(
+        steps in prop::collection::vec((0_u8..4, 0_u64..50, any::<bool>(), 0_u8..4), 1..200),
+    ) {
+        let now = Instant::now();
+        let mut queue = CallQueue::default();
+        let (mut waiting, mut tickets) = (std::collections::BTreeSet::new(), Vec::new());
+        for (number, (tenant, deadline, urgent, action)) in steps.into_iter().enumerate() {
+            if action == 0 {
+                match queue.pop() {
+                    Some(item) => prop_assert!(waiting.remove(&item)),
+                    None => prop_assert!(waiting.is_empty()),
+                }
+            } else if action == 1 && !tickets.is_empty() {
+                let (ticket, item) = tickets.swap_remove(number % tickets.len());
+                prop_assert_eq!(queue.remove(&ticket).is_some(), waiting.remove(&item));
+            } else {
+                let tenant = id::<TenantId>(&format!("t{tenant}"));
+                let deadline = now + Duration::from_millis(deadline);
+                match queue.push(&tenant, urgent, deadline, 20, number) {
+                    Pushed::Waiting(ticket) => { waiting.insert(number); tickets.push((ticket, number)); }
+                    Pushed::Displaced(ticket, other) => {
+                        prop_assert!(waiting.remove(&other));
+                        waiting.insert(number);
+                        tickets.push((ticket, number));
+                    }
+                    Pushed::Full(item) => prop_assert_eq!(item, number),
+                }
+            }
+            prop_assert_eq!(queue.len(), waiting.len());
+            prop_assert!(queue.len() <= 20);
+            prop_assert_eq!(queue.is_empty(), waiting.is_empty());
+        }
+        prop_assert_eq!(popped(&mut queue).len(), waiting.len());
+    }
+}
+
+struct Watched {
+    judge: Judge,
+    service: hooklug_bundle::Service,
+    now: Instant,
+}
+
+impl Watched {
+    fn new() -> Self {
+        let mut service = bundle().services[&id::<ServiceName>("advisor")].clone();
+        service.harm.least_samples = 20;
+        Self { judge: Judge::default(), service, now: Instant::now() }
+    }
+
+    fn saw(&mut self, version: &str, count: u32, failures: u32, latency_ms: u64) {
+        for number in 0..count {
+            let seen = Observation {
+                service: &id("advisor"),
+                version: &id(version),
+                route: &id("sessions"),
+                success: number >= failures,
+                latency: Duration::from_millis(latency_ms),
+            };
+            self.judge.observe(&seen, self.now);
+        }
+    }
+
+    fn harm(&self) -> Option<String> {
+        self.judge.harm(&id("advisor"), &self.service, self.now).map(|harm| harm.reason)
+    }
+}
+
+#[test]
+fn harm_is_errors_or_latency_against_the_version_before() {
+    let mut few = Watched::new();
+    few.saw("v2", 19, 19, 50);
+    assert_eq!(few.harm(), None);
+    let mut failing = Watched::new();
+    failing.saw("v1", 50, 1, 50);
+    failing.saw("v2", 50, 10, 50);
+    assert!(failing.harm().unwrap().contains("failed"));
+    let mut slow = Watched::new();
+    slow.saw("v1", 50, 0, 50);
+    slow.saw("v2", 50, 0, 200);
+    assert!(slow.harm().unwrap().contains("p95"));
+    let mut alone = Watched::new();
+    alone.saw("v2", 50, 30, 50);
+    assert!(alone.harm().is_some());
+    let mut old_news = Watched::new();
+    old_news.saw("v2", 50, 50, 50);
+    old_news.now += Duration::from_secs(6);
+    assert_eq!(old_news.harm(), None);
+}
+
+#[test]
+fn what_slows_both_versions_or_the_older_one_is_no_harm() {
+    let mut load = Watched::new();
+    load.saw("v1", 50, 10, 900);
+    load.saw("v2", 50, 11, 1_000);
+    assert_eq!(load.harm(), None);
+    let mut older = Watched::new();
+    older.saw("v1", 50, 50, 900);
+    older.saw("v2", 50, 0, 50);
+    assert_eq!(older.harm(), None);
+    let mut only = Watched::new();
+    only.service.versions.remove(0);
+    only.saw("v2", 50, 50, 50);
+    assert_eq!(only.harm(), None, "there is no version to go back to");
+}
+
+fn headers(list: &[(&'static str, &str)]) -> http::HeaderMap {
+    let mut headers = http::HeaderMap::new();
+    for (name, value) in list {
+        headers.append(*name, value.parse().unwrap());
+    }
+    headers
+}
+
+#[test]
+fn only_the_engines_own_whole_answer_is_one() {
+    const REQUEST: (&str, &str) = ("x-hooklug-request", "r1");
+    const ENGINE: (&str, &str) = ("x-hooklug-engine", "farm/a1/1");
+    const LENGTH: (&str, &str) = ("content-length", "2");
+    let judge = |status: u16, list: &[(&'static str, &str)]| {
+        let status = http::StatusCode::from_u16(status).unwrap();
+        judge_head(status, &headers(list), "r1", "farm/a1/1")
+    };
+    let refused = |reason| ("x-hooklug-refused", reason);
+    assert_eq!(judge(200, &[REQUEST, ENGINE, LENGTH]), Ok(Head::Answer { length: 2 }));
+    assert_eq!(judge(404, &[REQUEST, ENGINE, LENGTH]), Ok(Head::Answer { length: 2 }));
+    let invalid = [
+        (200, vec![ENGINE, LENGTH], InvalidAnswer::WrongRequest),
+        (200, vec![REQUEST, REQUEST, ENGINE, LENGTH], InvalidAnswer::WrongRequest),
+        (200, vec![("x-hooklug-request", "r2"), ENGINE, LENGTH], InvalidAnswer::WrongRequest),
+        (200, vec![REQUEST, LENGTH], InvalidAnswer::WrongEngine),
+        (200, vec![REQUEST, ("x-hooklug-engine", "farm/a1/2"), LENGTH], InvalidAnswer::WrongEngine),
+        (200, vec![REQUEST, ENGINE], InvalidAnswer::NoLength),
+        (200, vec![REQUEST, ENGINE, ("content-length", "99999999999")], InvalidAnswer::TooLong),
+        (500, vec![REQUEST, ENGINE, LENGTH], InvalidAnswer::Status(500)),
+        (302, vec![REQUEST, ENGINE, LENGTH], InvalidAnswer::Status(302)),
+        // A refusal counts only when it is the contract's, and the engine's own.
+        (503, vec![ENGINE, refused("draining")], InvalidAnswer::WrongRequest),
+        (503, vec![REQUEST, refused("draining")], InvalidAnswer::WrongEngine),
+        (503, vec![REQUEST, ENGINE, refused("tired")], InvalidAnswer::UnknownRefusal),
+        (200, vec![REQUEST, ENGINE, LENGTH, refused("draining")], InvalidAnswer::Status(200)),
+    ];
+    for (status, list, expected) in invalid {
+        assert_eq!(judge(status, &list), Err(expected), "{status} {list:?}");
+    }
+    let draining = judge(503, &[REQUEST, ENGINE, refused("draining")]);
+    assert_eq!(draining, Ok(Head::Refused(Refusal::Draining)));
+    let other = judge(409, &[REQUEST, ("x-hooklug-engine", "b/b/1"), refused("identity")]);
+    assert_eq!(other, Ok(Head::Refused(Refusal::Identity)));
+
+    let body = |length, text: &'static str| {
+        judge_body(http::StatusCode::OK, length, Bytes::from_static(text.as_bytes()))
+    };
+    assert!(body(2, "{}").is_ok() && body(0, "").is_ok());
+    assert_eq!(body(3, "{}"), Err(InvalidAnswer::WrongLength));
+    assert_eq!(body(2, "{]"), Err(InvalidAnswer::NotJson));
+    assert_eq!(body(4, "{}{}"), Err(InvalidAnswer::NotJson));
+}
--- a/crates/gateway/tests/support/app_engine.rs
+++ b/crates/gateway/tests/support/app_engine.rs
@@ -138,6 +138,13 @@
         }
     }
 
+    /// Waits until so many calls have come.
+    pub async fn wait_received(&self, count: u32) {
+        while self.received() < count {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     pub fn received(&self) -> u32 {
         self.script.lock().expect("no panic under the lock").received
     }
