--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 
 /// How often versions are judged and tables swept (ours): well below the 5 s in which a bad version
 /// has to lose its traffic.
-const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time left of the grace period when streams that still run are cut, so that callers see it.
 const CUT_TIME: Duration = Duration::from_millis(500);
@@ -31,6 +31,7 @@
     /// A gateway on a node's context; nothing runs before [`Gateway::run`].
     #[must_use]
     pub fn new(ctx: NodeContext) -> Self {
+        ctx.node.readiness.unready(COMPONENT, "not started yet");
         Self { shared: Arc::new(Shared::new(ctx)) }
     }
 
@@ -77,6 +78,7 @@
     fn take_view(&self) {
         let view = self.shared.ctx.node.view.borrow().clone();
         self.shared.backends.listed(&view);
+        self.shared.evidence.take_view(&view);
     }
 
     fn take_bundle(&self) {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -157,6 +157,13 @@
 }
 
 impl TestGateway {
+    /// Waits until the gateway says that it is ready: it has taken its first bundle.
+    pub async fn wait_ready(&self) {
+        while !self.node.readiness.reasons().is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// Waits until the gateway says that it is not ready.
     pub async fn wait_unready(&self) {
         while self.node.readiness.reasons().is_empty() {
