emulator: the answer to a look-up proves whose it is

Cause: docs/BACKENDS.md wants the request id and identity echoed on every answer; the stand-in's look-up had neither, so a gateway rightly took it for no answer. Found by gateway's whole_path test.

--- a/crates/emulator/src/application.rs
+++ b/crates/emulator/src/application.rs
@@ -186,6 +186,15 @@
         Ok(self.core.signed(&id, answer))
     }
 
+    /// A look-up settles calls, so its answer proves whose it is like any other.
+    fn signed_look_up(&self, request: &Request<Incoming>) -> Response<Body> {
+        let answer = self.look_up(request.uri().query().unwrap_or_default());
+        match RequestId::of(request.headers()) {
+            Some(id) => self.core.signed(&id, answer),
+            None => answer,
+        }
+    }
+
     fn look_up(&self, query: &str) -> Response<Body> {
         if self.core.faults.get().no_lookup {
             return text(StatusCode::NOT_FOUND, "no look-up here");
@@ -222,7 +231,7 @@
         match (request.method().clone(), tool) {
             (Method::POST, Some(tool)) => Box::pin(self.call(tool.to_owned(), request)),
             (Method::GET, None) if path == "/calls" => {
-                Box::pin(async move { Ok(self.look_up(request.uri().query().unwrap_or_default())) })
+                Box::pin(async move { Ok(self.signed_look_up(&request)) })
             }
             _ => Box::pin(async { Ok(text(StatusCode::NOT_FOUND, "no such path")) }),
         }
--- a/crates/emulator/src/core.rs
+++ b/crates/emulator/src/core.rs
@@ -114,7 +114,7 @@
 pub(crate) struct RequestId(pub(crate) String);
 
 impl RequestId {
-    fn of(request: &HeaderMap) -> Option<Self> {
+    pub(crate) fn of(request: &HeaderMap) -> Option<Self> {
         header_text(request, headers::REQUEST).map(|id| Self(id.to_owned()))
     }
 }
