--- a/crates/gateway/src/backend/table.rs
+++ b/crates/gateway/src/backend/table.rs
@@ -5,10 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use hooklug_bundle::{Bundle, Service};
-use hooklug_control::NodeHandle;
+use hooklug_bundle::Service;
+use hooklug_control::{InstalledBundle, NodeHandle};
 use hooklug_protocol::control::ClusterView;
-use hooklug_types::{RouteName, ServiceName, ServiceVersion, ZoneName};
+use hooklug_types::{RouteName, ServiceName, ServiceVersion, UnixMillis, ZoneName};
 use rand::RngExt;
 use tokio::time::Instant;
 
@@ -113,11 +113,13 @@
         }
     }
 
-    /// Notes a bundle that came into force: the steps of its new versions count from now.
-    pub fn installed(&self, bundle: &Bundle) {
+    /// Notes a bundle that came into force: the steps of its new versions count from its commit.
+    pub fn installed(&self, installed: &InstalledBundle) {
+        let bundle = &installed.bundle;
+        let committed_for = installed.record.committed.until(UnixMillis::now());
         let newest = bundle.services.iter();
         let newest = newest.filter_map(|(name, s)| s.newest_sound().map(|version| (name, version)));
-        self.rollouts().installed(newest, Instant::now());
+        self.rollouts().installed(newest, committed_for, Instant::now());
         self.lock().routes.retain(|route, _| bundle.routes.contains_key(route));
         self.close_circuits();
         self.gates.wake_all();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -86,7 +86,7 @@
         let bundle = self.shared.ctx.node.bundle.borrow().clone();
         match bundle {
             Some(bundle) => {
-                self.shared.backends.installed(&bundle.bundle);
+                self.shared.backends.installed(&bundle);
                 readiness.ready(COMPONENT);
             }
             None => readiness.unready(COMPONENT, "no bundle is known yet"),
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -37,37 +37,36 @@
     }
 }
 
-/// When this node first saw each version as a service's newest sound one; steps count from there.
-/// A version that was the newest in the first bundle seen is not a roll-out and counts as done.
+/// When each service's newest sound version came; steps count from there. For the first bundle that a
+/// node sees, that is taken to be the bundle's commit, so that a restarted gateway does not skip steps.
 #[derive(Debug, Default)]
 pub struct RolloutClock {
     since: HashMap<(ServiceName, ServiceVersion), Option<Instant>>,
-    started: bool,
 }
 
 impl RolloutClock {
-    /// Notes the newest sound versions of a bundle that came into force at an instant.
+    /// Notes the newest sound versions of a bundle that came into force at an instant, and how long
+    /// before it was committed.
     pub fn installed<'a>(
         &mut self,
         newest: impl Iterator<Item = (&'a ServiceName, &'a ServiceVersion)>,
+        committed_for: Duration,
         now: Instant,
     ) {
         let mut since = HashMap::new();
         for (service, version) in newest {
             let key = (service.clone(), version.clone());
-            let known_service = self.since.keys().any(|(name, _)| name == service);
+            // Too long ago for this clock is over and done.
             let begun = match self.since.get(&key) {
                 Some(begun) => *begun,
-                None if self.started && known_service => Some(now),
-                None => None,
+                None => now.checked_sub(committed_for),
             };
             since.insert(key, begun);
         }
         self.since = since;
-        self.started = true;
     }
 
-    /// How long a version has been rolled out; `None` when it is no roll-out.
+    /// How long a version has been rolled out; `None` when that is over and done.
     #[must_use]
     pub fn age(
         &self,
--- a/crates/gateway/tests/routing.rs
+++ b/crates/gateway/tests/routing.rs
@@ -295,11 +295,17 @@
     let (now, name) = (Instant::now(), id::<ServiceName>("farm"));
     let (v1, v2) = (id::<ServiceVersion>("v1"), id::<ServiceVersion>("v2"));
     let mut clock = RolloutClock::default();
-    clock.installed([(&name, &v1)].into_iter(), now);
-    assert_eq!(clock.age(&name, &v1, now + Duration::from_secs(1)), None);
-    clock.installed([(&name, &v2)].into_iter(), now + Duration::from_secs(10));
+    let long_ago = Duration::from_secs(1_000_000);
+    clock.installed([(&name, &v1)].into_iter(), long_ago, now);
+    // Over and done, whether or not the clock goes back so far.
+    assert_eq!(step_percentage(&farm(), clock.age(&name, &v1, now)), 100);
+    clock.installed([(&name, &v2)].into_iter(), Duration::ZERO, now + Duration::from_secs(10));
     // Another bundle with the same version does not start the steps anew.
-    clock.installed([(&name, &v2)].into_iter(), now + Duration::from_secs(12));
+    clock.installed([(&name, &v2)].into_iter(), Duration::ZERO, now + Duration::from_secs(12));
     let age = clock.age(&name, &v2, now + Duration::from_secs(13));
     assert_eq!(age, Some(Duration::from_secs(3)));
+    // A gateway that starts in the middle of a roll-out goes on with it.
+    let mut late = RolloutClock::default();
+    late.installed([(&name, &v2)].into_iter(), Duration::from_millis(700), now);
+    assert_eq!(late.age(&name, &v2, now), Some(Duration::from_millis(700)));
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -141,6 +141,7 @@
         digest: Digest::of(b"test"),
         sections: BTreeMap::new(),
         origin: BundleOrigin::Operators(Vec::new()),
+        // Long ago: its versions are no roll-outs any more.
         committed: UnixMillis(0),
     };
     Arc::new(InstalledBundle { record, bundle })
@@ -242,7 +243,9 @@
     /// Gives all gateways the present bundle.
     pub fn publish_bundle(&self) {
         for gateway in &self.gateways {
-            gateway.feeds.bundle.send_replace(Some(installed(self.bundle.clone())));
+            let mut bundle = (*installed(self.bundle.clone())).clone();
+            bundle.record.committed = UnixMillis::now();
+            gateway.feeds.bundle.send_replace(Some(Arc::new(bundle)));
         }
     }
 
