--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -18,6 +18,12 @@
     FencingEpoch(revision.0 >> COUNT_BITS)
 }
 
+/// How many changes there were under that epoch.
+#[must_use]
+pub fn revision_count(revision: Revision) -> u64 {
+    revision.0 & ((1 << COUNT_BITS) - 1)
+}
+
 /// What leads from one view to another, revisions apart.
 #[must_use]
 pub fn changes(before: &ClusterView, after: &ClusterView) -> Vec<ViewChange> {
--- a/crates/hooklug/src/command/bundle.rs
+++ b/crates/hooklug/src/command/bundle.rs
@@ -9,21 +9,31 @@
 use hooklug_bundle::{Bundle, TextFormat};
 use hooklug_types::{BundleVersion, OperatorName};
 
-use super::print_json;
+use super::{print, print_json};
 use crate::Outcome;
 use crate::cli::{HistoryArgs, OutputFormat, RollbackArgs, ShowArgs, SignArgs, SubmitArgs};
 use crate::operator_client::OperatorClient;
 use crate::table::Table;
 
+fn read_text(file: &Path) -> anyhow::Result<String> {
+    std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))
+}
+
 fn read(file: &Path) -> anyhow::Result<Bundle> {
-    let text =
-        std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
+    let text = read_text(file)?;
     hooklug_bundle::parse(&text, TextFormat::guess(&text))
         .map_err(|fault| anyhow!("{}: {fault}", file.display()))
 }
 
 pub(crate) fn validate(file: &Path) -> anyhow::Result<Outcome> {
-    let bundle = read(file)?;
+    let text = read_text(file)?;
+    let bundle = match hooklug_bundle::parse(&text, TextFormat::guess(&text)) {
+        Ok(bundle) => bundle,
+        Err(fault) => {
+            eprintln!("{fault}");
+            return Ok(Outcome::Faults);
+        }
+    };
     let Err(faults) = hooklug_bundle::validate(&bundle) else {
         println!("bundle {} is valid, digest {}", bundle.version, hooklug_bundle::digest(&bundle));
         return Ok(Outcome::Done);
@@ -127,7 +137,7 @@
             record.digest.chars().take(16).collect(),
         ]);
     }
-    table.print("bundles");
+    print(&table.render("bundles"))?;
     Ok(Outcome::Done)
 }
 
--- a/crates/hooklug/src/command/mod.rs
+++ b/crates/hooklug/src/command/mod.rs
@@ -6,10 +6,19 @@
 pub(crate) mod sessions;
 pub(crate) mod status;
 
+use std::io::{ErrorKind, Write};
+
 use serde::Serialize;
 
+/// Prints text on standard output. A reader that has gone away is no fault.
+pub(crate) fn print(text: &str) -> anyhow::Result<()> {
+    match std::io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => Err(error.into()),
+        _ => Ok(()),
+    }
+}
+
 /// Prints an answer as JSON.
 pub(crate) fn print_json<T: Serialize>(value: &T) -> anyhow::Result<()> {
-    println!("{}", serde_json::to_string_pretty(value)?);
-    Ok(())
+    print(&format!("{}\n", serde_json::to_string_pretty(value)?))
 }
--- a/crates/hooklug/src/command/sessions.rs
+++ b/crates/hooklug/src/command/sessions.rs
@@ -2,7 +2,7 @@
 
 use hooklug_admin::answers::{SessionAnswer, SessionsAnswer};
 
-use super::print_json;
+use super::{print, print_json};
 use crate::Outcome;
 use crate::cli::{OutputFormat, SessionsListArgs, SessionsShowArgs};
 use crate::operator_client::OperatorClient;
@@ -32,10 +32,11 @@
             or_dash(session.open_turn),
         ]);
     }
-    table.print("sessions");
+    let mut text = table.render("sessions");
     if !answer.unread_groups.is_empty() {
-        println!("not read: {}", answer.unread_groups.join(", "));
+        text.push_str(&format!("not read: {}\n", answer.unread_groups.join(", ")));
     }
+    print(&text)?;
     Ok(Outcome::Done)
 }
 
--- a/crates/hooklug/src/command/status.rs
+++ b/crates/hooklug/src/command/status.rs
@@ -6,9 +6,11 @@
     EngineAnswer, MemberAnswer, RolloutsAnswer, SessionsAnswer, ShardAnswer, ViewAnswer,
     WindowAnswer,
 };
+use hooklug_control::view::{revision_count, revision_epoch};
+use hooklug_types::ServiceVersion;
 use serde::Serialize;
 
-use super::print_json;
+use super::{print, print_json};
 use crate::Outcome;
 use crate::cli::{OutputFormat, StatusArgs};
 use crate::operator_client::OperatorClient;
@@ -31,7 +33,7 @@
     let status = gather(&OperatorClient::new(&args.node)?).await?;
     match args.output {
         OutputFormat::Json => print_json(&status)?,
-        OutputFormat::Table => print(&status),
+        OutputFormat::Table => print(&render(&status))?,
     }
     Ok(Outcome::Done)
 }
@@ -50,21 +52,31 @@
     })
 }
 
-fn print(status: &Status) {
+fn render(status: &Status) -> String {
     let view = &status.view;
-    println!(
-        "cluster {:016x}, view {}, bundle {} in force here (newest heard of: {})\n",
-        view.cluster, view.revision, view.installed_bundle, view.newest_bundle
+    let head = format!(
+        "cluster {:016x}, view {}.{}, bundle {} in force here (newest heard of: {})\n\n",
+        view.cluster,
+        revision_epoch(view.revision),
+        revision_count(view.revision),
+        view.installed_bundle,
+        view.newest_bundle
     );
-    print_members(&status.members);
-    print_engines(&status.engines);
-    print_shards(&status.shards);
-    print_rollouts(&status.rollouts);
-    print_sessions(status);
-    print_windows(&status.windows);
+    [
+        head,
+        members(&status.members),
+        engines(&status.engines),
+        shards(&status.shards),
+        versions(&status.rollouts),
+        figures(&status.rollouts),
+        rollbacks(&status.rollouts),
+        sessions(status),
+        windows(&status.windows),
+    ]
+    .concat()
 }
 
-fn print_members(members: &[MemberAnswer]) {
+fn members(members: &[MemberAnswer]) -> String {
     let mut table = Table::new(&["node", "role", "zone", "rpc", "http", "health", "bundle", ""]);
     for member in members {
         let note = match (member.core_leader, member.store) {
@@ -83,10 +95,10 @@
             note,
         ]);
     }
-    table.print("members");
+    table.render("members")
 }
 
-fn print_engines(engines: &[EngineAnswer]) {
+fn engines(engines: &[EngineAnswer]) -> String {
     let header = ["engine", "kind", "service", "version", "address", "zone", "state", "slots"];
     let mut table = Table::new(&header);
     for engine in engines {
@@ -106,10 +118,10 @@
             or_dash(engine.slots),
         ]);
     }
-    table.print("engines");
+    table.render("engines")
 }
 
-fn print_shards(shards: &[ShardAnswer]) {
+fn shards(shards: &[ShardAnswer]) -> String {
     let mut table = Table::new(&["group", "leader", "commit", "replicas (store: member, lag)"]);
     for shard in shards {
         let replicas: Vec<String> = shard
@@ -124,13 +136,14 @@
             replicas.join("; "),
         ]);
     }
-    table.print("shards");
+    table.render("shards")
 }
 
-fn print_rollouts(rollouts: &RolloutsAnswer) {
+fn versions(rollouts: &RolloutsAnswer) -> String {
     let mut table = Table::new(&["service", "newest", "before", "rolled back"]);
     for service in &rollouts.services {
-        let rolled_back: Vec<&str> = service.rolled_back.iter().map(|v| v.as_str()).collect();
+        let rolled_back: Vec<&str> =
+            service.rolled_back.iter().map(ServiceVersion::as_str).collect();
         table.row(vec![
             service.service.to_string(),
             or_dash(service.newest.as_ref()),
@@ -138,7 +151,10 @@
             rolled_back.join(", "),
         ]);
     }
-    table.print("versions");
+    table.render("versions")
+}
+
+fn figures(rollouts: &RolloutsAnswer) -> String {
     let header = ["service", "version", "route", "ended well", "failed", "p95 (ms)"];
     let mut table = Table::new(&header);
     for figure in &rollouts.figures {
@@ -151,7 +167,10 @@
             or_dash(figure.p95_ms),
         ]);
     }
-    table.print("figures of the last minute");
+    table.render("figures of the last minute")
+}
+
+fn rollbacks(rollouts: &RolloutsAnswer) -> String {
     let mut table = Table::new(&["bundle", "service", "version", "route", "reason"]);
     for rollback in &rollouts.rollbacks {
         table.row(vec![
@@ -162,21 +181,22 @@
             rollback.harm.reason.clone(),
         ]);
     }
-    table.print("roll-backs by the system");
+    table.render("roll-backs by the system")
 }
 
-fn print_sessions(status: &Status) {
+fn sessions(status: &Status) -> String {
     let mut table = Table::new(&["owner", "open sessions"]);
     for (owner, count) in &status.sessions_by_owner {
         table.row(vec![owner.clone(), count.to_string()]);
     }
-    table.print("sessions by owner");
+    let mut text = table.render("sessions by owner");
     if !status.unread_groups.is_empty() {
-        println!("  not read: {}\n", status.unread_groups.join(", "));
+        text.push_str(&format!("  not read: {}\n\n", status.unread_groups.join(", ")));
     }
+    text
 }
 
-fn print_windows(windows: &[WindowAnswer]) {
+fn windows(windows: &[WindowAnswer]) -> String {
     let header = ["window", "group", "service", "slots", "from (ms)", "to (ms)", "state"];
     let mut table = Table::new(&header);
     for window in windows {
@@ -190,5 +210,5 @@
             if window.open { "open" } else { "closed" }.to_owned(),
         ]);
     }
-    table.print("windows");
+    table.render("windows")
 }
--- a/crates/hooklug/src/node/mod.rs
+++ b/crates/hooklug/src/node/mod.rs
@@ -35,7 +35,7 @@
 
 /// Runs a role until the process is stopped.
 pub(crate) fn run(role: NodeRole, settings: Settings) -> anyhow::Result<()> {
-    let threads = std::thread::available_parallelism().map_or(MOST_THREADS, |n| n.get());
+    let threads = std::thread::available_parallelism().map_or(MOST_THREADS, std::num::NonZero::get);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads.min(MOST_THREADS))
         .enable_all()
@@ -52,7 +52,7 @@
     tokio::spawn(keep_up(metrics.clone()));
     loop {
         let run = Run { role, settings: settings.clone(), stop: stop.child_token() };
-        match run.to_end(metrics.clone()).await? {
+        match run.execute(metrics.clone()).await? {
             Ended::Stopped => return Ok(()),
             Ended::Anew => info!("starting anew as another run"),
         }
@@ -74,7 +74,7 @@
 }
 
 impl Run {
-    async fn to_end(self, metrics: PrometheusHandle) -> anyhow::Result<Ended> {
+    async fn execute(self, metrics: PrometheusHandle) -> anyhow::Result<Ended> {
         let rpc = bind("rpc", self.settings.rpc).await?;
         let http = bind("http", self.settings.http).await?;
         let identity = self.identity()?;
--- a/crates/hooklug/src/table.rs
+++ b/crates/hooklug/src/table.rs
@@ -15,24 +15,24 @@
         self.rows.push(cells);
     }
 
-    /// Prints a title and the table, or that there is nothing.
-    pub(crate) fn print(&self, title: &str) {
-        println!("{title}");
+    /// The title and the table as text, or that there is nothing.
+    pub(crate) fn render(&self, title: &str) -> String {
         if self.rows.len() == 1 {
-            println!("  (none)\n");
-            return;
+            return format!("{title}\n  (none)\n\n");
         }
         let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
         let width = |column: usize| {
             self.rows.iter().filter_map(|r| r.get(column)).map(|c| c.chars().count()).max()
         };
         let widths: Vec<usize> = (0..columns).map(|c| width(c).unwrap_or(0)).collect();
+        let mut text = format!("{title}\n");
         for row in &self.rows {
             let cells: Vec<String> =
                 row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
-            println!("  {}", cells.join("  ").trim_end());
+            text.push_str(&format!("  {}\n", cells.join("  ").trim_end()));
         }
-        println!();
+        text.push('\n');
+        text
     }
 }
 
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -49,15 +49,40 @@
     }
 
     fn data(&self) -> Result<Map<Profile, Dict>, figment::Error> {
-        let mut figment = Figment::new();
+        let mut whole = Dict::new();
         for (name, text) in &self.0 {
             let Some(key) = name.strip_prefix(VARIABLE_PREFIX) else { continue };
             let key = key.to_ascii_lowercase().replace("__", ".");
             // Texts that are no other value are taken as they are.
             let Ok(value) = text.parse::<Value>();
-            figment = figment.merge((key.as_str(), value));
+            insert(&mut whole, &key, value);
         }
-        figment.data()
+        Ok(Profile::Default.collect(whole))
+    }
+}
+
+/// Puts a value under a dotted key.
+fn insert(table: &mut Dict, key: &str, value: Value) {
+    let Some((section, rest)) = key.split_once('.') else {
+        table.insert(key.to_owned(), value);
+        return;
+    };
+    let inner = table.entry(section.to_owned()).or_insert_with(|| Value::from(Dict::new()));
+    if let Value::Dict(_, inner) = inner {
+        insert(inner, rest, value);
+    }
+}
+
+/// Flags, as a source of settings.
+struct Flags<'a>(&'a Overrides);
+
+impl Provider for Flags<'_> {
+    fn metadata(&self) -> Metadata {
+        Metadata::named("flags")
+    }
+
+    fn data(&self) -> Result<Map<Profile, Dict>, figment::Error> {
+        Serialized::globals(self.0).data()
     }
 }
 
@@ -79,9 +104,8 @@
             }
             figment = figment.merge(Toml::file_exact(path));
         }
-        figment = figment
-            .merge(Variables(environment.into_iter().collect()))
-            .merge(Serialized::globals(overrides));
+        figment =
+            figment.merge(Variables(environment.into_iter().collect())).merge(Flags(overrides));
         read(&figment, role)
     }
 }
@@ -181,7 +205,7 @@
         faults.push(SettingFault {
             key: missing.key.to_owned(),
             found: "nothing".to_owned(),
-            allowed: format!("{} (required for a {role})", missing.kind.allowed()),
+            allowed: format!("{} (required for role {role})", missing.kind.allowed()),
             origin: String::new(),
         });
     }
