control: replica repair, driven by the store crate's plan under the fencing epoch

Cause: a lost store must be replaced by its learner, a retiring one emptied, a new one used. Checked by hand on loopback with 3 cores and 4 stores: kill -9 of a store, an empty one in its place, and a store retired: all 17 groups got three voters again, the bundle was read back.

--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -8,11 +8,11 @@
 use hooklug_protocol::control::{ApplicationEngine, ClusterView, Member, MemberHealth};
 use hooklug_state::meta::{MetaAnswer, MetaQuery, MetaState};
 use hooklug_types::{FencingEpoch, Renewal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::engines::EngineTable;
 use super::members::MemberTable;
-use super::{Shared, discovery, rollout};
+use super::{Shared, discovery, repair, rollout};
 use crate::judge::JudgedVersion;
 use crate::view::first_revision;
 
@@ -39,6 +39,8 @@
 pub(super) struct Leading {
     pub(super) epoch: FencingEpoch,
     pub(super) meta: watch::Sender<Option<Arc<MetaState>>>,
+    /// Set when this leader changed the meta state itself.
+    pub(super) meta_due: Notify,
     engines: Mutex<EngineTable>,
     lost: Mutex<VecDeque<(Instant, JudgedVersion)>>,
 }
@@ -84,6 +86,7 @@
     let leading = Leading {
         epoch,
         meta: watch::Sender::new(None),
+        meta_due: Notify::new(),
         engines: Mutex::new(EngineTable::take_over(&inherited.engines, now)),
         lost: Mutex::default(),
     };
@@ -92,6 +95,7 @@
             refresh_meta(shared, &leading),
             discovery::run(shared, &leading),
             rollout::run(shared, &leading),
+            repair::run(shared, &leading),
         );
     };
     tokio::select! {
@@ -118,6 +122,7 @@
         tokio::select! {
             () = tokio::time::sleep(META_PAUSE) => {}
             Ok(()) = news.changed() => {}
+            () = leading.meta_due.notified() => {}
         }
     }
 }
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -13,9 +13,10 @@
 pub mod platform;
 pub mod probe;
 mod published;
+mod repair;
 mod rollout;
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use hooklug_protocol::control::{
@@ -30,7 +31,6 @@
 use inbox::Inbox;
 use leadership::Leadership;
 use published::Published;
-use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Longest wait of a core for the core leader, inside the time that a node waits for the core (ours).
 const FORWARD_TIME: Duration = Duration::from_millis(700);
--- a/crates/hooklug/src/logging.rs
+++ b/crates/hooklug/src/logging.rs
@@ -1,5 +1,7 @@
 //! Logs of a process, for people or as JSON.
 
+use std::io::IsTerminal;
+
 use tracing_subscriber::EnvFilter;
 
 use crate::cli::LogFormat;
@@ -11,7 +13,11 @@
 pub(crate) fn start(format: LogFormat) {
     let filter =
         EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let colours = std::io::stderr().is_terminal();
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(colours)
+        .with_writer(std::io::stderr);
     match format {
         LogFormat::Human => builder.init(),
         LogFormat::Json => builder.json().init(),
--- a/crates/hooklug/src/node/mod.rs
+++ b/crates/hooklug/src/node/mod.rs
@@ -145,8 +145,9 @@
         let running = process.run(self.stop.clone());
         tokio::pin!(running);
         tokio::select! {
-            ended = &mut running => return ended,
+            biased;
             () = self.stop.cancelled() => {}
+            ended = &mut running => return ended,
         }
         context.node.readiness.unready("process", "stopping");
         info!("stopping");
