--- /dev/null
+++ b/crates/bundle/tests/canonical.rs
@@ -0,0 +1,121 @@
+//! One byte form per bundle; sections that change only where the bundle does.
+
+mod common;
+
+use common::valid;
+use hooklug_bundle::{
+    Bundle, BundleHeader, DecodeError, HarmThresholds, Tenant, TenantLimits, TextFormat,
+    canonical_bytes, decode, diff, digest, from_sections, parse, section_digests, sections,
+    tenant_section,
+};
+use hooklug_types::{BundleVersion, TenantId};
+use proptest::prelude::*;
+
+fn any_tenant() -> impl Strategy<Value = Tenant> {
+    (
+        proptest::collection::vec("[0-9a-f]{64}", 0..3),
+        proptest::option::of("[a-z]{1,8}"),
+        any::<f64>().prop_filter("JSON has no other numbers", |f| f.is_finite()),
+        any::<u32>(),
+    )
+        .prop_map(|(key_digests, group, requests_per_second, concurrency)| Tenant {
+            key_digests,
+            group: group.map(|g| g.parse().expect("a valid name")),
+            limits: TenantLimits { requests_per_second, concurrency },
+        })
+}
+
+fn any_bundle() -> impl Strategy<Value = Bundle> {
+    let tenants = proptest::collection::btree_map("[a-zA-Z0-9._:-]{1,20}", any_tenant(), 0..40);
+    let harm = (0.0..1.0_f64, 1.0..100.0_f64, 1_u32..1_000);
+    (any::<u64>(), any::<u64>(), tenants, harm).prop_map(|(version, base, tenants, harm)| {
+        let mut bundle = valid();
+        bundle.version = BundleVersion(version);
+        bundle.base = BundleVersion(base);
+        bundle.tenants =
+            tenants.into_iter().map(|(id, t)| (id.parse().expect("a valid id"), t)).collect();
+        let (error_share_above, latency_factor, least_samples) = harm;
+        for service in bundle.services.values_mut() {
+            service.harm = HarmThresholds { error_share_above, latency_factor, least_samples };
+        }
+        bundle
+    })
+}
+
+fn header(bundle: &Bundle) -> BundleHeader {
+    BundleHeader { version: bundle.version, base: bundle.base }
+}
+
+proptest! {
+    #[test]
+    fn decoding_gives_the_same_bundle_and_the_same_bytes(bundle in any_bundle()) {
+        let bytes = canonical_bytes(&bundle);
+        let decoded = decode(&bytes).expect("canonical bytes decode");
+        prop_assert_eq!(&decoded, &bundle);
+        prop_assert_eq!(canonical_bytes(&decoded), bytes);
+    }
+
+    #[test]
+    fn sections_put_together_give_the_same_bundle(bundle in any_bundle()) {
+        let parts = sections(&bundle);
+        let again = from_sections(header(&bundle), &parts).expect("sections decode");
+        prop_assert_eq!(digest(&again), digest(&bundle));
+        prop_assert_eq!(again, bundle);
+    }
+
+    #[test]
+    fn a_change_of_one_tenant_changes_one_section(bundle in any_bundle(), tenant in any_tenant()) {
+        let id: TenantId = "changed".parse().expect("valid");
+        let mut changed = bundle.clone();
+        changed.tenants.insert(id.clone(), tenant);
+        let (before, after) = (section_digests(&bundle), section_digests(&changed));
+        let differing: Vec<&String> =
+            after.keys().filter(|name| before.get(*name) != after.get(*name)).collect();
+        let expected = tenant_section(&id);
+        prop_assert_eq!(differing, vec![&expected]);
+    }
+
+    #[test]
+    fn a_text_in_json_is_the_bundle_again(bundle in any_bundle()) {
+        let text = serde_json::to_string_pretty(&bundle).expect("plain data");
+        prop_assert_eq!(parse(&text, TextFormat::guess(&text)).expect("parses"), bundle);
+    }
+}
+
+#[test]
+fn the_header_is_in_no_section() {
+    let mut other = valid();
+    other.version = BundleVersion(9);
+    other.base = BundleVersion(8);
+    assert_eq!(sections(&valid()), sections(&other));
+    assert_ne!(digest(&valid()), digest(&other));
+}
+
+#[test]
+fn unknown_and_broken_sections_are_refused() {
+    let mut parts = sections(&valid());
+    parts.insert("secrets".to_owned(), b"{}".to_vec());
+    let refused = from_sections(header(&valid()), &parts);
+    assert_eq!(refused, Err(DecodeError::UnknownSection("secrets".to_owned())));
+    parts.remove("secrets");
+    parts.insert("routes".to_owned(), b"{".to_vec());
+    let refused = from_sections(header(&valid()), &parts);
+    assert!(matches!(refused, Err(DecodeError::Malformed { part, .. }) if part == "routes"));
+}
+
+#[test]
+fn a_diff_names_what_changed() {
+    let before = valid();
+    let mut after = valid();
+    after.version = BundleVersion(9);
+    after.routes.remove(&"send-alarm".parse().expect("valid"));
+    after.services.values_mut().for_each(|s| s.slots += 1);
+    let changes = diff(&before, &after);
+    let paths: Vec<&str> = changes.iter().map(|c| c.path.as_str()).collect();
+    let expected =
+        ["routes.send-alarm", "services.advisor.slots", "services.notices.slots", "version"];
+    assert_eq!(paths, expected);
+    assert_eq!(changes[0].after, None);
+    assert_eq!(changes[3].to_string(), "~ version: 8 -> 9");
+    assert!(diff(&before, &before).is_empty());
+}
