--- a/crates/settings/tests/load.rs
+++ b/crates/settings/tests/load.rs
@@ -58,7 +58,7 @@
         match setting.key.split_once('.') {
             Some(("engine", key)) => text.push_str(&format!("{key} = {default}\n")),
             Some((section, key)) => {
-                sections.entry(section).or_default().push_str(&format!("{key} = {default}\n"))
+                sections.entry(section).or_default().push_str(&format!("{key} = {default}\n"));
             }
             None if setting.key == "seeds" => {}
             None => text.insert_str(0, &format!("{} = {default}\n", setting.key)),
