--- a/crates/admin/src/answers.rs
+++ b/crates/admin/src/answers.rs
@@ -247,7 +247,7 @@
     pub leader: Option<NodeId>,
     /// Its highest committed index.
     pub commit: u64,
-    /// Its replicas.
+    /// Its replicas: those that answer, and the members that do not.
     pub replicas: Vec<ReplicaAnswer>,
     /// Where its replicas should be.
     pub placement: GroupPlacement,
@@ -260,10 +260,10 @@
     pub store: NodeId,
     /// `voter`, `learner` or `none`, as the leader's configuration says.
     pub member: String,
-    /// Entries behind the highest committed index.
-    pub lag: u64,
-    /// Its term.
-    pub term: u64,
+    /// Entries behind the highest committed index; `None` when the store does not answer.
+    pub lag: Option<u64>,
+    /// Its term; `None` when the store does not answer.
+    pub term: Option<u64>,
 }
 
 /// A session of `GET /admin/v1/sessions`.
--- a/crates/admin/src/shards.rs
+++ b/crates/admin/src/shards.rs
@@ -1,6 +1,6 @@
 //! Groups and their replicas, and retiring a store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,29 +56,37 @@
     let leader =
         replicas.iter().filter(|(_, s)| s.role == Role::Leader).max_by_key(|(_, s)| s.term);
     let commit = replicas.iter().map(|(_, s)| s.commit).max().unwrap_or(0);
-    let member = |store: &NodeId| match leader {
-        Some((_, s)) if s.conf.voters.contains(store) => "voter",
-        Some((_, s)) if s.conf.learners.contains(store) => "learner",
-        Some(_) => "none",
-        None => "unknown",
+    let members = leader.into_iter().flat_map(|(_, s)| s.conf.voters.union(&s.conf.learners));
+    let stores: BTreeSet<NodeId> =
+        replicas.iter().map(|(store, _)| *store).chain(members.copied()).collect();
+    let answer = |store: NodeId| {
+        let status = replicas.iter().find(|(answering, _)| *answering == store).map(|(_, s)| s);
+        ReplicaAnswer {
+            store,
+            member: membership(leader.map(|(_, s)| s), store).to_owned(),
+            lag: status.map(|s| commit.saturating_sub(s.applied)),
+            term: status.map(|s| s.term),
+        }
     };
     ShardAnswer {
         group: group.to_string(),
         leader: leader.map(|(store, _)| *store),
         commit,
-        replicas: replicas
-            .iter()
-            .map(|(store, status)| ReplicaAnswer {
-                store: *store,
-                member: member(store).to_owned(),
-                lag: commit.saturating_sub(status.applied),
-                term: status.term,
-            })
-            .collect(),
+        replicas: stores.into_iter().map(answer).collect(),
         placement: meta.placements.get(&group).cloned().unwrap_or_default(),
     }
 }
 
+/// What a store is to a group, as the group's leader says.
+fn membership(leader: Option<&ReplicaStatus>, store: NodeId) -> &'static str {
+    match leader {
+        Some(status) if status.conf.voters.contains(&store) => "voter",
+        Some(status) if status.conf.learners.contains(&store) => "learner",
+        Some(_) => "none",
+        None => "unknown",
+    }
+}
+
 /// Marks a store as retiring; the core leader then moves its replicas away.
 pub(crate) async fn retire(
     State(admin): Admin,
--- a/crates/hooklug/src/command/status.rs
+++ b/crates/hooklug/src/command/status.rs
@@ -127,7 +127,10 @@
         let replicas: Vec<String> = shard
             .replicas
             .iter()
-            .map(|r| format!("{}: {}, {}", r.store, r.member, r.lag))
+            .map(|r| {
+                let lag = r.lag.map_or_else(|| "no answer".to_owned(), |lag| lag.to_string());
+                format!("{}: {}, {lag}", r.store, r.member)
+            })
             .collect();
         table.row(vec![
             shard.group.clone(),
--- /dev/null
+++ b/crates/hooklug/tests/command_line.rs
@@ -0,0 +1,115 @@
+//! The command line: exit codes, faults, keys and stopping.
+
+mod common;
+
+use std::path::Path;
+use std::process::{Command, Output};
+
+use common::{Fleet, ask, eventually};
+use http::{Method, StatusCode};
+use nix::sys::signal::Signal;
+
+fn hooklug(arguments: &[&str], folder: &Path) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_hooklug"))
+        .args(arguments)
+        .current_dir(folder)
+        .output()
+        .expect("the binary runs")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn check_prints_every_fault_and_exits_with_two() {
+    let folder = tempfile::tempdir().expect("a scratch folder");
+    let settings = "rpc = \"127.0.0.1:1\"\nzone = \"a b\"\ncluster_secret = \"short\"\n";
+    std::fs::write(folder.path().join("s.toml"), settings).expect("written");
+    let output = hooklug(&["check", "--settings", "s.toml", "--role", "store"], folder.path());
+    assert_eq!(output.status.code(), Some(2));
+    let faults = text(&output.stderr);
+    for key in ["zone: ", "cluster_secret: ", "http: ", "data_folder: ", "4 faults"] {
+        assert!(faults.contains(key), "{key} is missing in:\n{faults}");
+    }
+    assert!(!faults.contains("short"), "a secret is shown:\n{faults}");
+    let run = hooklug(&["core", "--settings", "s.toml"], folder.path());
+    assert_eq!(run.status.code(), Some(2), "a role does not start with faults");
+}
+
+#[test]
+fn the_example_bundle_is_valid_and_faults_exit_with_two() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let output = hooklug(&["bundle", "validate", "examples/bundle.toml"], &root);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    let folder = tempfile::tempdir().expect("a scratch folder");
+    std::fs::write(folder.path().join("b.json"), r#"{"version": 1, "base": 1}"#).expect("written");
+    let output = hooklug(&["bundle", "validate", "b.json"], folder.path());
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains("version: is 1, must be higher than the base"));
+}
+
+#[test]
+fn keys_are_drawn_into_private_files_and_sign_bundles() {
+    use std::os::unix::fs::PermissionsExt;
+    let folder = tempfile::tempdir().expect("a scratch folder");
+    let path = folder.path();
+    std::fs::write(path.join("b.json"), r#"{"version": 1, "base": 0}"#).expect("written");
+    let drawn = hooklug(&["bundle", "keygen", "--out", "anna.key"], path);
+    assert!(drawn.status.success(), "{}", text(&drawn.stderr));
+    let secret = std::fs::read_to_string(path.join("anna.key")).expect("written");
+    let mode = std::fs::metadata(path.join("anna.key")).expect("there").permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    assert_ne!(text(&drawn.stdout), secret, "only the public key is printed");
+    let again = hooklug(&["bundle", "keygen", "--out", "anna.key"], path);
+    assert!(!again.status.success(), "a key is never overwritten");
+    let sign = ["bundle", "sign", "b.json", "--operator", "anna", "--secret-file", "anna.key"];
+    let signed = hooklug(&sign, path);
+    assert!(text(&signed.stdout).starts_with("anna="), "{}", text(&signed.stderr));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_that_is_asked_to_stop_exits_with_zero() {
+    let mut fleet = Fleet::started(65, 3, 1, 1);
+    let gateway = fleet.of("gateway")[0];
+    fleet.wait_for_members(gateway, 5).await;
+    for process in &mut fleet.processes {
+        process.signal(Signal::SIGTERM);
+        assert_eq!(process.wait().code(), Some(0), "{}", process.role);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_shows_the_cluster_as_tables_and_as_json() {
+    let fleet = Fleet::started(66, 3, 1, 1);
+    let gateway = fleet.of("gateway")[0];
+    fleet.wait_for_members(gateway, 5).await;
+    eventually("ready stores", async || {
+        let ready = ask(fleet.http(0), Method::GET, "/readyz", "").await;
+        ready.is_some_and(|(status, _)| status == StatusCode::OK)
+    })
+    .await;
+    let node = fleet.http(gateway).to_string();
+    let folder = std::env::temp_dir();
+    let run = |arguments: Vec<String>| async {
+        let folder = folder.clone();
+        tokio::task::spawn_blocking(move || {
+            let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+            hooklug(&arguments, &folder)
+        })
+        .await
+        .expect("it ran")
+    };
+    let status =
+        |output: &str| ["status", "--node", &node, "--output", output].map(str::to_owned).to_vec();
+    let tables = run(status("table")).await;
+    assert!(tables.status.success(), "{}", text(&tables.stderr));
+    for title in ["members", "engines", "shards", "versions", "sessions by owner", "windows"] {
+        assert!(text(&tables.stdout).contains(&format!("\n{title}\n")), "{title} is missing");
+    }
+    let json = run(status("json")).await;
+    let json: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
+    assert_eq!(json["members"].as_array().map(Vec::len), Some(5));
+    assert_eq!(json["shards"].as_array().map(Vec::len), Some(17));
+    assert_eq!(json["unread_groups"].as_array().map(Vec::len), Some(0));
+}
--- /dev/null
+++ b/crates/hooklug/tests/common/mod.rs
@@ -0,0 +1,237 @@
+//! Real processes of the `hooklug` binary on loopback.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper_util::rt::TokioIo;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+
+/// Longest wait for a condition; generous, since it bounds no promise.
+pub const PATIENCE: Duration = Duration::from_secs(120);
+
+/// One process and where it listens.
+pub struct Process {
+    pub role: &'static str,
+    pub rpc: SocketAddr,
+    pub http: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    pub fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_hooklug"))
+            .arg(self.role)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the binary starts");
+        self.child = Some(child);
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("it runs");
+        let pid = i32::try_from(child.id()).expect("a process id");
+        kill(Pid::from_raw(pid), signal).expect("it can be signalled");
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.take().expect("it runs").wait().expect("it ends")
+    }
+
+    /// Ends the process as a loss of power does, but for the disk's own cache.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A fleet in a scratch folder.
+pub struct Fleet {
+    folder: tempfile::TempDir,
+    net: u8,
+    pub processes: Vec<Process>,
+}
+
+impl Fleet {
+    /// An empty fleet on addresses `127.net.*`.
+    pub fn new(net: u8) -> Self {
+        let folder = tempfile::tempdir().expect("a scratch folder");
+        Self { folder, net, processes: Vec::new() }
+    }
+
+    /// Three stores, some cores and gateways, started.
+    pub fn started(net: u8, stores: usize, cores: usize, gateways: usize) -> Self {
+        let mut fleet = Self::new(net);
+        for (role, count) in [("store", stores), ("core", cores), ("gateway", gateways)] {
+            for _ in 0..count {
+                fleet.add(role);
+            }
+        }
+        fleet
+    }
+
+    /// Adds and starts a process; its index.
+    pub fn add(&mut self, role: &'static str) -> usize {
+        let index = self.processes.len();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, self.net, 0, 1 + u8::try_from(index).expect("few")));
+        let (rpc, http) = (free_place(ip), free_place(ip));
+        let seeds: Vec<String> =
+            self.processes.iter().take(3).map(|p| format!("{:?}", p.rpc.to_string())).collect();
+        let data = self.folder.path().join(format!("data{index}"));
+        let text = format!(
+            "rpc = \"{rpc}\"\nhttp = \"{http}\"\nzone = \"z{}\"\nseeds = [{}]\n\
+             data_folder = {data:?}\ncluster_secret = \"secret of the test fleet\"\n\
+             enable_faults = true\n",
+            index % 4 + 1,
+            seeds.join(", "),
+        );
+        let settings = self.folder.path().join(format!("{role}{index}.toml"));
+        std::fs::write(&settings, text).expect("written");
+        let log = self.folder.path().join(format!("{role}{index}.log"));
+        let mut process = Process { role, rpc, http, settings, log, child: None };
+        process.start();
+        self.processes.push(process);
+        index
+    }
+
+    pub fn of(&self, role: &str) -> Vec<usize> {
+        (0..self.processes.len()).filter(|i| self.processes[*i].role == role).collect()
+    }
+
+    pub fn http(&self, index: usize) -> SocketAddr {
+        self.processes[index].http
+    }
+
+    /// Waits until a node answers that it sees so many members alive.
+    pub async fn wait_for_members(&self, observer: usize, count: usize) {
+        eventually("all members are seen", async || {
+            let answer = ask(self.http(observer), Method::GET, "/admin/v1/members", "").await;
+            let members = answer.map(|a| a.1).unwrap_or_default();
+            let alive = |m: &&Value| m["health"] == "Alive";
+            members.as_array().is_some_and(|m| m.iter().filter(alive).count() == count)
+        })
+        .await;
+    }
+
+    /// The shards as a node shows them, by group.
+    pub async fn shards(&self, observer: usize) -> BTreeMap<String, Value> {
+        let answer = ask(self.http(observer), Method::GET, "/admin/v1/shards", "").await;
+        let Some((_, Value::Array(shards))) = answer else { return BTreeMap::new() };
+        shards
+            .into_iter()
+            .map(|shard| (shard["group"].as_str().unwrap_or_default().to_owned(), shard))
+            .collect()
+    }
+
+    /// Node id of a store, as a node's view shows it.
+    pub async fn node_id(&self, observer: usize, index: usize) -> Option<u64> {
+        let (_, members) = ask(self.http(observer), Method::GET, "/admin/v1/members", "").await?;
+        let rpc = self.processes[index].rpc.to_string();
+        let members = members.as_array()?.iter();
+        members.filter(|m| m["rpc"] == rpc).filter_map(|m| m["node"].as_u64()).next()
+    }
+
+    /// Submits a bundle at a node until it answers other than "try again".
+    pub async fn submit(&self, index: usize, bundle: &Value) -> (StatusCode, Value) {
+        let body = json!({ "bundle": bundle }).to_string();
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let answer = ask(self.http(index), Method::POST, "/admin/v1/bundles", &body).await;
+            match answer {
+                Some((status, body)) if status != StatusCode::SERVICE_UNAVAILABLE => {
+                    return (status, body);
+                }
+                other => assert!(Instant::now() < until, "never accepted: {other:?}"),
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// The newest version that a quorum knows, as a node reads it.
+    pub async fn current_version(&self, index: usize) -> Option<u64> {
+        let answer = ask(self.http(index), Method::GET, "/admin/v1/bundles/current", "").await;
+        answer.and_then(|(_, body)| body["record"]["version"].as_u64())
+    }
+
+    /// The version in force at a node.
+    pub async fn installed_version(&self, index: usize) -> Option<u64> {
+        let answer = ask(self.http(index), Method::GET, "/admin/v1/view", "").await;
+        answer.and_then(|(_, body)| body["installed_bundle"].as_u64())
+    }
+}
+
+fn free_place(ip: IpAddr) -> SocketAddr {
+    let listener = TcpListener::bind(SocketAddr::new(ip, 0)).expect("loopback");
+    listener.local_addr().expect("bound")
+}
+
+/// A bundle built on the version before; `slots` tells it from others.
+pub fn bundle(version: u64, slots: u64) -> Value {
+    json!({
+        "version": version,
+        "base": version - 1,
+        "services": {"notices": {"kind": "application", "slots": slots,
+            "versions": [{"version": "v1"}]}},
+    })
+}
+
+/// One request; `None` when no whole answer came.
+pub async fn ask(
+    to: SocketAddr,
+    method: Method,
+    path: &str,
+    body: &str,
+) -> Option<(StatusCode, Value)> {
+    let exchange = async {
+        let stream = tokio::net::TcpStream::connect(to).await.ok()?;
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(connection);
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", to.to_string())
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .ok()?;
+        let response = sender.send_request(request).await.ok()?;
+        let status = response.status();
+        let bytes = response.into_body().collect().await.ok()?.to_bytes();
+        Some((status, serde_json::from_slice(&bytes).unwrap_or(Value::Null)))
+    };
+    tokio::time::timeout(Duration::from_secs(15), exchange).await.ok().flatten()
+}
+
+/// Waits until a condition holds.
+pub async fn eventually(what: &str, condition: impl AsyncFn() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !condition().await {
+        assert!(Instant::now() < until, "never happened: {what}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
