--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -15,6 +15,7 @@
 use tracing::{info, warn};
 
 use super::{Shared, heartbeat};
+use crate::figures;
 use crate::handle::InstalledBundle;
 
 /// Name of this reason for not being ready.
@@ -99,6 +100,7 @@
         match record.filter(|record| record.version > installed) {
             Some(record) => {
                 if let Err(error) = install(shared, record).await {
+                    figures::bundle_not_fetched();
                     warn!(%error, "bundle not installed yet");
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
@@ -127,6 +129,7 @@
     shared.bundle.send_replace(Some(Arc::new(InstalledBundle { record, bundle })));
     shared.identity.bundles.set_installed(version);
     shared.heartbeat_due.notify_one();
+    figures::bundle_installed(version.0);
     info!(%version, "bundle in force");
     Ok(())
 }
--- a/crates/control/src/agent/reach.rs
+++ b/crates/control/src/agent/reach.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::Shared;
+use crate::figures;
 use crate::handle::Reach;
 
 /// Name of this reason for not being ready.
@@ -60,6 +61,7 @@
             store: within(&shared.reach.store, LATELY),
             newest_bundle: *shared.newest_bundle.borrow(),
         };
+        figures::node_state(shared.readiness.reasons().is_empty(), reach);
         shared.reach_feed.send_if_modified(|known| {
             let changed = *known != reach;
             *known = reach;
--- a/crates/control/src/core/discovery.rs
+++ b/crates/control/src/core/discovery.rs
@@ -10,6 +10,7 @@
 use super::leader::Leading;
 use super::platform::ListSource;
 use super::probe::probe;
+use crate::figures;
 
 /// Pause between rounds (design: each second).
 const ROUND: Duration = Duration::from_secs(1);
@@ -29,6 +30,7 @@
         match source.read().await {
             Ok(list) => leading.engines().set_list(list),
             Err(error) => {
+                figures::list_not_read();
                 warn!(%error, "the platform's list cannot be read, the last one stays in use");
             }
         }
--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -13,6 +13,7 @@
 use super::engines::EngineTable;
 use super::members::MemberTable;
 use super::{Shared, discovery, repair, rollout};
+use crate::figures;
 use crate::judge::JudgedVersion;
 use crate::view::first_revision;
 
@@ -196,6 +197,7 @@
             engines: next.engines,
             meta: MetaState::clone(&next.meta),
         };
+        figures::view_shown(shown);
         shared.published.publish(shown.clone());
     }
     shared.published.refresh();
--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 use tracing::{info, warn};
 
-use crate::NodeContext;
+use crate::{NodeContext, figures};
 
 /// Lease of the core leader, counted on its own clock from sending the last accepted renewal (design,
 /// section 3: 3 s; stores wait for longer before they let another core take it).
@@ -67,6 +67,7 @@
     }
 
     fn accept(&self, leader: CoreLeader, sent: Instant) {
+        figures::core_leads(true);
         *self.accepted_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(sent);
         let epoch = leader.epoch;
         self.known.send_replace(Some(leader));
@@ -78,6 +79,7 @@
     }
 
     fn give_up(&self) {
+        figures::core_leads(false);
         *self.accepted_at.lock().unwrap_or_else(PoisonError::into_inner) = None;
         self.epoch.send_if_modified(|held| held.take().is_some());
     }
--- a/crates/control/src/core/repair.rs
+++ b/crates/control/src/core/repair.rs
@@ -16,6 +16,7 @@
 use super::Shared;
 use super::leader::Leading;
 use super::members::DEAD_AFTER;
+use crate::figures;
 
 /// Pause between looks while nothing is to be done (ours).
 const CALM_PAUSE: Duration = Duration::from_secs(1);
@@ -121,9 +122,15 @@
             let request = ChangeReplicas { group, change, epoch };
             let deadline = Instant::now() + CHANGE_TIME;
             match shared.ctx.client.call(store.address, &request, deadline).await {
-                Ok(Ok(())) => {}
-                Ok(Err(fault)) => warn!(%group, %fault, "membership change not made"),
-                Err(error) => warn!(%group, %error, "membership change not confirmed"),
+                Ok(Ok(())) => figures::replicas_changed(true),
+                Ok(Err(fault)) => {
+                    figures::replicas_changed(false);
+                    warn!(%group, %fault, "membership change not made");
+                }
+                Err(error) => {
+                    figures::replicas_changed(false);
+                    warn!(%group, %error, "membership change not confirmed");
+                }
             }
         }
     }
--- a/crates/control/src/core/rollout.rs
+++ b/crates/control/src/core/rollout.rs
@@ -8,6 +8,7 @@
 
 use super::Shared;
 use super::leader::Leading;
+use crate::figures;
 
 /// Pause between judgements (ours).
 const JUDGE_PAUSE: Duration = Duration::from_millis(250);
@@ -39,6 +40,7 @@
     let deadline = tokio::time::Instant::now() + COMMIT_TIME;
     match shared.ctx.state.execute_meta(&command, deadline).await {
         Ok(MetaReply::Bundle(record)) => {
+            figures::rolled_back();
             info!(%service, %version, bundle = %record.version, "rolled back");
             shared.ctx.identity.bundles.saw(record.version);
         }
--- /dev/null
+++ b/crates/control/src/figures.rs
@@ -0,0 +1,60 @@
+//! Names of the metrics of the node agent and the cores, and what sets them.
+
+use hooklug_protocol::control::{ClusterView, MemberHealth};
+use metrics::{counter, gauge};
+
+use crate::handle::Reach;
+
+fn as_gauge(on: bool) -> f64 {
+    if on { 1.0 } else { 0.0 }
+}
+
+/// Whether the node is ready, and what of the cluster is within reach.
+pub(crate) fn node_state(ready: bool, reach: Reach) {
+    gauge!("hooklug_ready").set(as_gauge(ready));
+    gauge!("hooklug_core_within_reach").set(as_gauge(reach.core));
+    gauge!("hooklug_store_within_reach").set(as_gauge(reach.store));
+}
+
+/// A bundle came into force here.
+pub(crate) fn bundle_installed(version: u64) {
+    gauge!("hooklug_bundle_version").set(version as f64);
+}
+
+/// A bundle that was heard of could not be fetched.
+pub(crate) fn bundle_not_fetched() {
+    counter!("hooklug_bundle_fetch_failures_total").increment(1);
+}
+
+/// Whether this core leads.
+pub(crate) fn core_leads(leads: bool) {
+    gauge!("hooklug_core_leads").set(as_gauge(leads));
+}
+
+/// The view as the core leader shows it.
+pub(crate) fn view_shown(view: &ClusterView) {
+    let count = |health: MemberHealth| view.members.values().filter(|m| m.health == health).count();
+    gauge!("hooklug_members", "health" => "alive").set(count(MemberHealth::Alive) as f64);
+    gauge!("hooklug_members", "health" => "suspect").set(count(MemberHealth::Suspect) as f64);
+    gauge!("hooklug_members", "health" => "dead").set(count(MemberHealth::Dead) as f64);
+    let healthy = view.engines.values().filter(|e| e.healthy).count();
+    gauge!("hooklug_application_engines", "state" => "healthy").set(healthy as f64);
+    let unhealthy = view.engines.len() - healthy;
+    gauge!("hooklug_application_engines", "state" => "unhealthy").set(unhealthy as f64);
+}
+
+/// The platform's list could not be read.
+pub(crate) fn list_not_read() {
+    counter!("hooklug_platform_list_failures_total").increment(1);
+}
+
+/// A version was rolled back.
+pub(crate) fn rolled_back() {
+    counter!("hooklug_rollbacks_total").increment(1);
+}
+
+/// A change of replicas was asked for; whether it was confirmed.
+pub(crate) fn replicas_changed(confirmed: bool) {
+    let outcome = if confirmed { "confirmed" } else { "unconfirmed" };
+    counter!("hooklug_replica_changes_total", "outcome" => outcome).increment(1);
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod agent;
 pub mod core;
+mod figures;
 pub mod handle;
 pub mod judge;
 pub mod view;
