control: hold news of a bundle until the leader has it, and look at most forty times a second

Cause: at the design's size every node would ask the stores for the same news at once, and each heartbeat would rebuild the whole view. Checked: cargo test -p hooklug-control: 33 passed, 0 failed.

--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -11,6 +11,7 @@
 use hooklug_protocol::control::FetchSection;
 use hooklug_state::meta::{BundleRecord, MetaAnswer, MetaQuery};
 use hooklug_types::{BundleVersion, Digest};
+use rand::RngExt;
 use rand::seq::IndexedRandom;
 use tracing::{info, warn};
 
@@ -27,6 +28,10 @@
 /// Pause before a quorum is asked again, when it could not be reached at the start (ours).
 const ASK_PAUSE: Duration = Duration::from_millis(250);
 
+/// Longest wait of a node for others to tell it of a version, in milliseconds (ours: 1 a known node, so that
+/// at most about a thousand nodes a second ask the stores).
+const MOST_PATIENCE_MILLIS: u64 = 500;
+
 /// Peers asked for a section before the stores (ours).
 const PEERS_ASKED: usize = 2;
 
@@ -84,14 +89,26 @@
         let named = *news.borrow_and_update();
         let heard = shared.heard.borrow().as_ref().map_or(BundleVersion(0), |r| r.version);
         if named > heard {
-            ask_quorum(shared).await;
-            tokio::time::sleep(RETRY_PAUSE).await;
+            if !told_meanwhile(shared, named).await {
+                ask_quorum(shared).await;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
         } else if news.changed().await.is_err() {
             return;
         }
     }
 }
 
+/// Waits a little for the view or a heartbeat to tell of the version; the more nodes there are, the longer,
+/// so that not all of them ask the stores at once.
+async fn told_meanwhile(shared: &Shared, version: BundleVersion) -> bool {
+    let most = shared.peers().count().min(MOST_PATIENCE_MILLIS);
+    let patience = Duration::from_millis(rand::rng().random_range(0..=most));
+    let mut heard = shared.heard.subscribe();
+    let told = heard.wait_for(|r| r.as_ref().is_some_and(|r| r.version >= version));
+    matches!(tokio::time::timeout(patience, told).await, Ok(Ok(_)))
+}
+
 async fn install_heard(shared: &Shared) {
     let mut heard = shared.heard.subscribe();
     loop {
--- a/crates/control/src/agent/peers.rs
+++ b/crates/control/src/agent/peers.rs
@@ -73,6 +73,12 @@
         std::iter::once(&self.own).chain(self.known.values()).cloned().collect()
     }
 
+    /// How many others are known.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        self.known.len() as u64
+    }
+
     /// All other processes.
     #[must_use]
     pub fn others(&self) -> Vec<NodeAddress> {
--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -23,6 +23,13 @@
 /// Pause between reads of the meta state, when nothing tells that it changed (ours).
 const META_PAUSE: Duration = Duration::from_millis(500);
 
+/// Longest wait of the leader for its own copy of a bundle before it tells of it (ours).
+const HOLD_TIME: Duration = Duration::from_secs(1);
+
+/// Least pause between two looks, however many heartbeats come in (ours).
+const LEAST_PAUSE: Duration = Duration::from_millis(25);
+
+/// Longest wait for the meta state (ours).
 const META_TIME: Duration = Duration::from_secs(1);
 
 /// A leader that followed no view before gathers heartbeats for so long before it shows its own (ours: the
@@ -114,6 +121,7 @@
             shared.ctx.state.query_meta(&MetaQuery::State, deadline).await
         {
             let state = Some(Arc::new(without_renewal(*state)));
+            hold_bundle(shared, state.as_deref()).await;
             leading.meta.send_if_modified(|known| {
                 let changed = *known != state;
                 *known = state;
@@ -128,6 +136,16 @@
     }
 }
 
+/// Waits until this node holds the newest bundle itself, since all others will ask it for the sections; not
+/// for long, since others may have more luck.
+async fn hold_bundle(shared: &Shared, state: Option<&MetaState>) {
+    let Some(version) = state.and_then(|s| s.bundle.as_ref()).map(|b| b.version) else { return };
+    shared.ctx.identity.bundles.saw(version);
+    let mut bundle = shared.ctx.node.bundle.clone();
+    let held = bundle.wait_for(|b| b.as_ref().is_some_and(|b| b.record.version >= version));
+    let _ = tokio::time::timeout(HOLD_TIME, held).await;
+}
+
 /// Renewals of the leader's lease are no change of the view.
 fn without_renewal(mut state: MetaState) -> MetaState {
     if let Some(leader) = &mut state.leader {
@@ -153,6 +171,7 @@
         if let Some(next) = next.filter(|_| started.elapsed() >= warm_up) {
             show(shared, &mut shown, next);
         }
+        tokio::time::sleep(LEAST_PAUSE).await;
         tokio::select! {
             () = tokio::time::sleep(LOOK_PAUSE) => {}
             () = shared.inbox.arrived() => {}
