contract: ReportProbes and the outcome of a probe

Cause: cores share the probes of engines out among themselves and one of them gathers the outcomes. Change: two additions at the ends of their lists.

--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -242,3 +242,54 @@
     type Reply = Vec<VersionStatistics>;
     const METHOD: Method = Method::VersionFigures;
 }
+
+/// What a probe of an engine's address found.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ProbeFinding {
+    /// An application engine answered.
+    Engine(ProbedEngine),
+    /// Something else answered, such as a model server.
+    Other,
+    /// Nobody listens there.
+    Refused,
+    /// No whole answer came in time.
+    NoAnswer,
+}
+
+/// An application engine, as it tells itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbedEngine {
+    /// Its engine id.
+    pub engine: EngineId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its version.
+    pub version: ServiceVersion,
+    /// Whether it can take work.
+    pub ready: bool,
+    /// Whether it takes no new work.
+    pub draining: bool,
+}
+
+/// The outcome of one probe.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeOutcome {
+    /// The address asked.
+    pub address: SocketAddr,
+    /// What was found there.
+    pub finding: ProbeFinding,
+}
+
+/// A core tells the core leader what its share of the probes found.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportProbes {
+    /// The outcomes of one round.
+    pub outcomes: Vec<ProbeOutcome>,
+}
+
+impl Request for ReportProbes {
+    type Reply = ();
+    const METHOD: Method = Method::ReportProbes;
+}
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -49,6 +49,8 @@
     Echo,
     /// `control::VersionFigures`.
     VersionFigures,
+    /// `control::ReportProbes`.
+    ReportProbes,
 }
 
 /// A request with one reply.
