control: cores share the probes of engines out among themselves

Cause: the design asks for it, and one core should not open 900 connections a second. Change: rendezvous hashing over the living cores; the leader probes what nobody told of lately.

--- a/crates/control/src/core/discovery.rs
+++ b/crates/control/src/core/discovery.rs
@@ -1,14 +1,18 @@
-//! Reads the platform's list each second and probes each engine each second.
+//! Reads the platform's list each second and probes the engines each second. The cores share the addresses
+//! out among themselves; the leader gathers what they find.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use futures::StreamExt;
+use hooklug_protocol::control::{ClusterView, MemberHealth, ProbeOutcome, ReportProbes};
+use hooklug_types::{Digest, NodeId, NodeRole};
 use tokio::time::MissedTickBehavior;
 use tracing::warn;
 
 use super::Shared;
-use super::leader::Leading;
-use super::platform::ListSource;
+use super::platform::{ListSource, ListedEngine};
 use super::probe::probe;
 use crate::figures;
 
@@ -18,32 +22,81 @@
 /// Probes under way at once (ours).
 const PROBES_AT_ONCE: usize = 128;
 
-pub(super) async fn run(shared: &Shared, leading: &Leading) {
+/// Longest wait for the leader to take a report (ours).
+const REPORT_TIME: Duration = Duration::from_millis(700);
+
+pub(super) async fn run(shared: &Shared) {
     let Some(text) = &shared.ctx.settings.core.platform_list else {
         return std::future::pending().await;
     };
     let source = ListSource::parse(text);
+    let mut listed = Vec::new();
     let mut rounds = tokio::time::interval(ROUND);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         rounds.tick().await;
         match source.read().await {
-            Ok(list) => leading.engines().set_list(list),
+            Ok(list) => listed = list,
             Err(error) => {
                 figures::list_not_read();
                 warn!(%error, "the platform's list cannot be read, the last one stays in use");
             }
         }
-        probe_all(leading).await;
+        if shared.leadership.epoch().is_some() {
+            lead_round(shared, &listed).await;
+        } else if let Some(leader) = shared.other_leader() {
+            follow_round(shared, &listed, leader).await;
+        }
     }
 }
 
-async fn probe_all(leading: &Leading) {
-    let addresses = leading.engines().addresses();
-    let probes =
-        addresses.into_iter().map(|address| async move { (address, probe(address).await) });
-    let mut outcomes = futures::stream::iter(probes).buffer_unordered(PROBES_AT_ONCE);
-    while let Some((address, outcome)) = outcomes.next().await {
-        leading.engines().probed(address, outcome, Instant::now());
+/// The leader probes its own share, and what nobody told of lately.
+async fn lead_round(shared: &Shared, listed: &[ListedEngine]) {
+    let mut addresses = {
+        let mut engines = shared.engines();
+        engines.set_list(listed.to_vec());
+        let own = own_share(shared, engines.addresses());
+        own.into_iter().chain(engines.overdue(Instant::now())).collect::<BTreeSet<_>>()
+    };
+    let mut outcomes = probe_all(std::mem::take(&mut addresses));
+    while let Some(outcome) = outcomes.next().await {
+        shared.engines().probed(&outcome, Instant::now());
     }
 }
+
+/// Another core probes its share and tells the leader.
+async fn follow_round(shared: &Shared, listed: &[ListedEngine], leader: SocketAddr) {
+    let view = shared.published.view();
+    let known = view.engines.values().map(|e| e.address);
+    let addresses = listed.iter().map(|e| e.address).chain(known).collect();
+    let outcomes: Vec<ProbeOutcome> = probe_all(own_share(shared, addresses)).collect().await;
+    if outcomes.is_empty() {
+        return;
+    }
+    let deadline = tokio::time::Instant::now() + REPORT_TIME;
+    // What the leader does not get it probes itself.
+    let _ = shared.ctx.client.call(leader, &ReportProbes { outcomes }, deadline).await;
+}
+
+fn probe_all(addresses: BTreeSet<SocketAddr>) -> impl futures::Stream<Item = ProbeOutcome> + Unpin {
+    futures::stream::iter(addresses.into_iter().map(probe)).buffer_unordered(PROBES_AT_ONCE)
+}
+
+fn own_share(shared: &Shared, addresses: BTreeSet<SocketAddr>) -> BTreeSet<SocketAddr> {
+    let own = shared.ctx.identity.address.node;
+    let cores = living_cores(&shared.published.view(), own);
+    addresses.into_iter().filter(|address| chosen(&cores, *address) == Some(own)).collect()
+}
+
+fn living_cores(view: &ClusterView, own: NodeId) -> BTreeSet<NodeId> {
+    let living = view
+        .members
+        .values()
+        .filter(|m| m.address.role == NodeRole::Core && m.health == MemberHealth::Alive);
+    living.map(|m| m.address.node).chain([own]).collect()
+}
+
+/// The core that probes an address, by rendezvous hashing: a core that comes or goes moves only its share.
+fn chosen(cores: &BTreeSet<NodeId>, address: SocketAddr) -> Option<NodeId> {
+    cores.iter().copied().max_by_key(|core| Digest::of(format!("{core}/{address}").as_bytes()))
+}
--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -2,7 +2,7 @@
 //! controllers. All of it ends with its lease.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use hooklug_protocol::control::{ApplicationEngine, ClusterView, Member, MemberHealth};
@@ -12,7 +12,7 @@
 
 use super::engines::EngineTable;
 use super::members::MemberTable;
-use super::{Shared, discovery, repair, rollout};
+use super::{Shared, repair, rollout};
 use crate::figures;
 use crate::judge::JudgedVersion;
 use crate::view::first_revision;
@@ -49,15 +49,10 @@
     pub(super) meta: watch::Sender<Option<Arc<MetaState>>>,
     /// Set when this leader changed the meta state itself.
     pub(super) meta_due: Notify,
-    engines: Mutex<EngineTable>,
     lost: Mutex<VecDeque<(Instant, JudgedVersion)>>,
 }
 
 impl Leading {
-    pub(super) fn engines(&self) -> MutexGuard<'_, EngineTable> {
-        self.engines.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Versions that lost an engine lately.
     pub(super) fn lost_lately(&self, now: Instant) -> BTreeSet<JudgedVersion> {
         let mut lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
@@ -91,17 +86,16 @@
 async fn lead(shared: &Arc<Shared>, epoch: FencingEpoch) {
     let now = Instant::now();
     let inherited = shared.published.view();
+    *shared.engines() = EngineTable::take_over(&inherited.engines, now);
     let leading = Leading {
         epoch,
         meta: watch::Sender::new(None),
         meta_due: Notify::new(),
-        engines: Mutex::new(EngineTable::take_over(&inherited.engines, now)),
         lost: Mutex::default(),
     };
     let controllers = async {
         tokio::join!(
             refresh_meta(shared, &leading),
-            discovery::run(shared, &leading),
             rollout::run(shared, &leading),
             repair::run(shared, &leading),
         );
@@ -166,7 +160,7 @@
         let now = Instant::now();
         take_inbox(shared, &mut members, now);
         members.look(now);
-        let next = assemble(leading, &members, now);
+        let next = assemble(shared, leading, &members, now);
         leading.note_lost(lost_versions(&shown, &next, &members, now), now);
         if let Some(next) = next.filter(|_| started.elapsed() >= warm_up) {
             show(shared, &mut shown, next);
@@ -198,9 +192,14 @@
     meta: Arc<MetaState>,
 }
 
-fn assemble(leading: &Leading, members: &MemberTable, now: Instant) -> Option<Parts> {
+fn assemble(
+    shared: &Shared,
+    leading: &Leading,
+    members: &MemberTable,
+    now: Instant,
+) -> Option<Parts> {
     let meta = leading.meta.borrow().clone()?;
-    let mut engines = leading.engines();
+    let mut engines = shared.engines();
     engines.look(now);
     Some(Parts { members: members.members(), engines: engines.engines(), meta })
 }
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -20,7 +20,8 @@
 use std::time::Duration;
 
 use hooklug_protocol::control::{
-    Heartbeat, HeartbeatReply, ReportHarm, VersionFigures, VersionStatistics, WatchView,
+    Heartbeat, HeartbeatReply, ReportHarm, ReportProbes, VersionFigures, VersionStatistics,
+    WatchView,
 };
 use hooklug_rpc::Router;
 use hooklug_types::NodeRole;
@@ -28,6 +29,7 @@
 
 use crate::NodeContext;
 use crate::judge::Judge;
+use engines::EngineTable;
 use inbox::Inbox;
 use leadership::Leadership;
 use published::Published;
@@ -46,6 +48,7 @@
     published: Published,
     inbox: Inbox,
     judge: Mutex<Judge>,
+    engines: Mutex<EngineTable>,
 }
 
 impl Shared {
@@ -53,6 +56,10 @@
         self.judge.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn engines(&self) -> MutexGuard<'_, EngineTable> {
+        self.engines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Where the core leader is, when it is another one.
     fn other_leader(&self) -> Option<std::net::SocketAddr> {
         let leader = self.leadership.watch_leader().borrow().clone()?;
@@ -77,6 +84,7 @@
             published: Published::default(),
             inbox: Inbox::default(),
             judge: Mutex::default(),
+            engines: Mutex::default(),
         };
         Self { shared: Arc::new(shared) }
     }
@@ -85,6 +93,7 @@
     #[must_use]
     pub fn rpc_router(&self) -> Router {
         let (beating, watching) = (self.shared.clone(), self.shared.clone());
+        let probing = self.shared.clone();
         let (reporting, showing) = (self.shared.clone(), self.shared.clone());
         Router::new()
             .route(move |peer, heartbeat: Heartbeat| {
@@ -99,6 +108,11 @@
                 let shared = reporting.clone();
                 async move { take_harm(&shared, report, peer.role).await }
             })
+            .route_inline(move |_peer, report: ReportProbes| {
+                let now = std::time::Instant::now();
+                let mut engines = probing.engines();
+                report.outcomes.iter().for_each(|outcome| engines.probed(outcome, now));
+            })
             .route(move |peer, request: VersionFigures| {
                 let shared = showing.clone();
                 async move { figures(&shared, request, peer.role).await }
@@ -113,6 +127,7 @@
                 shared.leadership.run(&shared.ctx),
                 leader::run(&shared),
                 follower::run(&shared),
+                discovery::run(&shared),
             );
         };
         tokio::select! {
--- a/crates/control/src/core/probe.rs
+++ b/crates/control/src/core/probe.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hooklug_protocol::control::{ProbeFinding, ProbeOutcome, ProbedEngine};
 use hooklug_types::{EngineId, Incarnation, ServiceName, ServiceVersion};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
+use tracing::debug;
 
 /// Longest time for one exchange of probes (ours).
 const EXCHANGE_TIME: Duration = Duration::from_millis(900);
@@ -40,7 +42,7 @@
 /// What kind of back end an engine says that it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum BackendKind {
+enum BackendKind {
     /// A model server, reached through its session-host engine.
     Model,
     /// An application engine.
@@ -49,52 +51,59 @@
 
 /// Answer to `GET /identity`.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-pub struct BackendIdentity {
+struct BackendIdentity {
     /// Its service.
-    pub service: ServiceName,
+    service: ServiceName,
     /// Its engine id.
-    pub engine: EngineId,
+    engine: EngineId,
     /// Its run.
-    pub incarnation: Incarnation,
+    incarnation: Incarnation,
     /// Its version.
-    pub version: ServiceVersion,
+    version: ServiceVersion,
     /// Its kind.
-    pub kind: BackendKind,
+    kind: BackendKind,
 }
 
 /// Answer to `GET /status`.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-pub struct BackendStatus {
+struct BackendStatus {
     /// Whether it can take work.
-    pub ready: bool,
+    ready: bool,
     /// Whether it takes no new work.
-    pub draining: bool,
-}
-
-/// Who answers at an address, and how it is.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ProbeAnswer {
-    /// Who.
-    pub identity: BackendIdentity,
-    /// How.
-    pub status: BackendStatus,
+    draining: bool,
 }
 
 /// Asks identity and status over one connection, so that both are of one process.
-///
-/// # Errors
-/// [`HttpError`].
-pub async fn probe(address: SocketAddr) -> Result<ProbeAnswer, HttpError> {
-    let exchange = async {
-        let mut sender = connect(address).await?;
-        let identity = fetch(&mut sender, address, "/identity").await?;
-        let status = fetch(&mut sender, address, "/status").await?;
-        Ok(ProbeAnswer {
-            identity: serde_json::from_slice(&identity)?,
-            status: serde_json::from_slice(&status)?,
-        })
+pub async fn probe(address: SocketAddr) -> ProbeOutcome {
+    let exchange = tokio::time::timeout(EXCHANGE_TIME, ask(address)).await;
+    let finding = match exchange.unwrap_or(Err(HttpError::Timeout)) {
+        Ok(finding) => finding,
+        Err(HttpError::Refused) => ProbeFinding::Refused,
+        Err(error) => {
+            debug!(%address, %error, "probe without an answer");
+            ProbeFinding::NoAnswer
+        }
     };
-    tokio::time::timeout(EXCHANGE_TIME, exchange).await.unwrap_or(Err(HttpError::Timeout))
+    ProbeOutcome { address, finding }
+}
+
+async fn ask(address: SocketAddr) -> Result<ProbeFinding, HttpError> {
+    let mut sender = connect(address).await?;
+    let identity: BackendIdentity =
+        serde_json::from_slice(&fetch(&mut sender, address, "/identity").await?)?;
+    if identity.kind != BackendKind::Application {
+        return Ok(ProbeFinding::Other);
+    }
+    let status: BackendStatus =
+        serde_json::from_slice(&fetch(&mut sender, address, "/status").await?)?;
+    Ok(ProbeFinding::Engine(ProbedEngine {
+        engine: identity.engine,
+        incarnation: identity.incarnation,
+        service: identity.service,
+        version: identity.version,
+        ready: status.ready,
+        draining: status.draining,
+    }))
 }
 
 /// One `GET` over a connection of its own.
--- a/crates/control/tests/engines.rs
+++ b/crates/control/tests/engines.rs
@@ -3,16 +3,14 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use common::{Cluster, eventually};
+use common::{Cluster, Node, eventually};
 use hooklug_control::core::engines::EngineTable;
 use hooklug_control::core::platform::{ListSource, ListedEngine};
-use hooklug_control::core::probe::{
-    BackendIdentity, BackendKind, BackendStatus, HttpError, ProbeAnswer,
-};
-use hooklug_protocol::control::ApplicationEngine;
+use hooklug_protocol::control::{ApplicationEngine, ProbeFinding, ProbeOutcome, ProbedEngine};
 use hooklug_rpc::RpcServer;
 use hooklug_types::{EngineId, Incarnation, NodeRole, ZoneName};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -27,19 +25,25 @@
     ports.iter().map(|p| ListedEngine { address: place(*p), zone: zone.clone() }).collect()
 }
 
-fn answer(engine: &str, incarnation: u64) -> ProbeAnswer {
-    ProbeAnswer {
-        identity: BackendIdentity {
-            service: "notices".parse().expect("valid"),
-            engine: engine.parse().expect("valid"),
-            incarnation: Incarnation(incarnation),
-            version: "v1".parse().expect("valid"),
-            kind: BackendKind::Application,
-        },
-        status: BackendStatus { ready: true, draining: false },
+fn engine(engine: &str, incarnation: u64) -> ProbedEngine {
+    ProbedEngine {
+        engine: engine.parse().expect("valid"),
+        incarnation: Incarnation(incarnation),
+        service: "notices".parse().expect("valid"),
+        version: "v1".parse().expect("valid"),
+        ready: true,
+        draining: false,
     }
 }
 
+fn answer(engine_id: &str, incarnation: u64) -> ProbeFinding {
+    ProbeFinding::Engine(engine(engine_id, incarnation))
+}
+
+fn probed(table: &mut EngineTable, port: u16, finding: ProbeFinding, now: Instant) {
+    table.probed(&ProbeOutcome { address: place(port), finding }, now);
+}
+
 fn find(table: &EngineTable, engine: &str) -> Option<ApplicationEngine> {
     table.engines().remove(&engine.parse::<EngineId>().expect("valid"))
 }
@@ -48,7 +52,7 @@
 fn an_address_that_never_answers_is_no_engine() {
     let mut table = EngineTable::default();
     table.set_list(listed(&[1]));
-    table.probed(place(1), Err(HttpError::Timeout), Instant::now());
+    probed(&mut table, 1, ProbeFinding::NoAnswer, Instant::now());
     assert!(table.engines().is_empty());
     assert!(table.addresses().contains(&place(1)), "it is asked again");
 }
@@ -58,15 +62,15 @@
     let now = Instant::now();
     let mut table = EngineTable::default();
     table.set_list(listed(&[1, 2]));
-    table.probed(place(1), Ok(answer("a", 1)), now);
-    table.probed(place(2), Ok(answer("b", 1)), now);
-    table.probed(place(1), Err(HttpError::Refused), now);
-    table.probed(place(2), Err(HttpError::Timeout), now);
+    probed(&mut table, 1, answer("a", 1), now);
+    probed(&mut table, 2, answer("b", 1), now);
+    probed(&mut table, 1, ProbeFinding::Refused, now);
+    probed(&mut table, 2, ProbeFinding::NoAnswer, now);
     assert_eq!(find(&table, "a").map(|e| e.healthy), Some(false));
     assert_eq!(find(&table, "b").map(|e| e.healthy), Some(true));
-    table.probed(place(2), Err(HttpError::Timeout), now);
+    probed(&mut table, 2, ProbeFinding::NoAnswer, now);
     assert_eq!(find(&table, "b").map(|e| e.healthy), Some(false));
-    table.probed(place(2), Ok(answer("b", 1)), now);
+    probed(&mut table, 2, answer("b", 1), now);
     assert_eq!(find(&table, "b").map(|e| e.healthy), Some(true));
 }
 
@@ -75,8 +79,8 @@
     let now = Instant::now();
     let mut table = EngineTable::default();
     table.set_list(listed(&[1]));
-    table.probed(place(1), Ok(answer("a", 1)), now);
-    table.probed(place(1), Ok(answer("b", 2)), now);
+    probed(&mut table, 1, answer("a", 1), now);
+    probed(&mut table, 1, answer("b", 2), now);
     assert_eq!(find(&table, "a"), None);
     assert_eq!(find(&table, "b").map(|e| e.address), Some(place(1)));
 }
@@ -86,9 +90,9 @@
     let now = Instant::now();
     let mut table = EngineTable::default();
     table.set_list(listed(&[1, 2]));
-    table.probed(place(1), Ok(answer("a", 1)), now);
-    table.probed(place(2), Ok(answer("a", 2)), now);
-    table.probed(place(1), Ok(answer("a", 1)), now);
+    probed(&mut table, 1, answer("a", 1), now);
+    probed(&mut table, 2, answer("a", 2), now);
+    probed(&mut table, 1, answer("a", 1), now);
     let engine = find(&table, "a").expect("known");
     assert_eq!((engine.address, engine.incarnation), (place(2), Incarnation(2)));
 }
@@ -98,7 +102,7 @@
     let start = Instant::now();
     let mut table = EngineTable::default();
     table.set_list(listed(&[1]));
-    table.probed(place(1), Ok(answer("a", 1)), start);
+    probed(&mut table, 1, answer("a", 1), start);
     table.set_list(Vec::new());
     assert!(table.addresses().contains(&place(1)));
     table.look(start + Duration::from_secs(10));
@@ -107,17 +111,25 @@
     assert!(find(&table, "a").is_none());
 }
 
+#[test]
+fn the_leader_probes_itself_what_no_core_told_of_lately() {
+    let start = Instant::now();
+    let mut table = EngineTable::default();
+    table.set_list(listed(&[1, 2]));
+    probed(&mut table, 1, answer("a", 1), start);
+    assert_eq!(table.overdue(start), [place(2)].into());
+    assert_eq!(table.overdue(start + Duration::from_secs(3)), [place(1), place(2)].into());
+}
+
 #[test]
 fn draining_and_model_servers_are_told_apart() {
     let now = Instant::now();
     let mut table = EngineTable::default();
     table.set_list(listed(&[1, 2]));
-    let mut draining = answer("a", 1);
-    draining.status.draining = true;
-    table.probed(place(1), Ok(draining), now);
-    let mut model = answer("m", 1);
-    model.identity.kind = BackendKind::Model;
-    table.probed(place(2), Ok(model), now);
+    let draining = ProbedEngine { draining: true, ..engine("a", 1) };
+    probed(&mut table, 1, ProbeFinding::Engine(draining), now);
+    probed(&mut table, 2, answer("m", 1), now);
+    probed(&mut table, 2, ProbeFinding::Other, now);
     assert_eq!(find(&table, "a").map(|e| e.draining), Some(true));
     assert_eq!(find(&table, "m"), None, "a model server is reached through its session host");
 }
@@ -131,19 +143,37 @@
     assert_eq!(ListSource::parse("list.json"), ListSource::File("list.json".into()));
 }
 
-/// Answers `/identity` and `/status` as docs/BACKENDS.md says.
-async fn serve_engine(listener: TcpListener, status: Arc<Mutex<&'static str>>) {
+/// An engine that answers `/identity` and `/status` as docs/BACKENDS.md says.
+struct Listening {
+    id: EngineId,
+    address: SocketAddr,
+    draining: Arc<AtomicBool>,
+}
+
+async fn listen(number: usize) -> Listening {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    let draining = Arc::new(AtomicBool::new(false));
+    let id: EngineId = format!("n{number}").parse().expect("valid");
+    tokio::spawn(serve(listener, id.clone(), draining.clone()));
+    Listening { id, address, draining }
+}
+
+async fn serve(listener: TcpListener, id: EngineId, draining: Arc<AtomicBool>) {
     while let Ok((mut stream, _)) = listener.accept().await {
-        let status = status.clone();
+        let (id, draining) = (id.clone(), draining.clone());
         tokio::spawn(async move {
             let mut request = vec![0_u8; 4096];
             while let Ok(read @ 1..) = stream.read(&mut request).await {
                 let asked = String::from_utf8_lossy(&request[..read]).into_owned();
                 let body = if asked.starts_with("GET /identity") {
-                    r#"{"service": "notices", "engine": "n1", "incarnation": 5, "version": "v1", "kind": "application"}"#
+                    serde_json::json!({"service": "notices", "engine": id.as_str(),
+                        "incarnation": 5, "version": "v1", "kind": "application"})
                 } else {
-                    *status.lock().expect("not poisoned")
+                    let draining = draining.load(Ordering::SeqCst);
+                    serde_json::json!({"ready": true, "draining": draining, "slots": 8, "running": 0})
                 };
+                let body = body.to_string();
                 let answer =
                     format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
                 if stream.write_all(answer.as_bytes()).await.is_err() {
@@ -155,27 +185,45 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_listed_engine_reaches_every_view_and_so_does_its_drain() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
-    let address = listener.local_addr().expect("bound");
-    let status =
-        Arc::new(Mutex::new(r#"{"ready": true, "draining": false, "slots": 8, "running": 0}"#));
-    tokio::spawn(serve_engine(listener, status.clone()));
+async fn engines_and_their_drains_reach_every_view_also_when_a_core_is_killed() {
+    let mut engines = Vec::new();
+    for number in 0..8 {
+        engines.push(listen(number).await);
+    }
+    let entries: Vec<_> =
+        engines.iter().map(|e| serde_json::json!({"address": e.address, "zone": "z2"})).collect();
     let list = tempfile::NamedTempFile::new().expect("a scratch file");
-    let text = format!(r#"{{"engines": [{{"address": "{address}", "zone": "z2"}}]}}"#);
-    std::fs::write(list.path(), text).expect("written");
+    std::fs::write(list.path(), serde_json::json!({ "engines": entries }).to_string())
+        .expect("written");
 
     let cluster = Cluster::new(21).await;
-    let place = RpcServer::bind(([127, 21, 0, 200], 0).into()).await.expect("loopback");
-    let source = list.path().display().to_string();
-    let core = cluster.start_on(NodeRole::Core, &[], place, Some(source));
-    let gateway = cluster.start(NodeRole::Gateway, &[core.rpc()]).await;
-    let id: EngineId = "n1".parse().expect("valid");
-    let seen = || gateway.view().engines.get(&id).cloned();
-    eventually("the engine is in the view", || seen().is_some_and(|e| e.healthy)).await;
-    let engine = seen().expect("just seen");
-    assert_eq!((engine.address, engine.zone.as_str()), (address, "z2"));
-    *status.lock().expect("not poisoned") =
-        r#"{"ready": true, "draining": true, "slots": 8, "running": 0}"#;
-    eventually("its drain is in the view", || seen().is_some_and(|e| e.draining)).await;
+    let mut cores: Vec<Node> = Vec::new();
+    for last in [200, 201, 202] {
+        let seeds: Vec<SocketAddr> = cores.iter().map(Node::rpc).collect();
+        let listener = RpcServer::bind(([127, 21, 0, last], 0).into()).await.expect("loopback");
+        let source = list.path().display().to_string();
+        cores.push(cluster.start_on(NodeRole::Core, &seeds, listener, Some(source)));
+    }
+    let seeds: Vec<SocketAddr> = cores.iter().map(Node::rpc).collect();
+    let gateway = cluster.start(NodeRole::Gateway, &seeds).await;
+    let seen = |engine: &Listening| gateway.view().engines.get(&engine.id).cloned();
+    for engine in &engines {
+        eventually("healthy engines are seen", || seen(engine).is_some_and(|e| e.healthy)).await;
+        let seen = seen(engine).expect("just seen");
+        assert_eq!((seen.address, seen.zone.as_str()), (engine.address, "z2"));
+    }
+    for core in &cores {
+        for engine in &engines[..4] {
+            engine.draining.fetch_xor(true, Ordering::SeqCst);
+        }
+        let wanted = engines[0].draining.load(Ordering::SeqCst);
+        for engine in &engines[..4] {
+            eventually("a drain is seen", || seen(engine).is_some_and(|e| e.draining == wanted))
+                .await;
+        }
+        assert!(engines[4..].iter().all(|e| seen(e).is_some_and(|e| !e.draining && e.healthy)));
+        if core.id() != cores[2].id() {
+            core.kill();
+        }
+    }
 }
