--- a/crates/control/src/judge/mod.rs
+++ b/crates/control/src/judge/mod.rs
@@ -5,8 +5,10 @@
 
 mod compare;
 mod counts;
+mod reason;
+mod window;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use hooklug_bundle::{Bundle, HarmThresholds, Service, VersionState};
@@ -16,15 +18,13 @@
 
 pub use compare::{Against, Finding, compare};
 pub use counts::{Counts, Percentile, share, standard_errors_above};
+use reason::reason;
+use window::{Key, Window, statistics};
 
 /// Intervals that are looked at, shortest first: a short one finds clear harm at once, a long one finds
 /// it where there is little traffic (ours).
-pub const INTERVALS: [Duration; 4] = [
-    Duration::from_secs(3),
-    Duration::from_secs(10),
-    Duration::from_secs(30),
-    Duration::from_secs(120),
-];
+pub const INTERVALS: [Duration; 4] =
+    [Duration::from_secs(3), Duration::from_secs(10), Duration::from_secs(30), window::REMEMBERED];
 
 /// Harm must show for so long without a break before it is acted on (ours).
 pub const CONFIRM_TIME: Duration = Duration::from_millis(1_500);
@@ -36,6 +36,9 @@
 /// Harm must still show in so recent a time (ours).
 const RECENT: Duration = Duration::from_secs(3);
 
+/// The old version must have its samples within so long for a load to count as known (ours).
+const LOAD_TIME: Duration = Duration::from_secs(10);
+
 /// Samples beyond which the figures of the past are halved (ours).
 const HISTORY_SAMPLES: u64 = 20_000;
 
@@ -43,19 +46,6 @@
 /// nothing about the new one's (ours).
 const LOAD_COMPARABLE: f64 = 1.5;
 
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Key {
-    service: ServiceName,
-    version: ServiceVersion,
-    route: RouteName,
-}
-
-#[derive(Debug, Clone)]
-struct Slot {
-    at: Instant,
-    counts: BTreeMap<Key, Counts>,
-}
-
 /// A version of a service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JudgedVersion {
@@ -68,7 +58,7 @@
 /// Judges all versions of a bundle.
 #[derive(Debug, Clone, Default)]
 pub struct Judge {
-    slots: VecDeque<Slot>,
+    window: Window,
     history: BTreeMap<Key, Counts>,
     /// Highest load of a route, in requests a second, while the history was gathered.
     history_load: BTreeMap<(ServiceName, RouteName), f64>,
@@ -84,6 +74,16 @@
     old: &'a ServiceVersion,
 }
 
+impl Pair<'_> {
+    fn new_key(&self, route: &RouteName) -> Key {
+        Key::new(self.name, self.new, route)
+    }
+
+    fn old_key(&self, route: &RouteName) -> Key {
+        Key::new(self.name, self.old, route)
+    }
+}
+
 /// Harm on one route, with the figures that show it.
 struct Found {
     finding: Finding,
@@ -95,25 +95,11 @@
 impl Judge {
     /// Takes what a gateway saw since its last heartbeat.
     pub fn observe(&mut self, statistics: &[VersionStatistics], now: Instant) {
-        let longest = INTERVALS[INTERVALS.len() - 1];
-        while self.slots.front().is_some_and(|s| now.saturating_duration_since(s.at) > longest) {
-            self.slots.pop_front();
-        }
-        let same_slot = |s: &&mut Slot| now.saturating_duration_since(s.at) < SLOT_TIME;
-        if self.slots.back_mut().filter(same_slot).is_none() {
-            self.slots.push_back(Slot { at: now, counts: BTreeMap::new() });
-        }
-        let Some(slot) = self.slots.back_mut() else { return };
+        let key = |s: &VersionStatistics| Key::new(&s.service, &s.version, &s.route);
+        self.window.add(statistics.iter().map(|s| (key(s), Counts::from(s))), now);
         for seen in statistics {
-            let key = Key {
-                service: seen.service.clone(),
-                version: seen.version.clone(),
-                route: seen.route.clone(),
-            };
-            let counts = Counts::from(seen);
-            slot.counts.entry(key.clone()).or_default().add(&counts);
-            let history = self.history.entry(key).or_default();
-            history.add(&counts);
+            let history = self.history.entry(key(seen)).or_default();
+            history.add(&Counts::from(seen));
             if history.total() > HISTORY_SAMPLES {
                 history.halve();
             }
@@ -155,21 +141,15 @@
     }
 
     fn judge(&self, pair: &Pair<'_>, now: Instant) -> Option<HarmReport> {
-        let routes: BTreeSet<&RouteName> = self
-            .slots
-            .iter()
-            .flat_map(|slot| slot.counts.keys())
-            .filter(|k| k.service == *pair.name && k.version == *pair.new)
-            .map(|k| &k.route)
-            .collect();
-        routes.into_iter().find_map(|route| self.judge_route(pair, route, now))
+        let routes = self.window.routes(pair.name, pair.new);
+        routes.iter().find_map(|route| self.judge_route(pair, route, now))
     }
 
     fn judge_route(&self, pair: &Pair<'_>, route: &RouteName, now: Instant) -> Option<HarmReport> {
         let thresholds = &pair.service.harm;
         INTERVALS.iter().find_map(|interval| {
             let Found { finding, new, old, against } = self.find(pair, route, *interval, now)?;
-            let recent = self.sum(pair.name, pair.new, route, RECENT, now);
+            let recent = self.window.sum(&pair.new_key(route), RECENT, now);
             shows_still(&finding, &recent, &old, thresholds).then(|| HarmReport {
                 service: pair.name.clone(),
                 version: pair.new.clone(),
@@ -188,16 +168,15 @@
     ) -> Option<Found> {
         let thresholds = &pair.service.harm;
         let least = u64::from(thresholds.least_samples);
-        let (new, old) = self.sum_together(pair, route, interval, now);
+        let (new_key, old_key) = (pair.new_key(route), pair.old_key(route));
+        let (new, old) = self.window.sum_together((&new_key, &old_key), interval, now);
         if new.total() >= least && old.total() >= least {
             let against = Against::SameInterval;
             let finding = compare(&new, &old, thresholds, against)?;
             return Some(Found { finding, new, old, against });
         }
-        let new = self.sum(pair.name, pair.new, route, interval, now);
-        let key =
-            Key { service: pair.name.clone(), version: pair.old.clone(), route: route.clone() };
-        let old = *self.history.get(&key).filter(|h| h.total() >= least)?;
+        let new = self.window.sum(&new_key, interval, now);
+        let old = *self.history.get(&old_key).filter(|h| h.total() >= least)?;
         if new.total() < least {
             return None;
         }
@@ -208,33 +187,6 @@
         (!held).then_some(Found { finding, new, old, against })
     }
 
-    /// Both versions' counts of those moments only in which both had traffic, so that what befell one of
-    /// them alone in time is not held against it.
-    fn sum_together(
-        &self,
-        pair: &Pair<'_>,
-        route: &RouteName,
-        interval: Duration,
-        now: Instant,
-    ) -> (Counts, Counts) {
-        let key = |version: &ServiceVersion| Key {
-            service: pair.name.clone(),
-            version: version.clone(),
-            route: route.clone(),
-        };
-        let (new_key, old_key) = (key(pair.new), key(pair.old));
-        let (mut new, mut old) = (Counts::default(), Counts::default());
-        for slot in self.recent_slots(interval, now) {
-            if let (Some(n), Some(o)) = (slot.counts.get(&new_key), slot.counts.get(&old_key))
-                && n.total().min(o.total()) > 0
-            {
-                new.add(n);
-                old.add(o);
-            }
-        }
-        (new, old)
-    }
-
     /// Whether other services fail as well: then something else than this version is at fault.
     fn others_suffer(
         &self,
@@ -244,9 +196,9 @@
         now: Instant,
     ) -> bool {
         let mut others: BTreeMap<&ServiceName, Counts> = BTreeMap::new();
-        for slot in self.recent_slots(interval, now) {
-            for (key, counts) in slot.counts.iter().filter(|(k, _)| k.service != *pair.name) {
-                others.entry(&key.service).or_default().add(counts);
+        for (key, counts) in self.window.sums(interval, now) {
+            if key.service != *pair.name {
+                others.entry(&key.service).or_default().add(&counts);
             }
         }
         others.values().any(|counts| {
@@ -258,92 +210,30 @@
     fn load_is_beyond(&self, pair: &Pair<'_>, route: &RouteName, now: Instant) -> bool {
         let key = (pair.name.clone(), route.clone());
         let known = self.history_load.get(&key).copied().unwrap_or(0.0);
-        self.load(pair, route, now) > LOAD_COMPARABLE * known
-    }
-
-    /// Requests a second on a route, all versions together: the higher of a short and a longer average.
-    fn load(&self, pair: &Pair<'_>, route: &RouteName, now: Instant) -> f64 {
-        let average = |interval: Duration| {
-            let requests: u64 = self
-                .recent_slots(interval, now)
-                .flat_map(|slot| slot.counts.iter())
-                .filter(|(k, _)| k.service == *pair.name && k.route == *route)
-                .map(|(_, counts)| counts.total())
-                .sum();
-            requests as f64 / interval.as_secs_f64()
-        };
-        average(LOAD_INTERVALS[0]).max(average(LOAD_INTERVALS[1]))
+        self.window.load(pair.name, route, now) > LOAD_COMPARABLE * known
     }
 
     /// Remembers the load of routes on which the old version has enough samples now.
     fn note_load(&mut self, pair: &Pair<'_>, now: Instant) {
         let least = u64::from(pair.service.harm.least_samples);
-        let routes: BTreeSet<RouteName> = self
-            .recent_slots(LOAD_INTERVALS[1], now)
-            .flat_map(|slot| slot.counts.keys())
-            .filter(|k| k.service == *pair.name && k.version == *pair.old)
-            .map(|k| k.route.clone())
-            .collect();
-        for route in routes {
-            if self.sum(pair.name, pair.old, &route, LOAD_INTERVALS[1], now).total() < least {
+        for route in self.window.routes(pair.name, pair.old) {
+            if self.window.sum(&pair.old_key(&route), LOAD_TIME, now).total() < least {
                 continue;
             }
-            let load = self.load(pair, &route, now);
+            let load = self.window.load(pair.name, &route, now);
             let known = self.history_load.entry((pair.name.clone(), route)).or_default();
             *known = known.max(load);
         }
     }
 
-    fn recent_slots(&self, interval: Duration, now: Instant) -> impl Iterator<Item = &Slot> {
-        let recent = move |s: &&Slot| now.saturating_duration_since(s.at) <= interval;
-        self.slots.iter().rev().take_while(recent)
-    }
-
-    fn sum(
-        &self,
-        service: &ServiceName,
-        version: &ServiceVersion,
-        route: &RouteName,
-        interval: Duration,
-        now: Instant,
-    ) -> Counts {
-        let key = Key { service: service.clone(), version: version.clone(), route: route.clone() };
-        let mut sum = Counts::default();
-        for slot in self.recent_slots(interval, now) {
-            if let Some(counts) = slot.counts.get(&key) {
-                sum.add(counts);
-            }
-        }
-        sum
-    }
-
     /// What was seen of each version over an interval, for operators.
     #[must_use]
     pub fn figures(&self, interval: Duration, now: Instant) -> Vec<VersionStatistics> {
-        let mut sums: BTreeMap<&Key, Counts> = BTreeMap::new();
-        for slot in self.recent_slots(interval, now) {
-            for (key, counts) in &slot.counts {
-                sums.entry(key).or_default().add(counts);
-            }
-        }
-        let figure = |(key, counts): (&Key, Counts)| VersionStatistics {
-            service: key.service.clone(),
-            version: key.version.clone(),
-            route: key.route.clone(),
-            successes: counts.successes,
-            failures: counts.failures,
-            latency: counts.latency,
-        };
-        sums.into_iter().map(figure).collect()
+        let sums = self.window.sums(interval, now);
+        sums.into_iter().map(statistics).collect()
     }
 }
 
-/// Statistics that come within so short a time are kept together (ours: the time between heartbeats).
-const SLOT_TIME: Duration = Duration::from_secs(1);
-
-/// Times over which load is averaged (ours).
-const LOAD_INTERVALS: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(10)];
-
 /// Whether a report is about the version that is under watch now.
 fn is_judged(bundle: &Bundle, harm: &HarmReport) -> bool {
     let service = bundle.services.get_key_value(&harm.service);
@@ -379,35 +269,3 @@
         }),
     }
 }
-
-fn reason(
-    finding: &Finding,
-    new: &Counts,
-    (old, old_version): (&Counts, &ServiceVersion),
-    against: Against,
-    interval: Duration,
-) -> String {
-    let when = match against {
-        Against::SameInterval => format!("in the same {} s", interval.as_secs()),
-        Against::History => "before".to_owned(),
-    };
-    let p95 = |counts: &Counts| counts.p95().map_or(0.0, |p| p.millis);
-    match finding {
-        Finding::Errors => format!(
-            "{} of {} requests failed ({:.1} %), of {old_version} {when} {} of {} ({:.1} %)",
-            new.failures,
-            new.total(),
-            100.0 * new.error_share(),
-            old.failures,
-            old.total(),
-            100.0 * old.error_share(),
-        ),
-        Finding::Latency => format!(
-            "p95 latency is {:.0} ms over {} requests, of {old_version} {when} {:.0} ms over {}",
-            p95(new),
-            new.total(),
-            p95(old),
-            old.total(),
-        ),
-    }
-}
--- /dev/null
+++ b/crates/control/src/judge/window.rs
@@ -0,0 +1,141 @@
+//! What gateways saw over the last two minutes, by version and route. Pure.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use hooklug_protocol::control::VersionStatistics;
+use hooklug_types::{RouteName, ServiceName, ServiceVersion};
+
+use super::counts::Counts;
+
+/// Time that is remembered (ours).
+pub(super) const REMEMBERED: Duration = Duration::from_secs(120);
+
+/// Statistics that come within so short a time are kept together (ours: the time between heartbeats).
+const SLOT_TIME: Duration = Duration::from_secs(1);
+
+/// Times over which load is averaged (ours).
+const LOAD_INTERVALS: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(10)];
+
+/// One version on one route.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Key {
+    pub(super) service: ServiceName,
+    pub(super) version: ServiceVersion,
+    pub(super) route: RouteName,
+}
+
+impl Key {
+    pub(super) fn new(service: &ServiceName, version: &ServiceVersion, route: &RouteName) -> Self {
+        Self { service: service.clone(), version: version.clone(), route: route.clone() }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Slot {
+    at: Instant,
+    counts: BTreeMap<Key, Counts>,
+}
+
+/// Counts of the last [`REMEMBERED`], in slots of [`SLOT_TIME`].
+#[derive(Debug, Clone, Default)]
+pub(super) struct Window {
+    slots: VecDeque<Slot>,
+}
+
+impl Window {
+    /// Adds counts that came in now.
+    pub(super) fn add(&mut self, seen: impl Iterator<Item = (Key, Counts)>, now: Instant) {
+        while self.slots.front().is_some_and(|s| now.saturating_duration_since(s.at) > REMEMBERED) {
+            self.slots.pop_front();
+        }
+        let same_slot = |s: &&mut Slot| now.saturating_duration_since(s.at) < SLOT_TIME;
+        if self.slots.back_mut().filter(same_slot).is_none() {
+            self.slots.push_back(Slot { at: now, counts: BTreeMap::new() });
+        }
+        let Some(slot) = self.slots.back_mut() else { return };
+        for (key, counts) in seen {
+            slot.counts.entry(key).or_default().add(&counts);
+        }
+    }
+
+    fn recent(&self, interval: Duration, now: Instant) -> impl Iterator<Item = &Slot> {
+        let recent = move |s: &&Slot| now.saturating_duration_since(s.at) <= interval;
+        self.slots.iter().rev().take_while(recent)
+    }
+
+    /// All counts of an interval, by version and route.
+    pub(super) fn sums(&self, interval: Duration, now: Instant) -> BTreeMap<&Key, Counts> {
+        let mut sums: BTreeMap<&Key, Counts> = BTreeMap::new();
+        for (key, counts) in self.recent(interval, now).flat_map(|slot| &slot.counts) {
+            sums.entry(key).or_default().add(counts);
+        }
+        sums
+    }
+
+    /// Counts of one version on one route.
+    pub(super) fn sum(&self, key: &Key, interval: Duration, now: Instant) -> Counts {
+        let mut sum = Counts::default();
+        for counts in self.recent(interval, now).filter_map(|slot| slot.counts.get(key)) {
+            sum.add(counts);
+        }
+        sum
+    }
+
+    /// Two versions' counts of those moments only in which both had traffic, so that what befell one of them
+    /// alone in time is not held against it.
+    pub(super) fn sum_together(
+        &self,
+        (one, other): (&Key, &Key),
+        interval: Duration,
+        now: Instant,
+    ) -> (Counts, Counts) {
+        let mut sums = (Counts::default(), Counts::default());
+        for slot in self.recent(interval, now) {
+            if let (Some(first), Some(second)) = (slot.counts.get(one), slot.counts.get(other))
+                && first.total().min(second.total()) > 0
+            {
+                sums.0.add(first);
+                sums.1.add(second);
+            }
+        }
+        sums
+    }
+
+    /// Routes on which a version was seen.
+    pub(super) fn routes(
+        &self,
+        service: &ServiceName,
+        version: &ServiceVersion,
+    ) -> BTreeSet<RouteName> {
+        let keys = self.slots.iter().flat_map(|slot| slot.counts.keys());
+        let own = keys.filter(|k| k.service == *service && k.version == *version);
+        own.map(|k| k.route.clone()).collect()
+    }
+
+    /// Requests a second on a route, all versions together: the higher of a short and a longer average.
+    pub(super) fn load(&self, service: &ServiceName, route: &RouteName, now: Instant) -> f64 {
+        let average = |interval: Duration| {
+            let requests: u64 = self
+                .recent(interval, now)
+                .flat_map(|slot| &slot.counts)
+                .filter(|(k, _)| k.service == *service && k.route == *route)
+                .map(|(_, counts)| counts.total())
+                .sum();
+            requests as f64 / interval.as_secs_f64()
+        };
+        LOAD_INTERVALS.into_iter().map(average).fold(0.0, f64::max)
+    }
+}
+
+/// Counts in the form that travels.
+pub(super) fn statistics((key, counts): (&Key, Counts)) -> VersionStatistics {
+    VersionStatistics {
+        service: key.service.clone(),
+        version: key.version.clone(),
+        route: key.route.clone(),
+        successes: counts.successes,
+        failures: counts.failures,
+        latency: counts.latency,
+    }
+}
