--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,24 +1,22 @@
 //! A running fleet: its processes, its faults, its evidence.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use hooklug_emulator::{Faults, LedgerLine, Restart};
-use http::Method;
+use hooklug_emulator::Faults;
 use nix::sys::signal::Signal;
 use serde::{Deserialize, Serialize};
 use tempfile::TempDir;
 
 use crate::addresses::AddressRange;
 use crate::binaries::Binaries;
-use crate::http::{Ask, HttpClient};
-use crate::links::{self, Links};
+use crate::http::HttpClient;
+use crate::links::Links;
 use crate::plan::{Common, Job, Plan, plan_all, seeds};
 use crate::process::{Launch, Process, describe, poll_until};
-use crate::topology::{ApplicationGroup, ModelGroup};
 use crate::{FleetError, ProcessKind, ProcessName, Topology};
 
 /// Longest wait for a fleet to come up (issue: 30 s for the largest).
@@ -333,148 +331,6 @@
         inner.members.iter_mut().map(|(name, member)| member.status(*name)).collect()
     }
 
-    /// Cuts the link between two nodes, or only what the first one sends.
-    ///
-    /// # Errors
-    /// When a node that sends can't be told.
-    pub async fn cut(
-        &self,
-        a: ProcessName,
-        b: ProcessName,
-        one_way: bool,
-    ) -> Result<(), FleetError> {
-        let (first, second) = (self.plan(a)?.ip, self.plan(b)?.ip);
-        {
-            let links = &mut self.inner().links;
-            links.set_cut(first, second, true);
-            if !one_way {
-                links.set_cut(second, first, true);
-            }
-        }
-        self.tell_links(a).await?;
-        if one_way { Ok(()) } else { self.tell_links(b).await }
-    }
-
-    /// Cuts a node off from all other nodes.
-    ///
-    /// # Errors
-    /// When a node can't be told.
-    pub async fn cut_off(&self, name: ProcessName) -> Result<(), FleetError> {
-        let others = self.all_names().into_iter().filter(|other| other.kind.is_node());
-        for other in others.filter(|other| *other != name) {
-            if self.is_running(other)? {
-                self.cut(name, other, false).await?;
-            }
-        }
-        Ok(())
-    }
-
-    /// Ends all cuts.
-    ///
-    /// # Errors
-    /// When a running node can't be told.
-    pub async fn heal(&self) -> Result<(), FleetError> {
-        let changed = self.inner().links.heal();
-        for name in self.all_names() {
-            let plan = self.plan(name)?;
-            if changed.contains(&plan.ip) && self.is_running(name)? {
-                self.tell_links(name).await?;
-            }
-        }
-        Ok(())
-    }
-
-    pub(crate) async fn tell_links(&self, name: ProcessName) -> Result<(), FleetError> {
-        let plan = self.plan(name)?;
-        let faults = self.inner().links.of(plan.ip);
-        if !name.kind.is_node() || faults.is_empty() {
-            return Ok(());
-        }
-        Ok(links::tell(&self.http, plan.http(), &faults).await?)
-    }
-
-    async fn tell_zone_delays(&self) -> Result<(), FleetError> {
-        let micros = self.common.topology.zone_delay_micros;
-        if micros == 0 {
-            return Ok(());
-        }
-        let nodes = self.nodes();
-        for (from, from_zone) in &nodes {
-            for (to, to_zone) in nodes.iter().filter(|(to, _)| to != from) {
-                let delay = if from_zone == to_zone { 0 } else { micros };
-                self.inner().links.set_delay(*from, *to, delay);
-            }
-        }
-        for name in self.all_names() {
-            self.tell_links(name).await?;
-        }
-        Ok(())
-    }
-
-    fn nodes(&self) -> Vec<(Ipv4Addr, String)> {
-        let inner = self.inner();
-        let nodes = inner.members.values().filter(|m| m.plan.name.kind.is_node());
-        nodes.map(|m| (m.plan.ip, m.plan.zone.to_string())).collect()
-    }
-
-    /// Replaces the faults of a stand-in.
-    ///
-    /// # Errors
-    /// When it can't be told.
-    pub async fn set_faults(&self, name: ProcessName, faults: &Faults) -> Result<(), FleetError> {
-        self.switch(name, Ask::json(Method::PUT, "/emulator/faults", faults)).await
-    }
-
-    /// Restarts a stand-in in place, perhaps as another service or version.
-    ///
-    /// # Errors
-    /// When it can't be told.
-    pub async fn restart_stand_in(
-        &self,
-        name: ProcessName,
-        restart: &Restart,
-    ) -> Result<(), FleetError> {
-        self.switch(name, Ask::json(Method::PUT, "/emulator/restart", restart)).await
-    }
-
-    async fn switch(&self, name: ProcessName, ask: Ask) -> Result<(), FleetError> {
-        let answer = self.http.ask(self.http_address(name)?, &ask).await?;
-        if answer.status.is_success() {
-            return Ok(());
-        }
-        Err(answer
-            .json::<serde_json::Value>()
-            .map_or_else(FleetError::Http, |value| FleetError::Unexpected(value.to_string())))
-    }
-
-    /// All that a stand-in ran, over its restarts; read from its file, so also after its end.
-    ///
-    /// # Errors
-    /// When the file does not decode.
-    pub fn ledger(&self, name: ProcessName) -> Result<Vec<LedgerLine>, FleetError> {
-        let path = self.common.folder(name).join("ledger");
-        let text = std::fs::read_to_string(&path).unwrap_or_default();
-        // A line cut by a kill is none.
-        let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
-        whole
-            .lines()
-            .map(serde_json::from_str)
-            .collect::<Result<_, _>>()
-            .map_err(|e| FleetError::Unexpected(format!("{}: {e}", path.display())))
-    }
-
-    /// The ledgers of all stand-ins of a kind.
-    ///
-    /// # Errors
-    /// When a file does not decode.
-    pub fn ledgers(&self, kind: ProcessKind) -> Result<Vec<LedgerLine>, FleetError> {
-        let mut lines = Vec::new();
-        for name in self.names(kind) {
-            lines.extend(self.ledger(name)?);
-        }
-        Ok(lines)
-    }
-
     /// The last lines that a process wrote.
     ///
     /// # Errors
@@ -484,39 +340,6 @@
         Ok(crate::process::tail(&log, lines))
     }
 
-    /// Adds a session-host engine with a model server, in a release for example.
-    ///
-    /// # Errors
-    /// When one of them can't be started or does not answer.
-    pub async fn add_engine(&self, group: &ModelGroup) -> Result<ProcessName, FleetError> {
-        let model = self.add(ProcessKind::Model, Job::Model { group: group.clone() }).await?;
-        let model = self.http_address(model)?;
-        self.add(ProcessKind::Engine, Job::Engine { group: group.clone(), model }).await
-    }
-
-    /// Adds an application engine and lists it.
-    ///
-    /// # Errors
-    /// When it can't be started or the list can't be changed.
-    pub async fn add_application(
-        &self,
-        group: &ApplicationGroup,
-    ) -> Result<ProcessName, FleetError> {
-        let name = self.add(ProcessKind::App, Job::App { group: group.clone() }).await?;
-        self.list_applications().await?;
-        Ok(name)
-    }
-
-    async fn add(&self, kind: ProcessKind, job: Job) -> Result<ProcessName, FleetError> {
-        let index = self.names(kind).last().map_or(0, |name| name.index + 1);
-        let name = ProcessName::new(kind, index);
-        let ip = self.inner().range.draw()?;
-        let zone = self.common.topology.zone(index).clone();
-        self.begin_planned(Plan { name, ip, zone, job })?;
-        self.answer_again(name).await?;
-        Ok(name)
-    }
-
     /// Starts a process from its plan, with seeds as they are now.
     pub(crate) fn begin_planned(&self, plan: Plan) -> Result<(), FleetError> {
         let rpc = |kind| -> Vec<SocketAddr> {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 mod process;
 mod readiness;
 mod repair;
+mod stand_ins;
 mod topology;
 
 pub use caller::{Caller, CallerError};
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::http::{Ask, HttpClient, HttpError};
+use crate::{Fleet, FleetError, ProcessName};
 
 /// Faults of all links of a fleet, by sender and receiver.
 #[derive(Debug, Default)]
@@ -59,3 +60,89 @@
     let ask = Ask::json(http::Method::PUT, "/faults", &Body { links });
     http.ask(node, &ask).await?.json::<serde_json::Value>().map(drop)
 }
+
+impl Fleet {
+    /// Cuts the link between two nodes, or only what the first one sends.
+    ///
+    /// # Errors
+    /// When a node that sends can't be told.
+    pub async fn cut(
+        &self,
+        a: ProcessName,
+        b: ProcessName,
+        one_way: bool,
+    ) -> Result<(), FleetError> {
+        let (first, second) = (self.plan(a)?.ip, self.plan(b)?.ip);
+        {
+            let links = &mut self.inner().links;
+            links.set_cut(first, second, true);
+            if !one_way {
+                links.set_cut(second, first, true);
+            }
+        }
+        self.tell_links(a).await?;
+        if one_way { Ok(()) } else { self.tell_links(b).await }
+    }
+
+    /// Cuts a node off from all other nodes.
+    ///
+    /// # Errors
+    /// When a node can't be told.
+    pub async fn cut_off(&self, name: ProcessName) -> Result<(), FleetError> {
+        let others = self.all_names().into_iter().filter(|other| other.kind.is_node());
+        for other in others.filter(|other| *other != name) {
+            if self.is_running(other)? {
+                self.cut(name, other, false).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all cuts.
+    ///
+    /// # Errors
+    /// When a running node can't be told.
+    pub async fn heal(&self) -> Result<(), FleetError> {
+        let changed = self.inner().links.heal();
+        for name in self.all_names() {
+            let plan = self.plan(name)?;
+            if changed.contains(&plan.ip) && self.is_running(name)? {
+                self.tell_links(name).await?;
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) async fn tell_links(&self, name: ProcessName) -> Result<(), FleetError> {
+        let plan = self.plan(name)?;
+        let faults = self.inner().links.of(plan.ip);
+        if !name.kind.is_node() || faults.is_empty() {
+            return Ok(());
+        }
+        Ok(tell(&self.http, plan.http(), &faults).await?)
+    }
+
+    pub(crate) async fn tell_zone_delays(&self) -> Result<(), FleetError> {
+        let micros = self.common.topology.zone_delay_micros;
+        if micros == 0 {
+            return Ok(());
+        }
+        let nodes = self.nodes();
+        for (from, from_zone) in &nodes {
+            for (to, to_zone) in nodes.iter().filter(|(to, _)| to != from) {
+                let delay = if from_zone == to_zone { 0 } else { micros };
+                self.inner().links.set_delay(*from, *to, delay);
+            }
+        }
+        for name in self.all_names() {
+            self.tell_links(name).await?;
+        }
+        Ok(())
+    }
+
+    fn nodes(&self) -> Vec<(Ipv4Addr, String)> {
+        let inner = self.inner();
+        let nodes = inner.members.values().filter(|m| m.plan.name.kind.is_node());
+        nodes.map(|m| (m.plan.ip, m.plan.zone.to_string())).collect()
+    }
+}
