--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -141,6 +141,7 @@
         digest: Digest::of(b"test"),
         sections: BTreeMap::new(),
         origin: BundleOrigin::Operators(Vec::new()),
+        // Long ago: its versions are no roll-outs any more.
         committed: UnixMillis(0),
     };
     Arc::new(InstalledBundle { record, bundle })
@@ -157,6 +158,13 @@
 }
 
 impl TestGateway {
+    /// Waits until the gateway says that it is ready: it has taken its first bundle.
+    pub async fn wait_ready(&self) {
+        while !self.node.readiness.reasons().is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// Waits until the gateway says that it is not ready.
     pub async fn wait_unready(&self) {
         while self.node.readiness.reasons().is_empty() {
@@ -235,7 +243,9 @@
     /// Gives all gateways the present bundle.
     pub fn publish_bundle(&self) {
         for gateway in &self.gateways {
-            gateway.feeds.bundle.send_replace(Some(installed(self.bundle.clone())));
+            let mut bundle = (*installed(self.bundle.clone())).clone();
+            bundle.record.committed = UnixMillis::now();
+            gateway.feeds.bundle.send_replace(Some(Arc::new(bundle)));
         }
     }
 
--- a/crates/raft/src/simulation/checker.rs
+++ b/crates/raft/src/simulation/checker.rs
@@ -17,6 +17,14 @@
     prev_term: Option<u64>,
 }
 
+/// A committed entry.
+#[derive(Debug, Clone, Copy)]
+struct CommittedEntry {
+    term: u64,
+    /// Term of the replica at which it was first seen committed, as a rule the leader's.
+    committed_in: u64,
+}
+
 /// What was already checked of one run of one replica.
 #[derive(Debug, Default)]
 struct Checked {
@@ -31,8 +39,7 @@
 pub(crate) struct Checker {
     leaders: HashMap<u64, NodeId>,
     entries: HashMap<(u64, u64), SeenEntry>,
-    /// Term of each committed index.
-    committed: BTreeMap<u64, u64>,
+    committed: BTreeMap<u64, CommittedEntry>,
     /// State after each applied index.
     states: HashMap<u64, u64>,
     checked: HashMap<NodeId, Checked>,
@@ -55,22 +62,23 @@
         self.committed.last_key_value().map_or(0, |(index, _)| *index)
     }
 
-    /// Checks a replica after a step, and the other leaders against what it committed.
+    /// Checks a replica after a step, and the other leaders against what it committed. Gives
+    /// whether the replica has just become a leader.
     pub(crate) fn check<'a>(
         &mut self,
         raw: &RawNode,
         others: impl Iterator<Item = &'a RawNode>,
-    ) -> Result<(), Violation> {
+    ) -> Result<bool, Violation> {
         self.check_log(raw)?;
         let before = self.committed();
         self.check_commit(raw)?;
-        self.check_leader(raw)?;
+        let is_new_leader = self.check_leader(raw)?;
         if self.committed() > before {
             for other in others.filter(|o| o.role == Role::Leader && o.term > raw.term) {
                 self.check_complete(other, before + 1)?;
             }
         }
-        Ok(())
+        Ok(is_new_leader)
     }
 
     /// A write was acknowledged.
@@ -134,7 +142,8 @@
         let commit = raw.log.commit();
         for index in checked.commit + 1..=commit {
             let Some(term) = raw.log.term_at(index) else { continue };
-            if *self.committed.entry(index).or_insert(term) != term {
+            let committed = CommittedEntry { term, committed_in: raw.term };
+            if self.committed.entry(index).or_insert(committed).term != term {
                 return Err(Violation::CommitMismatch { node, index });
             }
         }
@@ -142,25 +151,28 @@
         Ok(())
     }
 
-    fn check_leader(&mut self, raw: &RawNode) -> Result<(), Violation> {
+    fn check_leader(&mut self, raw: &RawNode) -> Result<bool, Violation> {
         let (node, term) = (raw.config.id, raw.term);
         let checked = self.checked.entry(node).or_default();
         if raw.role != Role::Leader || checked.leader_term == Some(term) {
-            return Ok(());
+            return Ok(false);
         }
         checked.leader_term = Some(term);
         let first = *self.leaders.entry(term).or_insert(node);
         if first != node {
             return Err(Violation::TwoLeaders { term, first, second: node });
         }
-        self.check_complete(raw, 1)
+        self.check_complete(raw, 1)?;
+        Ok(true)
     }
 
+    /// A leader holds what was committed in earlier terms. An old entry may be committed in a later
+    /// term than that of a leader whose votes were long on their way; that leader may lack it.
     fn check_complete(&self, leader: &RawNode, from: u64) -> Result<(), Violation> {
         let first = from.max(leader.log.first_index() - 1);
-        for (index, term) in self.committed.range(first..) {
-            // Entries of the leader's own or a later term were committed after its election.
-            if *term < leader.term && leader.log.term_at(*index) != Some(*term) {
+        for (index, entry) in self.committed.range(first..) {
+            let is_due = entry.committed_in < leader.term;
+            if is_due && leader.log.term_at(*index) != Some(entry.term) {
                 let node = leader.config.id;
                 return Err(Violation::LeaderIncomplete { node, term: leader.term, index: *index });
             }
--- a/crates/raft/src/simulation/world.rs
+++ b/crates/raft/src/simulation/world.rs
@@ -9,23 +9,23 @@
 
 use super::broken_rule::BrokenRule;
 use super::checker::Checker;
-use super::disk::Write;
 use super::event::{Event, EventQueue, Packet, Run};
-use super::network::Network;
+use super::network::{Network, chance};
 use super::replica::{Process, Replica};
 use super::trace::Trace;
 use super::violation::Violation;
 use super::weather::{TICK_UNITS, Weather};
 use crate::config::Config;
-use crate::message::{ConfState, EntryKind};
-use crate::ready::{Ready, Snapshot};
+use crate::message::ConfState;
+use crate::ready::Role;
 
 /// Length of the part of a run that has faults.
 const FAULT_UNITS: u64 = 400 * TICK_UNITS;
 /// Time that the group has to recover: several elections that fail, then one that succeeds.
 const RECOVERY_UNITS: u64 = 300 * TICK_UNITS;
-/// Time after which a snapshot that did not arrive is reported as failed.
-const SNAPSHOT_TIMEOUT_UNITS: u64 = 15 * TICK_UNITS;
+/// Time that members have to catch up with the clients still. Long, as a backlog may travel one
+/// entry a round trip; a run ends as soon as they have.
+const CATCH_UP_UNITS: u64 = 4_000 * TICK_UNITS;
 
 /// Events after which a run is cut off: some fifty times the usual number.
 const MAX_EVENTS: u64 = 500_000;
@@ -105,15 +105,18 @@
     pub(super) totals: Totals,
     trace: Trace,
     /// Highest index of a write acknowledged that was proposed after the faults ended.
-    recovered_to: Option<u64>,
-    calm_since_call: Option<u64>,
+    pub(super) recovered_to: Option<u64>,
+    pub(super) calm_since_call: Option<u64>,
+    pub(super) clients_stopped: bool,
 }
 
 impl World {
     fn new(scenario: Scenario) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(scenario.seed);
-        let weather = Weather::draw(&mut random);
-        let count = random.random_range(1..=5);
+        // Breaking this rule shows in storms only.
+        let always_storm = scenario.broken_rule == Some(BrokenRule::CommitOlderTermByCounting);
+        let weather = Weather::draw(&mut random, always_storm);
+        let count = random.random_range(weather.min_voters..=weather.max_voters);
         let voters: BTreeSet<NodeId> = (1..=count).map(NodeId).collect();
         let first_conf = ConfState { voters, learners: BTreeSet::new() };
         let mut world = Self {
@@ -131,6 +134,7 @@
             trace: Trace::new(scenario.in_words),
             recovered_to: None,
             calm_since_call: None,
+            clients_stopped: false,
         };
         for id in &first_conf.voters {
             world.add_replica(*id, first_conf.clone());
@@ -142,11 +146,32 @@
 
     fn play(&mut self) -> Result<(), Violation> {
         self.play_until(FAULT_UNITS)?;
-        self.weather = Weather::calm();
+        self.weather = self.weather.calm();
         self.calm_down();
         self.calm_since_call = Some(self.calls);
+        let commit_before = self.checker.committed();
         self.play_until(FAULT_UNITS + RECOVERY_UNITS)?;
-        self.check_recovered()
+        if self.checker.committed() == commit_before {
+            return Err(Violation::NoRecovery { units: RECOVERY_UNITS });
+        }
+        self.clients_stopped = true;
+        self.catch_up()?;
+        if self.recovered_to.is_none() {
+            return Err(Violation::NoRecovery { units: RECOVERY_UNITS + CATCH_UP_UNITS });
+        }
+        Ok(())
+    }
+
+    /// With the clients still, all that a leader has must be committed and every member hold it.
+    fn catch_up(&mut self) -> Result<(), Violation> {
+        let end = self.now + CATCH_UP_UNITS;
+        loop {
+            let behind = self.check_caught_up();
+            if behind.is_ok() || self.now >= end {
+                return behind;
+            }
+            self.play_until(self.now + 10 * TICK_UNITS)?;
+        }
     }
 
     fn play_until(&mut self, end: u64) -> Result<(), Violation> {
@@ -182,7 +207,7 @@
     fn happen(&mut self, event: Event) -> Result<(), Violation> {
         match event {
             Event::Tick(run) => self.tick(run),
-            Event::Deliver(packet) => self.deliver(packet),
+            Event::Deliver { packet, sent_in } => self.deliver(packet, sent_in),
             Event::SyncDone(run) => return self.sync_done(run),
             Event::ReportSnapshot { run, to, sent } => {
                 if let Some(process) = self.process_of(run) {
@@ -192,6 +217,7 @@
             Event::Write(node) => self.write(node),
             Event::Read(node) => self.read(node),
             Event::Restart(node) => self.restart(node),
+            Event::LeaderFalls(node) => self.fell_leader(node),
             Event::HealLink { from, to } => self.network.heal(from, to),
             Event::NextCall => self.next_call(),
             Event::NextFaults => self.next_faults(),
@@ -206,7 +232,10 @@
         self.events.schedule(self.now + units, Event::Tick(run));
     }
 
-    fn deliver(&mut self, packet: Packet) {
+    fn deliver(&mut self, packet: Packet, sent_in: Run) {
+        if self.is_lost_on_the_way(sent_in, packet.to()) {
+            return;
+        }
         match packet {
             Packet::Message(message) => {
                 if let Some(process) = self.process_mut(message.to) {
@@ -221,6 +250,13 @@
         }
     }
 
+    /// A cut or a crash of the sender takes what is on its way, the latter half of the time.
+    fn is_lost_on_the_way(&mut self, sent_in: Run, to: NodeId) -> bool {
+        let sender = self.replicas.get(&sent_in.node);
+        let runs = sender.is_some_and(|r| r.run == sent_in.number && r.process.is_some());
+        self.network.is_cut(sent_in.node, to) || (!runs && chance(&mut self.random, 500))
+    }
+
     pub(super) fn restart(&mut self, node: NodeId) {
         let stopped = self.replicas.get(&node).is_some_and(|r| r.process.is_none() && !r.lost);
         if stopped {
@@ -232,8 +268,9 @@
     pub(super) fn start(&mut self, node: NodeId) {
         let seed = self.random.random_range(0..u64::MAX);
         let broken = self.scenario.broken_rule;
+        let config = self.config(node, seed);
         let Some(replica) = self.replicas.get_mut(&node) else { return };
-        replica.start(config(node, seed), broken);
+        replica.start(config, broken);
         let first_tick = self.random.random_range(1..=replica.tick_units);
         self.events.schedule(self.now + first_tick, Event::Tick(replica.current_run()));
     }
@@ -242,141 +279,11 @@
         self.replicas.get_mut(&node)?.process.as_mut()
     }
 
-    fn process_of(&mut self, run: Run) -> Option<&mut Process> {
+    pub(super) fn process_of(&mut self, run: Run) -> Option<&mut Process> {
         let replica = self.replicas.get_mut(&run.node)?;
         if replica.run == run.number { replica.process.as_mut() } else { None }
     }
 
-    /// Takes up a replica's next round of work unless one is waiting for its sync.
-    fn work(&mut self, node: NodeId) -> Result<(), Violation> {
-        while let Some(ready) = self.take_ready(node) {
-            let must_sync = ready.must_sync;
-            self.send_all(&ready.messages_before_sync);
-            let Some(replica) = self.replicas.get_mut(&node) else { return Ok(()) };
-            let run = replica.current_run();
-            if let Some(process) = &mut replica.process {
-                process.syncing = Some(ready);
-            }
-            if must_sync {
-                let units = self.random.random_range(0..=self.weather.max_sync);
-                self.events.schedule(self.now + units, Event::SyncDone(run));
-                return Ok(());
-            }
-            self.finish(run)?;
-        }
-        Ok(())
-    }
-
-    /// The next round of work, with its writes begun.
-    fn take_ready(&mut self, node: NodeId) -> Option<Ready> {
-        let hard_state_first = self.random.random_range(0..2) == 0;
-        let replica = self.replicas.get_mut(&node)?;
-        let process = replica.process.as_mut()?;
-        if process.syncing.is_some() || !process.raw.has_ready() {
-            return None;
-        }
-        let ready = process.raw.ready();
-        let hard_state = ready.hard_state.map(Write::HardState);
-        let snapshot = ready.snapshot.clone().map(Write::Snapshot);
-        let log = snapshot.into_iter().chain(ready.entries.iter().cloned().map(Write::Entry));
-        let writes: Vec<Write> = if hard_state_first {
-            hard_state.into_iter().chain(log).collect()
-        } else {
-            log.chain(hard_state).collect()
-        };
-        for write in writes {
-            replica.disk.write(write);
-        }
-        Some(ready)
-    }
-
-    fn sync_done(&mut self, run: Run) -> Result<(), Violation> {
-        if self.process_of(run).is_none() {
-            return Ok(());
-        }
-        let broken = self.scenario.broken_rule;
-        if let Some(replica) = self.replicas.get_mut(&run.node) {
-            replica.disk.sync(broken);
-        }
-        self.finish(run)
-    }
-
-    /// Sends, applies and advances once the writes are done.
-    fn finish(&mut self, run: Run) -> Result<(), Violation> {
-        let Some(ready) = self.process_of(run).and_then(|p| p.syncing.take()) else {
-            return Ok(());
-        };
-        self.send_all(&ready.messages);
-        self.apply(run, &ready)?;
-        let Some(process) = self.process_of(run) else { return Ok(()) };
-        process.raw.advance();
-        process.confirmed.extend(ready.reads);
-        for context in ready.reads_lost {
-            process.reads.remove(&context);
-        }
-        for to in ready.snapshots_wanted {
-            self.send_snapshot(run, to);
-        }
-        self.answer(run.node)
-    }
-
-    fn apply(&mut self, run: Run, ready: &Ready) -> Result<(), Violation> {
-        let node = run.node;
-        let Some(replica) = self.replicas.get_mut(&node) else { return Ok(()) };
-        let Some(process) = &mut replica.process else { return Ok(()) };
-        if let Some(snapshot) = &ready.snapshot {
-            process.machine = super::machine::StateMachine::decode(&snapshot.data);
-            self.totals.snapshots += 1;
-            self.checker.state_reached(node, process.machine)?;
-        }
-        for entry in &ready.committed {
-            let expected = process.machine.applied + 1;
-            if entry.index != expected {
-                return Err(Violation::ApplyGap { node, index: entry.index, expected });
-            }
-            if let EntryKind::ConfChange(change) = entry.kind {
-                process.raw.apply_conf_change(change);
-            }
-            process.machine.apply(entry);
-            self.checker.state_reached(node, process.machine)?;
-            if process.writes.remove(&entry.index) == Some(entry.term) {
-                self.totals.writes += 1;
-                self.checker.write_acknowledged(entry.index);
-                self.recovered_to = self.calm_since_call.and(Some(entry.index));
-            }
-        }
-        Ok(())
-    }
-
-    fn send_all(&mut self, messages: &[crate::message::Message]) {
-        for message in messages {
-            let (from, to) = (message.from, message.to);
-            for delay in self.network.fate(from, to, &self.weather, &mut self.random) {
-                let packet = Packet::Message(message.clone());
-                self.events.schedule(self.now + delay, Event::Deliver(packet));
-            }
-        }
-    }
-
-    /// Sends a snapshot of the applied state, as the shell does, and reports how it went.
-    fn send_snapshot(&mut self, run: Run, to: NodeId) {
-        let Some(process) = self.process_of(run) else { return };
-        let meta = process.raw.snapshot_meta();
-        let (term, data) = (process.raw.term, process.machine.encode());
-        let from = run.node;
-        let packet = Packet::Snapshot { from, to, term, snapshot: Snapshot { meta, data } };
-        let delays = self.network.fate(from, to, &self.weather, &mut self.random);
-        let arrival = delays.first().copied();
-        for delay in delays {
-            self.events.schedule(self.now + delay, Event::Deliver(packet.clone()));
-        }
-        let (wait, sent) = match arrival {
-            Some(delay) => (delay, true),
-            None => (SNAPSHOT_TIMEOUT_UNITS, false),
-        };
-        self.events.schedule(self.now + wait, Event::ReportSnapshot { run, to, sent });
-    }
-
     fn check(&mut self, node: NodeId) -> Result<(), Violation> {
         let Some(process) = self.replicas.get(&node).and_then(|r| r.process.as_ref()) else {
             return Ok(());
@@ -384,42 +291,39 @@
         self.trace.state(self.now, &process.raw);
         let others = self.replicas.values().filter(|r| r.id != node);
         let others = others.filter_map(|r| r.process.as_ref()).map(|process| &process.raw);
-        self.checker.check(&process.raw, others)
+        let is_new_leader = self.checker.check(&process.raw, others)?;
+        if is_new_leader {
+            self.draw_fall(node);
+        }
+        Ok(())
     }
 
-    /// With the faults gone, a write must have been committed and every member have applied it.
-    fn check_recovered(&self) -> Result<(), Violation> {
-        let Some(recovered_to) = self.recovered_to else {
-            return Err(Violation::NoRecovery { units: RECOVERY_UNITS });
-        };
-        let leaders = self.leaders();
-        let leading = leaders.iter().filter_map(|id| self.replicas[id].process.as_ref());
-        let newest = leading.max_by_key(|process| process.raw.term);
-        let Some(leader) = newest else {
+    /// Whether every member of the newest leader's group has applied all that is committed.
+    fn check_caught_up(&self) -> Result<(), Violation> {
+        let processes = self.replicas.values().filter_map(|r| r.process.as_ref());
+        let leaders = processes.filter(|process| process.raw.role == Role::Leader);
+        let Some(leader) = leaders.max_by_key(|process| process.raw.term) else {
             return Err(Violation::NoRecovery { units: RECOVERY_UNITS });
         };
+        let commit = leader.raw.log.last_index();
         for node in leader.raw.log.conf().members() {
             let process = self.replicas.get(&node).and_then(|r| r.process.as_ref());
-            let Some(process) = process else { continue };
-            let applied = process.machine.applied;
-            // The newest writes may still be on their way.
-            let due = recovered_to.saturating_sub(20);
-            if applied < due {
-                let commit = self.checker.committed();
+            let applied = process.map(|process| process.machine.applied);
+            if let Some(applied) = applied.filter(|applied| *applied < commit) {
                 return Err(Violation::NotCaughtUp { node, applied, commit });
             }
         }
         Ok(())
     }
-}
 
-fn config(id: NodeId, seed: u64) -> Config {
-    Config {
-        id,
-        election_ticks: 10,
-        heartbeat_ticks: 2,
-        max_append_bytes: 256,
-        max_inflight: 4,
-        seed,
+    fn config(&self, id: NodeId, seed: u64) -> Config {
+        Config {
+            id,
+            election_ticks: 10,
+            heartbeat_ticks: 2,
+            max_append_bytes: self.weather.max_append_bytes as usize,
+            max_inflight: self.weather.max_inflight as usize,
+            seed,
+        }
     }
 }
