--- /dev/null
+++ b/crates/engine/tests/admission.rs
@@ -0,0 +1,264 @@
+//! Admission: order, windows, shedding. Time is an argument, so nothing waits.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use hooklug_bundle::Bundle;
+use hooklug_bundle::model::{Service, ServiceKind, VersionEntry, VersionState, Window};
+use hooklug_engine::admission::{
+    Admission, AdmissionLimits, Decision, Outcome, ReservedSpan, Ticket, TurnAsk, reserved_spans,
+};
+use hooklug_types::{BundleVersion, UnixMillis};
+use proptest::prelude::*;
+
+const START: UnixMillis = UnixMillis(1_000_000);
+
+fn at(ms: u64) -> UnixMillis {
+    UnixMillis(START.0 + ms)
+}
+
+fn ask(tenant: &str, deadline_ms: u64) -> TurnAsk {
+    TurnAsk {
+        tenant: tenant.parse().unwrap(),
+        group: None,
+        urgent: false,
+        deadline: at(deadline_ms),
+    }
+}
+
+fn member(tenant: &str, group: &str, deadline_ms: u64) -> TurnAsk {
+    TurnAsk { group: Some(group.parse().unwrap()), ..ask(tenant, deadline_ms) }
+}
+
+fn span(group: &str, start: u64, end: u64, slots: u32) -> ReservedSpan {
+    ReservedSpan { start: at(start), end: at(end), group: group.parse().unwrap(), slots }
+}
+
+fn admission(slots: u32, queue: u32, spans: Vec<ReservedSpan>) -> Admission {
+    Admission::new(AdmissionLimits { slots, queue, spans })
+}
+
+fn granted(decisions: &[Decision]) -> Vec<u64> {
+    decisions.iter().filter(|d| d.outcome == Outcome::Granted).map(|d| d.ticket.0).collect()
+}
+
+#[test]
+fn slots_are_given_out_and_the_earliest_deadline_comes_next() {
+    let mut admission = admission(2, 10, Vec::new());
+    assert_eq!(granted(&admission.request(Ticket(1), ask("a", 90_000), at(0))), [1]);
+    assert_eq!(granted(&admission.request(Ticket(2), ask("b", 90_000), at(0))), [2]);
+    assert!(admission.request(Ticket(3), ask("a", 50_000), at(0)).is_empty());
+    assert!(admission.request(Ticket(4), ask("a", 40_000), at(0)).is_empty());
+    assert_eq!(admission.load(), (2, 2));
+    assert_eq!(granted(&admission.release(Ticket(1), at(10))), [4]);
+    assert_eq!(granted(&admission.release(Ticket(4), at(20))), [3]);
+}
+
+#[test]
+fn a_tenant_with_fewer_running_turns_comes_first() {
+    let mut admission = admission(3, 10, Vec::new());
+    for ticket in 1..=3 {
+        admission.request(Ticket(ticket), ask("many", 90_000), at(0));
+    }
+    admission.request(Ticket(4), ask("many", 20_000), at(0));
+    admission.request(Ticket(5), ask("few", 80_000), at(0));
+    assert_eq!(granted(&admission.release(Ticket(1), at(10))), [5]);
+}
+
+#[test]
+fn a_full_queue_refuses_at_once_and_pushes_out_the_tenant_that_crowds_it() {
+    let mut admission = admission(1, 2, Vec::new());
+    admission.request(Ticket(1), ask("a", 90_000), at(0));
+    admission.request(Ticket(2), ask("crowd", 80_000), at(0));
+    admission.request(Ticket(3), ask("crowd", 85_000), at(0));
+    let decisions = admission.request(Ticket(4), ask("other", 90_000), at(0));
+    assert_eq!(decisions.len(), 1);
+    assert_eq!(decisions[0].ticket, Ticket(3));
+    let Outcome::Overloaded { retry_after } = decisions[0].outcome else { panic!("{decisions:?}") };
+    assert!(retry_after > Duration::ZERO);
+}
+
+#[test]
+fn what_can_no_longer_end_in_time_is_refused_as_soon_as_that_is_known() {
+    let mut admission = admission(1, 10, Vec::new());
+    // Turns take ten seconds here.
+    admission.request(Ticket(1), ask("a", 90_000), at(0));
+    admission.release(Ticket(1), at(10_000));
+    admission.request(Ticket(2), ask("a", 90_000), at(10_000));
+    assert!(admission.request(Ticket(3), ask("a", 20_000), at(10_000)).is_empty());
+    let due = admission.next_settle(at(10_000)).unwrap();
+    assert!(due < at(20_000), "before its deadline");
+    let shed = admission.settle(due);
+    assert!(matches!(
+        shed[..],
+        [Decision { ticket: Ticket(3), outcome: Outcome::Overloaded { .. } }]
+    ));
+    // One that could not wait that long is refused at once.
+    let hopeless = admission.request(Ticket(4), ask("a", 11_000), at(10_100));
+    assert!(matches!(
+        hopeless[..],
+        [Decision { ticket: Ticket(4), outcome: Outcome::Overloaded { .. } }]
+    ));
+    let late = admission.request(Ticket(5), ask("a", 10_000), at(10_100));
+    assert!(matches!(late[..], [Decision { outcome: Outcome::DeadlineExceeded, .. }]));
+    // With a slot free even a short one runs: that is how the average falls again.
+    admission.release(Ticket(2), at(20_000));
+    assert_eq!(granted(&admission.request(Ticket(6), ask("a", 21_000), at(20_000))), [6]);
+}
+
+#[test]
+fn urgent_turns_have_a_reserve_and_come_first() {
+    let mut admission = admission(8, 10, Vec::new());
+    for ticket in 1..=8 {
+        admission.request(Ticket(ticket), ask("a", 90_000), at(0));
+    }
+    assert_eq!(admission.load(), (7, 1), "one slot is kept");
+    let urgent = TurnAsk { urgent: true, ..ask("a", 90_000) };
+    assert_eq!(granted(&admission.request(Ticket(9), urgent.clone(), at(0))), [9]);
+    admission.request(Ticket(10), urgent, at(0));
+    assert_eq!(granted(&admission.release(Ticket(1), at(10))), [10]);
+}
+
+#[test]
+fn a_windows_members_get_their_slots_while_it_is_open() {
+    let mut admission = admission(4, 10, vec![span("frost", 0, 60_000, 2)]);
+    assert_eq!(granted(&admission.request(Ticket(1), ask("a", 30_000), at(0))), [1]);
+    assert_eq!(granted(&admission.request(Ticket(2), ask("a", 30_000), at(0))), [2]);
+    assert!(admission.request(Ticket(3), ask("a", 30_000), at(0)).is_empty());
+    assert_eq!(granted(&admission.request(Ticket(4), member("b", "frost", 30_000), at(0))), [4]);
+    assert_eq!(granted(&admission.request(Ticket(5), member("b", "frost", 30_000), at(0))), [5]);
+    // Above its share the group competes like all others.
+    assert!(admission.request(Ticket(6), member("b", "frost", 30_000), at(0)).is_empty());
+    assert_eq!(granted(&admission.release(Ticket(1), at(10))), [3]);
+}
+
+#[test]
+fn idle_slots_of_a_coming_window_are_lent_only_to_turns_that_end_in_time() {
+    let mut admission = admission(2, 10, vec![span("frost", 60_000, 90_000, 2)]);
+    assert_eq!(granted(&admission.request(Ticket(1), ask("a", 60_000), at(0))), [1]);
+    assert!(admission.request(Ticket(2), ask("a", 60_001), at(0)).is_empty());
+    assert_eq!(granted(&admission.request(Ticket(3), ask("a", 59_000), at(0))), [3]);
+    let opened = at(60_000);
+    admission.release(Ticket(1), opened);
+    admission.release(Ticket(3), opened);
+    let members = [Ticket(4), Ticket(5)];
+    for ticket in members {
+        assert_eq!(
+            granted(&admission.request(ticket, member("b", "frost", 80_000), opened)),
+            [ticket.0]
+        );
+    }
+}
+
+#[test]
+fn overlapping_windows_add_up() {
+    let spans = vec![
+        span("frost", 0, 50_000, 1),
+        span("frost", 0, 90_000, 1),
+        span("sowing", 0, 90_000, 1),
+    ];
+    let mut admission = admission(4, 10, spans);
+    assert_eq!(granted(&admission.request(Ticket(1), ask("a", 30_000), at(0))), [1]);
+    assert!(admission.request(Ticket(2), ask("a", 30_000), at(0)).is_empty());
+    for (ticket, group) in [(3, "frost"), (4, "frost"), (5, "sowing")] {
+        let decisions = admission.request(Ticket(ticket), member("b", group, 30_000), at(0));
+        assert_eq!(granted(&decisions), [ticket]);
+    }
+}
+
+fn bundle(service_slots: u32, window_slots: u32) -> Bundle {
+    let service = Service {
+        kind: ServiceKind::Model,
+        model: None,
+        versions: vec![VersionEntry { version: "v1".parse().unwrap(), state: VersionState::Sound }],
+        slots: service_slots,
+        concurrency_per_engine: 64,
+        queue_per_engine: 256,
+        steps: vec![100],
+        step_seconds: 1,
+        harm: hooklug_bundle::model::HarmThresholds::default(),
+    };
+    let window = Window {
+        start: at(0),
+        end: at(60_000),
+        group: "frost".parse().unwrap(),
+        service: "advisor".parse().unwrap(),
+        slots: window_slots,
+    };
+    Bundle {
+        version: BundleVersion(1),
+        services: [("advisor".parse().unwrap(), service)].into(),
+        windows: [("night".parse().unwrap(), window)].into(),
+        ..Bundle::default()
+    }
+}
+
+proptest! {
+    /// Engines that together have the service's slots keep at least what the window asks for, and an
+    /// engine never more than it has, however the slots are spread.
+    #[test]
+    fn shares_follow_from_the_bundle_alone(
+        engines in proptest::collection::vec(1_u32..40, 1..12),
+        part in 0.0_f64..1.0,
+    ) {
+        let all: u32 = engines.iter().sum();
+        let window = (f64::from(all) * part) as u32;
+        let bundle = bundle(all, window);
+        let service = "advisor".parse().unwrap();
+        let mut kept = 0;
+        for slots in &engines {
+            let own = reserved_spans(&bundle, &service, *slots)[0].slots;
+            prop_assert!(own <= *slots);
+            kept += own;
+        }
+        prop_assert!(kept >= window);
+        prop_assert!(kept < window + engines.len() as u32);
+    }
+
+    /// Whatever is asked: never more running than slots, each wish decided once, and while a window
+    /// is open its members' unused slots stay free of others.
+    #[test]
+    fn no_slot_is_given_twice_and_no_reservation_is_eaten(
+        steps in proptest::collection::vec((0_u8..10, 0_u64..4, 1_u64..40_000, 0_u64..2_000), 1..200),
+    ) {
+        let (slots, kept) = (8, 3);
+        let mut admission = admission(slots, 5, vec![span("frost", 20_000, 200_000, kept)]);
+        let mut now = 0;
+        let mut running: BTreeMap<Ticket, bool> = BTreeMap::new();
+        let mut asked: BTreeMap<Ticket, bool> = BTreeMap::new();
+        let mut decided: BTreeSet<Ticket> = BTreeSet::new();
+        for (number, (kind, tenant, patience, pause)) in steps.into_iter().enumerate() {
+            now += pause;
+            let ticket = Ticket(number as u64);
+            let decisions = if kind < 6 {
+                let is_member = kind < 2;
+                asked.insert(ticket, is_member);
+                let tenant = format!("tenant-{tenant}");
+                let wish = if is_member {
+                    member(&tenant, "frost", now + patience)
+                } else {
+                    ask(&tenant, now + patience)
+                };
+                admission.request(ticket, wish, at(now))
+            } else if let Some(first) = running.keys().next().copied() {
+                running.remove(&first);
+                admission.release(first, at(now))
+            } else {
+                admission.settle(at(now))
+            };
+            for decision in decisions {
+                prop_assert!(decided.insert(decision.ticket), "decided twice: {decision:?}");
+                if decision.outcome == Outcome::Granted {
+                    running.insert(decision.ticket, asked[&decision.ticket]);
+                    let others = running.values().filter(|member| !**member).count() as u32;
+                    // Turns may overstay their deadline here, so only fresh grants are judged.
+                    if now >= 20_000 && !asked[&decision.ticket] {
+                        prop_assert!(others + kept <= slots);
+                    }
+                }
+            }
+            prop_assert!(running.len() <= slots as usize);
+            prop_assert_eq!(admission.load().0 as usize, running.len());
+        }
+    }
+}
--- a/crates/engine/tests/support/stalled.rs
+++ b/crates/engine/tests/support/stalled.rs
@@ -1,6 +1,7 @@
 //! Shared state behind a link that can stall: what was sent meanwhile arrives late, its answer is lost.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use hooklug_protocol::store::{LeaseSubject, LeaseVerdict};
@@ -15,17 +16,23 @@
 pub struct StalledState {
     inner: MemoryState,
     stalled: Arc<watch::Sender<bool>>,
+    delay: Arc<watch::Sender<Duration>>,
 }
 
 impl StalledState {
     pub fn new(inner: MemoryState) -> Self {
-        Self { inner, stalled: Arc::new(watch::Sender::new(false)) }
+        Self { inner, stalled: Arc::default(), delay: Arc::default() }
     }
 
     pub fn stall(&self, stalled: bool) {
         self.stalled.send_replace(stalled);
     }
 
+    /// Makes answers to commands come so much later.
+    pub fn delay(&self, delay: Duration) {
+        self.delay.send_replace(delay);
+    }
+
     async fn pass(&self, group: GroupId, deadline: Instant) -> Result<(), Unavailable> {
         let mut stalled = self.stalled.subscribe();
         match timeout_at(deadline, stalled.wait_for(|s| !*s)).await {
@@ -44,7 +51,12 @@
         deadline: Instant,
     ) -> Result<ShardReply, Unavailable> {
         if !*self.stalled.borrow() {
-            return self.inner.execute_shard(group, command, deadline).await;
+            let answer = self.inner.execute_shard(group, command, deadline).await;
+            let delay = *self.delay.borrow();
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+            }
+            return answer;
         }
         let (inner, command) = (self.inner.clone(), command.clone());
         let mut stalled = self.stalled.subscribe();
--- a/crates/session/src/turn.rs
+++ b/crates/session/src/turn.rs
@@ -321,11 +321,31 @@
         }
     }
 
+    /// Takes the starting turn out, if there is one; an open one stays.
+    fn take_starting(&mut self) -> Option<StartingTurn> {
+        match std::mem::replace(&mut self.phase, Phase::Idle) {
+            Phase::Starting(starting) => Some(*starting),
+            other => {
+                self.phase = other;
+                None
+            }
+        }
+    }
+
+    /// Takes the open turn out, if there is one; a starting one stays.
+    fn take_open(&mut self) -> Option<OpenTurn> {
+        match std::mem::replace(&mut self.phase, Phase::Idle) {
+            Phase::Open(open) => Some(*open),
+            other => {
+                self.phase = other;
+                None
+            }
+        }
+    }
+
     /// Leaves the starting turn and tells all who wait for it.
     pub(crate) fn drop_starting(&mut self, refusal: &SessionRefusal) {
-        let Phase::Starting(starting) = std::mem::replace(&mut self.phase, Phase::Idle) else {
-            return;
-        };
+        let Some(starting) = self.take_starting() else { return };
         if let Some(ticket) = starting.ticket {
             self.effects.push(Effect::ReleaseSlot { ticket });
         }
@@ -339,10 +359,8 @@
 
     /// The shard has committed the starting turn.
     pub(crate) fn turn_begun(&mut self, grant: &TurnGrant) {
-        let Phase::Starting(starting) = std::mem::replace(&mut self.phase, Phase::Idle) else {
-            return;
-        };
-        let StartingTurn { request, clients, ticket, aborts, .. } = *starting;
+        let Some(starting) = self.take_starting() else { return };
+        let StartingTurn { request, clients, ticket, aborts, .. } = starting;
         let record = TurnRecord {
             turn: request.turn.clone(),
             after: request.after.clone(),
@@ -374,9 +392,7 @@
 
     /// The shard knew the starting turn already, and it is over.
     pub(crate) fn turn_found(&mut self, known: TurnRecord) {
-        let Phase::Starting(starting) = std::mem::replace(&mut self.phase, Phase::Idle) else {
-            return;
-        };
+        let Some(starting) = self.take_starting() else { return };
         if let Some(ticket) = starting.ticket {
             self.effects.push(Effect::ReleaseSlot { ticket });
         }
@@ -496,7 +512,7 @@
 
     /// The shard has committed the end of the open turn.
     pub(crate) fn turn_ended(&mut self, ended: &TurnRecord, event: Event) {
-        let Phase::Open(open) = std::mem::replace(&mut self.phase, Phase::Idle) else { return };
+        let Some(open) = self.take_open() else { return };
         self.record.open_turn = None;
         self.record.head = Some(ended.turn.clone());
         self.history.keep_record(ended.clone());
@@ -529,7 +545,7 @@
     pub(crate) fn end_phase(&mut self, refusal: &SessionRefusal) {
         self.drop_starting(refusal);
         self.end_turn(EndReason::Interrupted);
-        if let Phase::Open(open) = std::mem::replace(&mut self.phase, Phase::Idle) {
+        if let Some(open) = self.take_open() {
             for reply in open.replies {
                 self.reply(reply, Err(refusal.clone()));
             }
