--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -2,17 +2,18 @@
 //! controllers. All of it ends with its lease.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use hooklug_protocol::control::{ApplicationEngine, ClusterView, Member, MemberHealth};
 use hooklug_state::meta::{MetaAnswer, MetaQuery, MetaState};
 use hooklug_types::{FencingEpoch, Renewal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::engines::EngineTable;
 use super::members::MemberTable;
-use super::{Shared, discovery, rollout};
+use super::{Shared, repair, rollout};
+use crate::figures;
 use crate::judge::JudgedVersion;
 use crate::view::first_revision;
 
@@ -22,6 +23,13 @@
 /// Pause between reads of the meta state, when nothing tells that it changed (ours).
 const META_PAUSE: Duration = Duration::from_millis(500);
 
+/// Longest wait of the leader for its own copy of a bundle before it tells of it (ours).
+const HOLD_TIME: Duration = Duration::from_secs(1);
+
+/// Least pause between two looks, however many heartbeats come in (ours).
+const LEAST_PAUSE: Duration = Duration::from_millis(25);
+
+/// Longest wait for the meta state (ours).
 const META_TIME: Duration = Duration::from_secs(1);
 
 /// A leader that followed no view before gathers heartbeats for so long before it shows its own (ours: the
@@ -39,15 +47,12 @@
 pub(super) struct Leading {
     pub(super) epoch: FencingEpoch,
     pub(super) meta: watch::Sender<Option<Arc<MetaState>>>,
-    engines: Mutex<EngineTable>,
+    /// Set when this leader changed the meta state itself.
+    pub(super) meta_due: Notify,
     lost: Mutex<VecDeque<(Instant, JudgedVersion)>>,
 }
 
 impl Leading {
-    pub(super) fn engines(&self) -> MutexGuard<'_, EngineTable> {
-        self.engines.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Versions that lost an engine lately.
     pub(super) fn lost_lately(&self, now: Instant) -> BTreeSet<JudgedVersion> {
         let mut lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
@@ -81,17 +86,18 @@
 async fn lead(shared: &Arc<Shared>, epoch: FencingEpoch) {
     let now = Instant::now();
     let inherited = shared.published.view();
+    *shared.engines() = EngineTable::take_over(&inherited.engines, now);
     let leading = Leading {
         epoch,
         meta: watch::Sender::new(None),
-        engines: Mutex::new(EngineTable::take_over(&inherited.engines, now)),
+        meta_due: Notify::new(),
         lost: Mutex::default(),
     };
     let controllers = async {
         tokio::join!(
             refresh_meta(shared, &leading),
-            discovery::run(shared, &leading),
             rollout::run(shared, &leading),
+            repair::run(shared, &leading),
         );
     };
     tokio::select! {
@@ -109,6 +115,7 @@
             shared.ctx.state.query_meta(&MetaQuery::State, deadline).await
         {
             let state = Some(Arc::new(without_renewal(*state)));
+            hold_bundle(shared, state.as_deref()).await;
             leading.meta.send_if_modified(|known| {
                 let changed = *known != state;
                 *known = state;
@@ -118,10 +125,21 @@
         tokio::select! {
             () = tokio::time::sleep(META_PAUSE) => {}
             Ok(()) = news.changed() => {}
+            () = leading.meta_due.notified() => {}
         }
     }
 }
 
+/// Waits until this node holds the newest bundle itself, since all others will ask it for the sections; not
+/// for long, since others may have more luck.
+async fn hold_bundle(shared: &Shared, state: Option<&MetaState>) {
+    let Some(version) = state.and_then(|s| s.bundle.as_ref()).map(|b| b.version) else { return };
+    shared.ctx.identity.bundles.saw(version);
+    let mut bundle = shared.ctx.node.bundle.clone();
+    let held = bundle.wait_for(|b| b.as_ref().is_some_and(|b| b.record.version >= version));
+    let _ = tokio::time::timeout(HOLD_TIME, held).await;
+}
+
 /// Renewals of the leader's lease are no change of the view.
 fn without_renewal(mut state: MetaState) -> MetaState {
     if let Some(leader) = &mut state.leader {
@@ -142,11 +160,12 @@
         let now = Instant::now();
         take_inbox(shared, &mut members, now);
         members.look(now);
-        let next = assemble(leading, &members, now);
+        let next = assemble(shared, leading, &members, now);
         leading.note_lost(lost_versions(&shown, &next, &members, now), now);
         if let Some(next) = next.filter(|_| started.elapsed() >= warm_up) {
             show(shared, &mut shown, next);
         }
+        tokio::time::sleep(LEAST_PAUSE).await;
         tokio::select! {
             () = tokio::time::sleep(LOOK_PAUSE) => {}
             () = shared.inbox.arrived() => {}
@@ -173,9 +192,14 @@
     meta: Arc<MetaState>,
 }
 
-fn assemble(leading: &Leading, members: &MemberTable, now: Instant) -> Option<Parts> {
+fn assemble(
+    shared: &Shared,
+    leading: &Leading,
+    members: &MemberTable,
+    now: Instant,
+) -> Option<Parts> {
     let meta = leading.meta.borrow().clone()?;
-    let mut engines = leading.engines();
+    let mut engines = shared.engines();
     engines.look(now);
     Some(Parts { members: members.members(), engines: engines.engines(), meta })
 }
@@ -191,6 +215,7 @@
             engines: next.engines,
             meta: MetaState::clone(&next.meta),
         };
+        figures::view_shown(shown);
         shared.published.publish(shown.clone());
     }
     shared.published.refresh();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 
 /// How often versions are judged and tables swept (ours): well below the 5 s in which a bad version
 /// has to lose its traffic.
-const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time left of the grace period when streams that still run are cut, so that callers see it.
 const CUT_TIME: Duration = Duration::from_millis(500);
@@ -31,6 +31,7 @@
     /// A gateway on a node's context; nothing runs before [`Gateway::run`].
     #[must_use]
     pub fn new(ctx: NodeContext) -> Self {
+        ctx.node.readiness.unready(COMPONENT, "not started yet");
         Self { shared: Arc::new(Shared::new(ctx)) }
     }
 
@@ -77,6 +78,7 @@
     fn take_view(&self) {
         let view = self.shared.ctx.node.view.borrow().clone();
         self.shared.backends.listed(&view);
+        self.shared.evidence.take_view(&view);
     }
 
     fn take_bundle(&self) {
@@ -84,7 +86,7 @@
         let bundle = self.shared.ctx.node.bundle.borrow().clone();
         match bundle {
             Some(bundle) => {
-                self.shared.backends.installed(&bundle.bundle);
+                self.shared.backends.installed(&bundle);
                 readiness.ready(COMPONENT);
             }
             None => readiness.unready(COMPONENT, "no bundle is known yet"),
@@ -95,7 +97,9 @@
         let shared = &self.shared;
         shared.owners.engines.forget_unlisted();
         let Some(bundle) = shared.ctx.node.bundle.borrow().clone() else { return };
-        shared.evidence.judge(&bundle.bundle);
+        if shared.evidence.judge(&bundle.bundle) {
+            shared.backends.close_circuits();
+        }
         shared.tenants.sweep(|tenant| {
             bundle.bundle.tenants.get(tenant).map_or(0.0, |t| t.limits.requests_per_second)
         });
