--- a/crates/hooklug/tests/common/mod.rs
+++ b/crates/hooklug/tests/common/mod.rs
@@ -20,6 +20,9 @@
 /// Longest wait for a condition; generous, since it bounds no promise.
 pub const PATIENCE: Duration = Duration::from_secs(120);
 
+/// The tenant that all requests name.
+pub const TENANT: &str = "growers";
+
 /// One process and where it listens.
 pub struct Process {
     pub role: &'static str,
@@ -74,6 +77,8 @@
 pub struct Fleet {
     folder: tempfile::TempDir,
     net: u8,
+    /// The platform's list of engines, as cores read it.
+    pub platform_list: PathBuf,
     pub processes: Vec<Process>,
 }
 
@@ -81,7 +86,9 @@
     /// An empty fleet on addresses `127.net.*`.
     pub fn new(net: u8) -> Self {
         let folder = tempfile::tempdir().expect("a scratch folder");
-        Self { folder, net, processes: Vec::new() }
+        let platform_list = folder.path().join("engines.json");
+        std::fs::write(&platform_list, "{\"engines\": []}").expect("written");
+        Self { folder, net, platform_list, processes: Vec::new() }
     }
 
     /// Three stores, some cores and gateways, started.
@@ -106,9 +113,10 @@
         let text = format!(
             "rpc = \"{rpc}\"\nhttp = \"{http}\"\nzone = \"z{}\"\nseeds = [{}]\n\
              data_folder = {data:?}\ncluster_secret = \"secret of the test fleet\"\n\
-             enable_faults = true\n",
+             enable_faults = true\n[core]\nplatform_list = {:?}\n",
             index % 4 + 1,
             seeds.join(", "),
+            self.platform_list,
         );
         let settings = self.folder.path().join(format!("{role}{index}.toml"));
         std::fs::write(&settings, text).expect("written");
@@ -217,6 +225,7 @@
             .uri(path)
             .header("host", to.to_string())
             .header("content-type", "application/json")
+            .header("x-hooklug-tenant", TENANT)
             .body(Full::new(Bytes::from(body.to_owned())))
             .ok()?;
         let response = sender.send_request(request).await.ok()?;
