--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -33,6 +33,8 @@
     sent_commit: u64,
     /// Heard from since the last quorum check.
     active: bool,
+    /// Heard from between the last two quorum checks.
+    active_before: bool,
     /// Newest read round that it has answered.
     acked_round: u64,
 }
@@ -51,6 +53,7 @@
             check_wanted: false,
             sent_commit: 0,
             active: false,
+            active_before: false,
             acked_round: 0,
         }
     }
@@ -85,6 +88,18 @@
         self.active
     }
 
+    /// Whether it was heard from within the last one or two intervals between quorum checks: steady
+    /// right after a check too, when nothing can have been heard yet.
+    #[must_use]
+    pub fn lately_active(&self) -> bool {
+        self.active || self.active_before
+    }
+
+    /// Begins the next interval between quorum checks.
+    pub fn begin_interval(&mut self) {
+        self.active_before = std::mem::take(&mut self.active);
+    }
+
     /// Notes whether it was heard from.
     pub fn set_active(&mut self, active: bool) {
         self.active = active;
@@ -152,19 +167,19 @@
     /// Notes a refusal of the append after `rejected_index`; the logs may agree up to `hint`.
     /// Gives `false` for a refusal that is out of date.
     pub fn rejected(&mut self, rejected_index: u64, hint: u64) -> bool {
+        // A refusal at a place that matched before is out of date, or the replica has lost synced
+        // entries; answering that with another probe would go round without end.
+        if rejected_index <= self.matched {
+            return false;
+        }
         match self.state {
             ProgressState::Snapshot => false,
             ProgressState::Replicate => {
-                if rejected_index <= self.matched {
-                    return false;
-                }
                 self.become_probe(self.matched + 1);
                 true
             }
+            ProgressState::Probe if self.next - 1 != rejected_index => false,
             ProgressState::Probe => {
-                if self.next != rejected_index + 1 {
-                    return false;
-                }
                 self.become_probe(rejected_index.min(hint + 1).max(self.matched + 1));
                 true
             }
