gateway: a claim that waited does not send its call to an engine that drained meanwhile

Cause: room at an engine is taken before the claim, and the claim is retried until the call's deadline while its shard gives no answer. The call then went to the engine of that room, however long it had been draining or gone from the view. Ruled out: the engine's own refusal as the only guard, since draining engines must get no new work about 3 s after their draining is known. Change: after the claim is granted the room is kept only if the view still lists that run as healthy and not draining; else room is looked for anew, under the same attempt. The plain mode stays as it is.

--- a/crates/gateway/src/backend/table.rs
+++ b/crates/gateway/src/backend/table.rs
@@ -156,6 +156,18 @@
         view.engines.values().filter(|e| e.service == *service).map(Target::of).collect()
     }
 
+    /// Whether an engine may get a call now: the view lists this run of it as well, and neither the
+    /// view nor its own refusals say that it drains.
+    #[must_use]
+    pub fn is_open(&self, target: &Target) -> bool {
+        let view = self.node.view.borrow().clone();
+        let listed = view
+            .engines
+            .get(&target.run.engine)
+            .is_some_and(|e| e.incarnation == target.run.incarnation && e.healthy && !e.draining);
+        listed && self.lock().engines.get(&target.run).is_none_or(|known| !known.draining)
+    }
+
     /// Looks for an engine with room and takes it up.
     pub fn find(self: &Arc<Self>, wanted: &Wanted<'_>, service: &Service) -> Found {
         let now = Instant::now();
--- a/crates/gateway/src/calls/once.rs
+++ b/crates/gateway/src/calls/once.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hooklug_settings::GatewayMode;
 use hooklug_state::shard::CallRecord;
 use hooklug_types::{CallAttempt, CallOutcome};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -94,7 +95,7 @@
         loop {
             let error = match self.claim(&request, &attempt, request.deadline).await {
                 Ok(Claimed::Granted) => {
-                    return Ok(self.run_claimed(&request, &attempt, Some(room)).await);
+                    return Ok(self.run_claimed(&request, &attempt, self.still_open(room)).await);
                 }
                 Ok(Claimed::Held(record)) => {
                     drop(room);
@@ -132,6 +133,15 @@
         warn!(call = %request.call, "a claim's fate is not known");
     }
 
+    /// Room that was taken before the claim, unless its engine has left or begun to drain since: a
+    /// claim may wait as long as its shard cannot be reached.
+    fn still_open(&self, room: Outstanding) -> Option<Outstanding> {
+        match self.mode {
+            GatewayMode::Plain => Some(room),
+            GatewayMode::Full => self.backends.is_open(&room.target).then_some(room),
+        }
+    }
+
     /// Dispatches a claimed call and records how it ended.
     async fn run_claimed(
         &self,
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -470,6 +470,24 @@
     assert_eq!((engines[0].received(), engines[1].received()), (0, 0));
 }
 
+#[tokio::test]
+async fn an_engine_that_drains_while_the_claim_is_uncertain_gets_no_call() {
+    let (mut world, engines) = world_with(1, 1).await;
+    // The claim is taken up again and again without an answer, with room at the first engine.
+    world.state.lose_answers(shard_of("p1"), u32::MAX);
+    let url = world.url(0);
+    let calling =
+        tokio::spawn(async move { http::put(url, "/v1/programs/p1/calls/c1", &alarm()).await });
+    world.wait_claimed("p1", "c1").await;
+    let other = AppEngine::start("a2", 2).await;
+    world.view.engines.get_mut(&engines[0].engine).unwrap().draining = true;
+    world.list_app(&other, "v1", "z1");
+    world.state.lose_answers(shard_of("p1"), 0);
+    let answer = calling.await.expect("no panic");
+    assert_eq!((answer.status, &answer.json), (200, &json!({"ok": true})), "{answer:?}");
+    assert_eq!((engines[0].received(), other.runs("p1/c1")), (0, 1));
+}
+
 #[tokio::test]
 async fn a_failing_new_version_loses_its_traffic() {
     let mut world = World::new().await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -326,6 +326,18 @@
         assert_eq!(reply, Ok(ShardReply::CallGranted));
     }
 
+    /// Waits until a call is claimed.
+    pub async fn wait_claimed(&self, program: &str, call: &str) {
+        let query = ShardQuery::Call { program: id(program), call: id(call) };
+        loop {
+            let answer = self.state.query_shard(shard_of(program), &query, soon()).await;
+            if matches!(answer, Ok(ShardAnswer::Call(Some(_)))) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
     /// Waits until a call has an outcome.
     pub async fn wait_outcome(&self, program: &str, call: &str) -> CallOutcome {
         let query = ShardQuery::Call { program: id(program), call: id(call) };
