gateway: waiting for a kept connection has a deadline

Cause: an idle connection was waited for without any bound, while opening a new one has 1.5 s and the request's deadline; a call could have hung beyond its deadline, with its room. Change: the same bound holds for both. No test: no peer was found that keeps such a wait open; found by reading. Measured: tests/calls.rs, 26 passed.

--- a/crates/gateway/src/backend/pool.rs
+++ b/crates/gateway/src/backend/pool.rs
@@ -83,12 +83,13 @@
         target: &Target,
         deadline: Instant,
     ) -> Result<Connection, ConnectError> {
+        let until = deadline.min(Instant::now() + CONNECT_TIME);
         while let Some(mut connection) = self.take_idle(&target.run) {
-            if connection.sender.ready().await.is_ok() {
+            let ready = tokio::time::timeout_at(until, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
                 return Ok(connection);
             }
         }
-        let until = deadline.min(Instant::now() + CONNECT_TIME);
         let opened = tokio::time::timeout_at(until, self.open(target)).await;
         opened.map_err(|_| ConnectError::Connect("not in time".to_owned()))?
     }
