engine: a session is in the table before its loop runs

Cause: the loop was started first and put into the table after. A loop that ended at once, since the lease ran out while the history was loaded, took itself out of the table before it was in, and its dead mailbox stayed: each later message to the session got 'try again' until the process ended, and a drained engine never exited. Change: start() inserts, then spawns. No test: the window lies between two statements on two threads; found by reading. Measured: engine tests clients (2), leaving (9), ownership (6) passed.

--- a/crates/engine/src/opening.rs
+++ b/crates/engine/src/opening.rs
@@ -137,12 +137,11 @@
     if let Some(held) = shared.table.get(&record.key) {
         return Ok(held.mailbox);
     }
-    let (key, epoch) = (record.key.clone(), record.epoch);
+    let epoch = record.epoch;
     let loaded =
         load(shared.state.as_ref(), record, store_deadline()).await.map_err(load_refusal)?;
     let session = Session::new(loaded, shared.session_config(), loop_now());
-    let mailbox = session_task::start(shared, session);
-    shared.table.insert(key, epoch, mailbox.clone());
+    let mailbox = session_task::start(shared, session, epoch);
     if shared.handing_over.load(Ordering::Acquire) {
         mailbox.tell(Message::HandOver);
     }
--- a/crates/engine/src/session_task.rs
+++ b/crates/engine/src/session_task.rs
@@ -9,7 +9,7 @@
     ModelEvent, Moment, ReplyId, Session, SessionRefusal, SlotTicket,
 };
 use hooklug_state::shard::{ShardAnswer, ShardQuery};
-use hooklug_types::{GroupId, SessionKey, TurnId};
+use hooklug_types::{GroupId, SessionEpoch, SessionKey, TurnId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
@@ -77,9 +77,10 @@
     }
 }
 
-/// Starts the task of a session's loop.
+/// Starts the task of a session's loop, held under an epoch. It is in the table before it runs, since a
+/// loop that ends at once takes itself out of it.
 #[must_use]
-pub fn start(shared: &Arc<Shared>, session: Session) -> Mailbox {
+pub fn start(shared: &Arc<Shared>, session: Session, epoch: SessionEpoch) -> Mailbox {
     let (sender, envelopes) = mpsc::unbounded_channel();
     let mailbox = Mailbox { sender };
     let task = SessionTask {
@@ -93,6 +94,7 @@
         generations: HashMap::new(),
         tickets: HashMap::new(),
     };
+    shared.table.insert(task.key.clone(), epoch, mailbox.clone());
     tokio::spawn(task.run(envelopes));
     mailbox.tell(Message::Tick);
     mailbox
--- a/crates/engine/tests/clients.rs
+++ b/crates/engine/tests/clients.rs
@@ -81,8 +81,9 @@
     });
     let reply = shared.state.execute_shard(group(&key("p1", "s1")), &open, soon()).await.unwrap();
     let ShardReply::Session(record) = reply else { panic!("{reply:?}") };
+    let epoch = record.epoch;
     let loaded = loader::load(shared.state.as_ref(), record, soon()).await.unwrap();
-    session_task::start(shared, Session::new(loaded, shared.session_config(), loop_now()))
+    session_task::start(shared, Session::new(loaded, shared.session_config(), loop_now()), epoch)
 }
 
 fn in_order(events: &[Event], from: u64) {
