engine: a test of the drain bound

Cause: nothing tested that sessions leave a superseded engine at drain_bound_ms. Change: the bound is an option of the tests' engines; at 1 ms an idle session is given up, a running turn ends first. The test beside it, with 900 s, sees that sessions stay.

--- a/crates/engine/tests/leaving.rs
+++ b/crates/engine/tests/leaving.rs
@@ -42,6 +42,25 @@
     ended(engine).await;
 }
 
+#[tokio::test]
+async fn at_the_drain_bound_sessions_are_given_up_between_turns() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let options = EngineOptions { drain_bound_ms: 1, ..named("e1", "v1") };
+    let engine = world.engine(&model, options).await;
+    let idle = world.session(&engine, "p1").await;
+    let busy = world.session(&engine, "p2").await;
+    let mut stream = world.stream(&engine, &run_turn(&busy, "t1", None, "gated 3")).await;
+    read_events(&mut stream, 1).await;
+
+    engine.install(bundle(2, &SUPERSEDED));
+    eventually("idle one given up", async || world.record(&idle.key).await.owner.is_none()).await;
+    assert_eq!(world.record(&busy.key).await.owner, Some(engine.engine.clone()));
+    model.let_through("t1", 10);
+    assert_eq!(read_turn(&mut stream).await.end(), Some(&EndReason::Finished));
+    eventually("busy one given up", async || world.record(&busy.key).await.owner.is_none()).await;
+    ended(engine).await;
+}
+
 #[tokio::test]
 async fn a_superseded_engine_takes_sessions_again_after_a_roll_back() {
     let (world, model) = (World::new(), ModelServer::start().await);
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -115,12 +115,20 @@
     pub version: &'static str,
     pub slots: u32,
     pub grace_ms: u64,
+    pub drain_bound_ms: u64,
     pub unconnected_keep_ms: u64,
 }
 
 impl Default for EngineOptions {
     fn default() -> Self {
-        Self { name: "e1", version: "v1", slots: 16, grace_ms: 5_000, unconnected_keep_ms: 600_000 }
+        Self {
+            name: "e1",
+            version: "v1",
+            slots: 16,
+            grace_ms: 5_000,
+            drain_bound_ms: 900_000,
+            unconnected_keep_ms: 600_000,
+        }
     }
 }
 
@@ -174,7 +182,7 @@
             version: version(options.version),
             model_server: model,
             slots: options.slots,
-            drain_bound_ms: 900_000,
+            drain_bound_ms: options.drain_bound_ms,
             unconnected_keep_ms: options.unconnected_keep_ms,
         }),
         gateway: GatewaySettings::default(),
