rpc: a pause after a broken hello, and a fault for a handler that panicked

Cause: each call to a peer that refuses or breaks off the hello opened a connection of its own, so a node with another secret cost a connection a request. And a handler that panicked sent nothing: its caller waited for its whole deadline, and the server kept the task's handle for the life of the connection. Change: an address is not tried again for 200 ms (HELLO_PAUSE) after a broken hello; calls meanwhile are NotSent at once. Refused connections are as before: a restarted process is reached at once. A panicked handler is answered with Fault::Failed, which claims nothing about what it did.

--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -10,13 +10,55 @@
 use tokio::sync::{Mutex, mpsc, oneshot};
 use tokio::time::{Instant, timeout_at};
 
-use crate::connection::{Connection, READER_QUEUE_ITEMS, Registration, Waiter};
+use crate::connection::{Connection, OpenError, READER_QUEUE_ITEMS, Registration, Waiter};
 use crate::{LocalIdentity, Peer, RpcError};
 
 /// Longest time to open a connection.
 const CONNECT_TIME: Duration = Duration::from_secs(2);
 
-type Slot = Arc<Mutex<Option<Arc<Connection>>>>;
+/// Time in which an address is not tried again after a peer there did not complete the hello (ours):
+/// such a peer costs a connection each time, and will hardly think better of it sooner.
+pub const HELLO_PAUSE: Duration = Duration::from_millis(200);
+
+/// What is known of one address.
+#[derive(Default)]
+struct Line {
+    connection: Option<Arc<Connection>>,
+    /// Until when the address is not tried, and why.
+    paused: Option<(Instant, String)>,
+}
+
+impl Line {
+    /// The open connection, or a new one.
+    async fn connection(
+        &mut self,
+        to: SocketAddr,
+        identity: &LocalIdentity,
+    ) -> Result<Arc<Connection>, String> {
+        if let Some(connection) = self.connection.as_ref().filter(|c| !c.is_closed()) {
+            return Ok(connection.clone());
+        }
+        if let Some((until, reason)) = &self.paused
+            && Instant::now() < *until
+        {
+            return Err(reason.clone());
+        }
+        match Connection::open(to, identity).await {
+            Ok(connection) => {
+                self.paused = None;
+                Ok(self.connection.insert(connection).clone())
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                let is_hello = matches!(error, OpenError::Hello(_));
+                self.paused = is_hello.then(|| (Instant::now() + HELLO_PAUSE, reason.clone()));
+                Err(reason)
+            }
+        }
+    }
+}
+
+type Slot = Arc<Mutex<Line>>;
 
 /// Calls peers by address. Cheap to clone; clones share connections.
 #[derive(Clone)]
@@ -115,16 +157,8 @@
             slots.entry(to).or_default().clone()
         };
         let deadline = deadline.min(Instant::now() + CONNECT_TIME);
-        let opening = async {
-            let mut slot = slot.lock().await;
-            if let Some(connection) = slot.as_ref().filter(|c| !c.is_closed()) {
-                return Ok(connection.clone());
-            }
-            let connection = Connection::open(to, &self.identity).await?;
-            *slot = Some(connection.clone());
-            Ok(connection)
-        };
-        let opened: std::io::Result<_> = timeout_at(deadline, opening)
+        let opening = async { slot.lock().await.connection(to, &self.identity).await };
+        let opened = timeout_at(deadline, opening)
             .await
             .map_err(|_| RpcError::NotSent(format!("no connection to {to} in time")))?;
         opened.map_err(|e| RpcError::NotSent(format!("no connection to {to}: {e}")))
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -49,9 +49,23 @@
     waiters.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Why a connection could not be had.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum OpenError {
+    /// Nobody takes connections at the address.
+    #[error(transparent)]
+    Connect(#[from] io::Error),
+    /// Who answers there did not complete the hello.
+    #[error("hello: {0}")]
+    Hello(#[source] io::Error),
+}
+
 impl Connection {
     /// Opens a connection from this node's own address and proves the secret.
-    pub(crate) async fn open(to: SocketAddr, identity: &LocalIdentity) -> io::Result<Arc<Self>> {
+    pub(crate) async fn open(
+        to: SocketAddr,
+        identity: &LocalIdentity,
+    ) -> Result<Arc<Self>, OpenError> {
         identity.faults.passable(to.ip()).await;
         let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         let own = identity.address.rpc.ip();
@@ -60,7 +74,8 @@
         }
         let mut stream = socket.connect(to).await?;
         stream.set_nodelay(true)?;
-        let peer = hello::connect(&mut stream, identity, to.ip()).await?;
+        let hello = hello::connect(&mut stream, identity, to.ip()).await;
+        let peer = hello.map_err(OpenError::Hello)?;
         let (reading, writing) = stream.into_split();
         let (queue, frames) = mpsc::channel(WRITE_QUEUE_FRAMES);
         let closed = CancellationToken::new();
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -18,7 +18,7 @@
 mod router;
 mod server;
 
-pub use client::{ItemStream, RpcClient};
+pub use client::{HELLO_PAUSE, ItemStream, RpcClient};
 pub use error::{Fault, RpcError};
 pub use faults::{LinkFault, LinkFaults};
 pub use identity::{BundleNews, LocalIdentity, Peer};
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -9,9 +9,9 @@
 use tokio::io::AsyncRead;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::{AbortHandle, JoinError, JoinSet};
 use tokio_util::sync::CancellationToken;
-use tracing::debug;
+use tracing::{debug, error};
 
 use crate::frame::{ClientFrame, ServerBody, ServerFrame, encode, read};
 use crate::link::{Outgoing, WRITE_QUEUE_FRAMES, write_frames};
@@ -137,8 +137,9 @@
         loop {
             let frame = tokio::time::timeout(CLIENT_SILENCE, read(&mut reader)).await??;
             while let Some(done) = self.tasks.try_join_next() {
-                if let Ok(id) = done {
-                    self.running.remove(&id);
+                match done {
+                    Ok(id) => drop(self.running.remove(&id)),
+                    Err(error) => self.failed(&error).await,
                 }
             }
             self.handle(frame).await;
@@ -165,6 +166,15 @@
         }
     }
 
+    /// A handler that panicked has sent no answer; one that was cancelled is not waited for any more.
+    async fn failed(&mut self, error: &JoinError) {
+        let found = self.running.iter().find(|(_, task)| task.id() == error.id());
+        let Some(id) = found.map(|(id, _)| *id) else { return };
+        self.running.remove(&id);
+        error!(%error, "a handler panicked");
+        self.fault(id, Fault::Failed("the handler panicked".to_owned())).await;
+    }
+
     async fn fault(&self, id: u64, fault: Fault) {
         self.answers.send(ServerBody::Fault { id, fault }).await;
     }
--- a/crates/rpc/tests/transport.rs
+++ b/crates/rpc/tests/transport.rs
@@ -2,13 +2,18 @@
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hooklug_protocol::control::NodeAddress;
 use hooklug_protocol::{Method, Request, StreamRequest};
-use hooklug_rpc::{LinkFault, LocalIdentity, Router, RpcClient, RpcError, RpcServer};
+use hooklug_rpc::{
+    Fault, HELLO_PAUSE, LinkFault, LocalIdentity, Router, RpcClient, RpcError, RpcServer,
+};
 use hooklug_types::{BundleVersion, Incarnation, NodeId, NodeRole, ZoneName};
 use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -37,6 +42,15 @@
     const METHOD: Method = Method::Discover;
 }
 
+/// A request whose handler panics.
+#[derive(Debug, Serialize, Deserialize)]
+struct Panicking;
+
+impl Request for Panicking {
+    type Reply = ();
+    const METHOD: Method = Method::Heartbeat;
+}
+
 fn identity(node: u64, secret: &str) -> LocalIdentity {
     let address = NodeAddress {
         node: NodeId(node),
@@ -64,6 +78,7 @@
 async fn start(secret: &str) -> Running {
     let router = Router::new()
         .route(|peer, Echo(text)| async move { format!("{} from {}", text, peer.node) })
+        .route(|_, _: Panicking| async move { panic!("as the test asks") })
         .stream(|_, Count(to), sink| async move {
             for i in 1..=to {
                 if sink.send(&i).await.is_err() {
@@ -141,6 +156,38 @@
     assert!(matches!(unknown, Err(RpcError::Fault(_))), "{unknown:?}");
 }
 
+#[tokio::test]
+async fn a_handler_that_panics_is_told_as_a_fault() {
+    let server = start("a shared secret").await;
+    let client = RpcClient::new(identity(2, "a shared secret"));
+    let failed = client.call(server.address, &Panicking, soon()).await;
+    assert!(matches!(failed, Err(RpcError::Fault(Fault::Failed(_)))), "{failed:?}");
+    let next = client.call(server.address, &Echo("on".into()), soon()).await;
+    assert_eq!(next, Ok("on from 2".to_owned()), "the connection goes on");
+}
+
+#[tokio::test]
+async fn a_peer_that_breaks_the_hello_off_is_not_connected_to_for_each_call() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let to = listener.local_addr().expect("an address");
+    let accepted = Arc::new(AtomicU64::new(0));
+    let counting = accepted.clone();
+    tokio::spawn(async move {
+        while listener.accept().await.is_ok() {
+            counting.fetch_add(1, Ordering::SeqCst);
+        }
+    });
+    let client = RpcClient::new(identity(2, "a shared secret"));
+    let begun = Instant::now();
+    for _ in 0..100 {
+        let refused = client.call(to, &Echo("x".into()), soon()).await;
+        assert!(refused.expect_err("refused").is_not_sent());
+    }
+    let pauses = begun.elapsed().as_millis() / HELLO_PAUSE.as_millis();
+    let opened = accepted.load(Ordering::SeqCst);
+    assert!(u128::from(opened) <= pauses + 1, "{opened} connections in {pauses} pauses");
+}
+
 #[tokio::test]
 async fn a_peer_of_another_cluster_is_refused() {
     let server = start("a shared secret").await;
