control: a version released again is judged by what is seen from then on

Cause: the judge keeps two minutes of figures by version name, and harm found in them counts while there are no newer ones. A version that was rolled back and released again within that time was rolled back before it had taken a request. Change: when a bundle lists a rolled back version as sound again, its figures and reports are forgotten. Ruled out: forgetting at the roll-back itself, since late figures come in after it.

--- a/crates/control/src/judge/mod.rs
+++ b/crates/control/src/judge/mod.rs
@@ -63,6 +63,8 @@
     /// Highest load of a route, in requests a second, while the history was gathered.
     history_load: BTreeMap<(ServiceName, RouteName), f64>,
     suspected: BTreeMap<JudgedVersion, Instant>,
+    /// Versions that the last bundle listed as rolled back.
+    rolled_back: BTreeSet<JudgedVersion>,
     reported: Vec<HarmReport>,
 }
 
@@ -118,6 +120,7 @@
         lost_engines: &BTreeSet<JudgedVersion>,
         now: Instant,
     ) -> Vec<HarmReport> {
+        self.forget_released_again(bundle);
         let mut reports = std::mem::take(&mut self.reported);
         reports.retain(|harm| is_judged(bundle, harm));
         let mut still_suspected = BTreeMap::new();
@@ -140,6 +143,21 @@
         reports
     }
 
+    /// A version that was rolled back and is released again under its old name is judged by what is seen
+    /// from then on: the figures that condemned it are those of another build.
+    fn forget_released_again(&mut self, bundle: &Bundle) {
+        let rolled_back = versions(bundle, VersionState::RolledBack);
+        let sound = versions(bundle, VersionState::Sound);
+        for again in self.rolled_back.intersection(&sound) {
+            self.window.forget(&again.service, &again.version);
+            self.history
+                .retain(|key, _| key.service != again.service || key.version != again.version);
+            self.reported
+                .retain(|harm| harm.service != again.service || harm.version != again.version);
+        }
+        self.rolled_back = rolled_back;
+    }
+
     fn judge(&self, pair: &Pair<'_>, now: Instant) -> Option<HarmReport> {
         let routes = self.window.routes(pair.name, pair.new);
         routes.iter().find_map(|route| self.judge_route(pair, route, now))
@@ -240,6 +258,17 @@
     service.and_then(|(name, s)| pair(name, s)).is_some_and(|pair| *pair.new == harm.version)
 }
 
+/// All versions of a bundle in one state.
+fn versions(bundle: &Bundle, state: VersionState) -> BTreeSet<JudgedVersion> {
+    let of = |(name, service): (&ServiceName, &Service)| {
+        let listed = service.versions.iter().filter(|entry| entry.state == state);
+        let judged = listed
+            .map(|entry| JudgedVersion { service: name.clone(), version: entry.version.clone() });
+        judged.collect::<Vec<_>>()
+    };
+    bundle.services.iter().flat_map(of).collect()
+}
+
 /// The newest sound version and the sound one before it.
 fn pair<'a>(name: &'a ServiceName, service: &'a Service) -> Option<Pair<'a>> {
     let mut sound = service.versions.iter().rev().filter(|v| v.state == VersionState::Sound);
--- a/crates/control/src/judge/window.rs
+++ b/crates/control/src/judge/window.rs
@@ -59,6 +59,13 @@
         }
     }
 
+    /// Drops all counts of a version.
+    pub(super) fn forget(&mut self, service: &ServiceName, version: &ServiceVersion) {
+        for slot in &mut self.slots {
+            slot.counts.retain(|key, _| key.service != *service || key.version != *version);
+        }
+    }
+
     fn recent(&self, interval: Duration, now: Instant) -> impl Iterator<Item = &Slot> {
         let recent = move |s: &&Slot| now.saturating_duration_since(s.at) <= interval;
         self.slots.iter().rev().take_while(recent)
--- a/crates/control/tests/judge.rs
+++ b/crates/control/tests/judge.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use hooklug_bundle::{Bundle, Service};
+use hooklug_bundle::{Bundle, Service, VersionState};
 use hooklug_control::judge::{Judge, JudgedVersion};
 use hooklug_control::latency_bucket;
 use hooklug_protocol::control::{LATENCY_BUCKETS, VersionStatistics};
@@ -61,6 +61,12 @@
         }
     }
 
+    fn set_state(&mut self, version: &str, state: VersionState) {
+        let service = self.bundle.services.values_mut().next().expect("one service");
+        let mut versions = service.versions.iter_mut();
+        versions.find(|v| v.version.as_str() == version).expect("listed").state = state;
+    }
+
     fn at(&self, millis: u64) -> Instant {
         self.start + Duration::from_secs(self.second.into()) + Duration::from_millis(millis)
     }
@@ -279,3 +285,20 @@
     simulation.judge.report(harm("v2"));
     assert_eq!(simulation.run(1, well(1), well(1)), Some((2, harm("v2"))));
 }
+
+#[test]
+fn a_version_released_again_is_not_judged_by_the_figures_that_condemned_it() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        let bad = Behaviour { error_share: 0.9, ..well(20) };
+        expect_report(simulation.run(20, well(380), bad), seed);
+        simulation.set_state("v2", VersionState::RolledBack);
+        let old_alone = [(SERVICE, "v1", ROUTE, well(400))];
+        assert!((0..5).all(|_| simulation.second(&old_alone).is_none()), "seed {seed}");
+        simulation.set_state("v2", VersionState::Sound);
+        // No engine of it has taken a request yet.
+        let early = (0..10).find_map(|_| simulation.second(&old_alone));
+        assert_eq!(early, None, "seed {seed}");
+        expect_report(simulation.run(20, well(380), bad), seed);
+    }
+}
