bundle, admin: a key that is given twice is a fault

Cause: maps of a bundle (services, routes, tenants, windows) kept the last value of a repeated key without a word, so an operator's file could lose an entry. Fields of structs were refused already. Change: JSON is checked for repeated keys, at any depth, where operators' bundles are read: the admin endpoint (bad_json, with the key's path as field) and the command line. TOML refuses them itself.

--- a/crates/admin/src/bundles.rs
+++ b/crates/admin/src/bundles.rs
@@ -72,6 +72,11 @@
         Problem::new(StatusCode::BAD_REQUEST, "bad_json", "the body does not decode")
             .detail(e.to_string())
     })?;
+    hooklug_bundle::check_unique_keys(body).map_err(|e| {
+        Problem::new(StatusCode::BAD_REQUEST, "bad_json", "a key is given twice")
+            .field(e.path)
+            .detail(e.message)
+    })?;
     Ok(submission)
 }
 
--- a/crates/admin/tests/bundles.rs
+++ b/crates/admin/tests/bundles.rs
@@ -96,6 +96,10 @@
         (r#"{"bundle": {"version": "x", "base": 0}}"#, "bundle.version"),
         (r#"{"bundle": {"version": 1, "base": 0}, "comment": ""}"#, "comment"),
         (r#"{"bundle": {"version": 1, "base": 0}} {}"#, ""),
+        (
+            r#"{"bundle": {"version": 1, "base": 0, "tenants": {"t": {"group": "a"}, "t": {"group": "b"}}}}"#,
+            "bundle.tenants.t",
+        ),
     ] {
         let refused = api.ask(Method::POST, "/admin/v1/bundles", None, body).await;
         assert_eq!(
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod model;
 mod parse;
 mod signature;
+mod unique_keys;
 mod validate;
 
 pub use canonical::{
@@ -25,4 +26,5 @@
 };
 pub use parse::{ParseError, TextFormat, parse};
 pub use signature::{KeyPair, SignatureFault, check_public_key, generate_key_pair, sign, verify};
+pub use unique_keys::check_unique_keys;
 pub use validate::{BundleFault, validate};
--- a/crates/bundle/src/parse.rs
+++ b/crates/bundle/src/parse.rs
@@ -41,6 +41,7 @@
             let mut reader = serde_json::Deserializer::from_str(text);
             let bundle = read(&mut reader)?;
             reader.end().map_err(|e| whole(e.to_string()))?;
+            crate::check_unique_keys(text.as_bytes())?;
             Ok(bundle)
         }
         TextFormat::Toml => {
