control: a core that begins to lead does not act on old evidence

Cause: a core that follows takes in heartbeats, figures and reports of harm that it cannot pass on, and kept them without a time until it led, perhaps hours later. Then they counted as of now: a version could be rolled back for failures long past, and a node long gone counted as alive for another 6 s. The bound on figures kept the oldest, not the newest as its comment says. Of too many figures the newest stay. Heartbeats of nodes that are gone no longer add up at a core that never leads.

--- /dev/null
+++ b/crates/control/src/core/inbox/tests.rs
@@ -0,0 +1,87 @@
+//! What waits too long is dropped; what came in lately is not.
+
+use std::time::{Duration, Instant};
+
+use hooklug_protocol::control::{Heartbeat, LATENCY_BUCKETS, NodeAddress, VersionStatistics};
+use hooklug_state::meta::HarmReport;
+use hooklug_types::{
+    BundleVersion, Incarnation, NodeId, NodeRole, RouteName, ServiceName, ServiceVersion, ZoneName,
+};
+
+use super::{Inbox, MOST_STATISTICS, WORTH_TIME};
+
+fn statistics(failures: u64) -> VersionStatistics {
+    VersionStatistics {
+        service: ServiceName::new("alarms").expect("valid"),
+        version: ServiceVersion::new("v2").expect("valid"),
+        route: RouteName::new("send-alarm").expect("valid"),
+        successes: 0,
+        failures,
+        latency: [0; LATENCY_BUCKETS],
+    }
+}
+
+fn heartbeat(node: u64, statistics: Vec<VersionStatistics>) -> Heartbeat {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    Heartbeat {
+        from: NodeAddress {
+            node: NodeId(node),
+            incarnation: Incarnation(1),
+            role: NodeRole::Gateway,
+            rpc: address,
+            http: address,
+            zone: ZoneName::new("z1").expect("valid"),
+        },
+        bundle: BundleVersion(1),
+        engine: None,
+        load: None,
+        statistics,
+    }
+}
+
+fn harm() -> HarmReport {
+    HarmReport {
+        service: ServiceName::new("alarms").expect("valid"),
+        version: ServiceVersion::new("v2").expect("valid"),
+        route: None,
+        reason: "seen by a gateway".to_owned(),
+    }
+}
+
+#[test]
+fn a_core_that_leads_later_acts_on_late_evidence_only() {
+    let (inbox, start) = (Inbox::default(), Instant::now());
+    inbox.put_heartbeat(heartbeat(1, vec![statistics(30)]), start);
+    inbox.put_harm(harm(), start);
+    let later = start + WORTH_TIME + Duration::from_millis(1);
+    inbox.put_heartbeat(heartbeat(2, vec![statistics(1)]), later);
+    let received = inbox.take(later);
+    let nodes: Vec<NodeId> = received.heartbeats.iter().map(|h| h.from.node).collect();
+    assert_eq!(nodes, [NodeId(2)]);
+    assert_eq!(received.statistics, [statistics(1)]);
+    assert_eq!(received.harm, []);
+}
+
+#[test]
+fn what_came_in_lately_is_taken_once() {
+    let (inbox, start) = (Inbox::default(), Instant::now());
+    inbox.put_heartbeat(heartbeat(1, vec![statistics(1)]), start);
+    inbox.put_heartbeat(heartbeat(1, vec![statistics(2)]), start);
+    inbox.put_harm(harm(), start);
+    inbox.put_harm(harm(), start);
+    let received = inbox.take(start + WORTH_TIME);
+    assert_eq!(received.heartbeats.len(), 1);
+    assert_eq!(received.statistics, [statistics(1), statistics(2)]);
+    assert_eq!(received.harm, [harm()]);
+    let nothing = inbox.take(start + WORTH_TIME);
+    assert!(nothing.heartbeats.is_empty() && nothing.statistics.is_empty());
+}
+
+#[test]
+fn of_too_many_statistics_the_newest_stay() {
+    let (inbox, start) = (Inbox::default(), Instant::now());
+    let many = (0..=MOST_STATISTICS as u64).map(statistics).collect();
+    inbox.put_heartbeat(heartbeat(1, many), start);
+    let kept = inbox.take(start).statistics;
+    assert_eq!((kept.len(), kept[0].failures), (MOST_STATISTICS, 1));
+}
--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -175,8 +175,8 @@
 }
 
 fn take_inbox(shared: &Shared, members: &mut MemberTable, now: Instant) {
-    let received = shared.inbox.take();
-    for heartbeat in received.heartbeats.values() {
+    let received = shared.inbox.take(now);
+    for heartbeat in &received.heartbeats {
         members.heard(heartbeat, now);
     }
     shared.judge().observe(&received.statistics, now);
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -152,7 +152,7 @@
             return reply;
         }
     }
-    shared.inbox.put_heartbeat(heartbeat);
+    shared.inbox.put_heartbeat(heartbeat, std::time::Instant::now());
     let view = shared.published.view();
     HeartbeatReply {
         revision: view.revision,
@@ -172,7 +172,7 @@
             return;
         }
     }
-    shared.inbox.put_harm(report.harm);
+    shared.inbox.put_harm(report.harm, std::time::Instant::now());
 }
 
 async fn figures(
