--- a/crates/session/src/attach.rs
+++ b/crates/session/src/attach.rs
@@ -6,8 +6,8 @@
 use crate::clients::refuse;
 use crate::effect::{ClientItem, Effect, SessionRefusal};
 use crate::message::{ClientId, LookUpId, TurnRequest};
+use crate::phase::Phase;
 use crate::session::Session;
-use crate::turn::Phase;
 
 /// A resend whose turn's record is being read.
 #[derive(Debug, Clone)]
--- a/crates/session/src/commit.rs
+++ b/crates/session/src/commit.rs
@@ -11,8 +11,8 @@
 
 use crate::effect::{Answer, Effect, Ending, SessionRefusal};
 use crate::message::{CommitId, ReplyId};
+use crate::phase::Phase;
 use crate::session::{PendingEvent, Session};
-use crate::turn::Phase;
 
 /// Bytes of event texts after which an append is closed (ours); it holds at least one event.
 const APPEND_BYTES: usize = 256 << 10;
--- a/crates/session/src/generation.rs
+++ b/crates/session/src/generation.rs
@@ -5,8 +5,8 @@
 
 use crate::effect::{Effect, GenerationRequest};
 use crate::message::{GenerationId, ModelEnd, ModelEvent, TurnRequest};
+use crate::phase::Phase;
 use crate::session::{PendingEvent, Session};
-use crate::turn::Phase;
 
 impl Session {
     pub(crate) fn start_generation(&mut self, request: TurnRequest) {
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -16,6 +16,7 @@
 mod generation;
 mod history;
 mod message;
+mod phase;
 mod session;
 mod turn;
 
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -12,7 +12,7 @@
 use crate::effect::{Answer, ClientItem, Effect, Ending, SessionRefusal};
 use crate::history::History;
 use crate::message::{ClientId, LookUpId, Message, ReplyId};
-use crate::turn::Phase;
+use crate::phase::Phase;
 
 /// A session as it was read from its shard after ownership was committed.
 #[derive(Debug, Clone)]
