--- /dev/null
+++ b/crates/gateway/examples/overload.rs
@@ -0,0 +1,155 @@
+//! Measures goodput and latency of calls that may be repeated at one and three times the capacity of
+//! the application engines, with the gateway as designed and in its plain mode, in one run.
+//!
+//! `cargo run --release -p hooklug-gateway --example overload`. Load comes at fixed instants whatever
+//! the answers (open loop). All in one process on loopback: figures compare modes, not machines.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hooklug_emulator::{ApplicationEngine as App, ApplicationOptions, StandIn};
+use hooklug_protocol::control::ApplicationEngine;
+use hooklug_settings::GatewayMode;
+use hooklug_types::ServiceName;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use support::{World, bundle, id, loopback};
+use tokio::time::Instant;
+
+const ENGINES: u32 = 3;
+const SLOTS: u32 = 8;
+const RUN_TIME: Duration = Duration::from_millis(20);
+const DEADLINE: Duration = Duration::from_millis(500);
+const SPAN: Duration = Duration::from_secs(8);
+/// Answers of the first part are not counted: limits find their size in it.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+type Caller = Client<HttpConnector, Full<Bytes>>;
+
+#[derive(Debug, Default)]
+struct Seen {
+    sent: u64,
+    good_ms: Vec<f64>,
+    shed_ms: Vec<f64>,
+    late: u64,
+}
+
+async fn world(mode: GatewayMode) -> (World, Vec<StandIn>) {
+    let mut bundle = bundle();
+    let farm = bundle.services.get_mut(&id::<ServiceName>("farm")).expect("listed");
+    farm.queue_per_engine = 64;
+    let mut world = World::with(bundle, mode, 1).await;
+    let mut engines = Vec::new();
+    for number in 0..ENGINES {
+        let app = App::start(ApplicationOptions {
+            listen: loopback(),
+            service: id("farm"),
+            engine: id(&format!("app-{number}")),
+            version: id("v1"),
+            run_time: RUN_TIME,
+            slots: SLOTS,
+            ledger: None,
+        });
+        let app = app.await.expect("a port");
+        let listed = ApplicationEngine {
+            engine: app.identity().engine,
+            incarnation: app.identity().incarnation,
+            service: id("farm"),
+            version: id("v1"),
+            address: app.address(),
+            zone: id("z1"),
+            draining: false,
+            healthy: true,
+        };
+        world.view.engines.insert(listed.engine.clone(), listed);
+        engines.push(app);
+    }
+    world.publish();
+    world.put_program("p1").await;
+    (world, engines)
+}
+
+async fn one(caller: Caller, to: SocketAddr, number: u64, counted: bool, seen: Arc<Mutex<Seen>>) {
+    let body = format!(
+        r#"{{"tool":"read_sensor","arguments":{{"house":{number}}},"deadline_ms":{}}}"#,
+        DEADLINE.as_millis()
+    );
+    let request = http::Request::put(format!("http://{to}/v1/programs/p1/calls/c{number}"))
+        .header("x-hooklug-tenant", "dalatek")
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .expect("a request");
+    let begun = Instant::now();
+    let asked = async {
+        let response = caller.request(request).await.ok()?;
+        let status = response.status().as_u16();
+        response.into_body().collect().await.ok()?;
+        Some(status)
+    };
+    let status = tokio::time::timeout(DEADLINE * 2, asked).await.ok().flatten();
+    let ms = begun.elapsed().as_secs_f64() * 1000.0;
+    if !counted {
+        return;
+    }
+    let mut seen = seen.lock().expect("no panic under the lock");
+    seen.sent += 1;
+    match status {
+        Some(200) if begun.elapsed() <= DEADLINE => seen.good_ms.push(ms),
+        Some(429 | 503) => seen.shed_ms.push(ms),
+        _ => seen.late += 1,
+    }
+}
+
+async fn load(to: SocketAddr, per_second: f64) -> Seen {
+    let caller: Caller = Client::builder(TokioExecutor::new()).build_http();
+    let seen: Arc<Mutex<Seen>> = Arc::default();
+    let (start, mut tasks) = (Instant::now(), tokio::task::JoinSet::new());
+    let count = (per_second * SPAN.as_secs_f64()) as u64;
+    for number in 0..count {
+        let at = Duration::from_secs_f64(number as f64 / per_second);
+        tokio::time::sleep_until(start + at).await;
+        tasks.spawn(one(caller.clone(), to, number, at >= WARM_UP, seen.clone()));
+    }
+    while tasks.join_next().await.is_some() {}
+    let mut seen = seen.lock().expect("no panic under the lock");
+    std::mem::take(&mut *seen)
+}
+
+fn percentile(list: &mut [f64], share: f64) -> f64 {
+    list.sort_by(f64::total_cmp);
+    let place = ((list.len() as f64 * share) as usize).min(list.len().saturating_sub(1));
+    list.get(place).copied().unwrap_or(f64::NAN)
+}
+
+#[tokio::main]
+async fn main() {
+    let capacity = f64::from(ENGINES * SLOTS) / RUN_TIME.as_secs_f64();
+    println!("capacity {capacity:.0}/s; deadline {} ms", DEADLINE.as_millis());
+    println!("mode   load  sent/s  good/s  good p50/p99 ms  shed/s  shed p50/p99 ms  late/s");
+    for mode in [GatewayMode::Full, GatewayMode::Plain] {
+        for times in [0.8, 1.0, 3.0] {
+            let (world, _engines) = world(mode).await;
+            let mut seen = load(world.url(0), capacity * times).await;
+            let seconds = (SPAN - WARM_UP).as_secs_f64();
+            println!(
+                "{:<6} {times:>3.1}x {:>7.0} {:>7.0}  {:>6.1} / {:>6.1}  {:>6.0}  {:>6.1} / {:>6.1}  {:>6.0}",
+                format!("{mode:?}"),
+                seen.sent as f64 / seconds,
+                seen.good_ms.len() as f64 / seconds,
+                percentile(&mut seen.good_ms, 0.5),
+                percentile(&mut seen.good_ms, 0.99),
+                seen.shed_ms.len() as f64 / seconds,
+                percentile(&mut seen.shed_ms, 0.5),
+                percentile(&mut seen.shed_ms, 0.99),
+                seen.late as f64 / seconds,
+            );
+        }
+    }
+}
--- a/crates/gateway/src/backend/table.rs
+++ b/crates/gateway/src/backend/table.rs
@@ -192,7 +192,7 @@
         let all = self.all_of(name);
         let figures = self.lock();
         let limit = |target: &Target| {
-            figures.engines.get(&target.run).map(|k| k.limit.get(service.concurrency_per_engine))
+            figures.engines.get(&target.run).map(|k| k.limit.steady(service.concurrency_per_engine))
         };
         (all.iter().filter_map(limit).sum(), all.len())
     }
--- a/crates/gateway/src/limits/adaptive.rs
+++ b/crates/gateway/src/limits/adaptive.rs
@@ -63,6 +63,14 @@
         (self.limit as u32).clamp(1, most.max(1))
     }
 
+    /// The limit that a probe under way will come back to, for estimates of waiting times.
+    #[must_use]
+    pub fn steady(&self, most: u32) -> u32 {
+        let probing = self.slow_above.is_finite() && self.slow_above > self.limit;
+        let steady = if probing { self.slow_above } else { self.limit };
+        (steady as u32).clamp(1, most.max(1))
+    }
+
     /// Learns from a call that began and ended at these instants, while so many were outstanding at its
     /// end, itself included.
     pub fn learn(&mut self, sign: Sign, outstanding: u32, most: u32, began: Instant, now: Instant) {
