gateway: a call whose deadline passes while it waits hears so

Cause: a call that was refused on arrival and one that waited to its end got the same code, so their test needed a time.

--- a/crates/gateway/src/backend/gate.rs
+++ b/crates/gateway/src/backend/gate.rs
@@ -25,12 +25,18 @@
     Shed,
 }
 
-/// A call that is not let in now, and when to come back.
+/// A call that is not let in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("too much work is waiting")]
-pub struct Shed {
-    /// When to come back.
-    pub after: Duration,
+pub enum Shed {
+    /// It could not end in time, or others go first.
+    #[error("too much work is waiting")]
+    Refused {
+        /// When to come back.
+        after: Duration,
+    },
+    /// Its deadline passed while it waited.
+    #[error("the deadline passed while the call waited")]
+    TimedOut,
 }
 
 /// Who waits, and for how long at most.
@@ -88,7 +94,8 @@
         drop(entered);
         match outcome {
             Ok(Ok(Wake::Look)) => Ok(()),
-            Ok(Ok(Wake::Shed) | Err(_)) | Err(_) => Err(Shed { after: bounded(wait) }),
+            Ok(Ok(Wake::Shed) | Err(_)) => Err(Shed::Refused { after: bounded(wait) }),
+            Err(_) => Err(Shed::TimedOut),
         }
     }
 
@@ -104,7 +111,7 @@
         let ahead = if waiter.urgent { 0 } else { queue.len() };
         let wait = expected_wait(ahead, crowd);
         if Instant::now() + wait + crowd.average > waiter.deadline {
-            return Err(Shed { after: bounded(wait) });
+            return Err(Shed::Refused { after: bounded(wait) });
         }
         let pushed = queue.push(waiter.tenant, waiter.urgent, waiter.deadline, crowd.bound, sender);
         match pushed {
@@ -113,7 +120,7 @@
                 let _ = other.send(Wake::Shed);
                 Ok((ticket, wait))
             }
-            Pushed::Full(_) => Err(Shed { after: bounded(wait) }),
+            Pushed::Full(_) => Err(Shed::Refused { after: bounded(wait) }),
         }
     }
 
--- a/crates/gateway/src/calls/room.rs
+++ b/crates/gateway/src/calls/room.rs
@@ -10,7 +10,7 @@
 use crate::api::refusals::RETRY_SOON;
 use crate::backend::answer::Answer;
 use crate::backend::exchange::{Dispatch, ExchangeError};
-use crate::backend::gate::{Crowd, Waiter};
+use crate::backend::gate::{Crowd, Shed, Waiter};
 use crate::backend::stats::CallEnd;
 use crate::backend::table::{Found, Outstanding, Wanted};
 use crate::backend::{EngineRun, Target};
@@ -25,6 +25,9 @@
     /// Too much is waiting, or it could not end in time.
     #[error("too much work is waiting")]
     Shed(Duration),
+    /// Its deadline passed while it waited.
+    #[error("the deadline passed while the call waited")]
+    TimedOut,
     /// Nearly all calls of the route fail.
     #[error("calls of this route fail at present")]
     CircuitOpen(Duration),
@@ -38,6 +41,9 @@
         match reason {
             NoRoom::NoEngine => Problem::try_again(detail, spread(RETRY_SOON)),
             NoRoom::CircuitOpen(after) => Problem::try_again(detail, spread(after.max(RETRY_SOON))),
+            NoRoom::TimedOut => {
+                Problem::new(Code::DeadlineExceeded, detail).claiming(Claim::TryAgain)
+            }
             NoRoom::Shed(after) => Problem::new(Code::Overloaded, detail)
                 .claiming(Claim::TryAgain)
                 .after(spread(after)),
@@ -101,7 +107,10 @@
         let waited = self.backends.gates.wait(&request.service, waiter, crowd, look_again).await;
         waited.map_err(|shed| {
             metrics::counter!("hooklug_gateway_calls_shed_total").increment(1);
-            NoRoom::Shed(shed.after)
+            match shed {
+                Shed::Refused { after } => NoRoom::Shed(after),
+                Shed::TimedOut => NoRoom::TimedOut,
+            }
         })
     }
 
