--- /dev/null
+++ b/crates/bench/src/command/mod.rs
@@ -0,0 +1,18 @@
+//! The subcommands.
+
+pub mod chaos;
+
+mod progress;
+
+use std::future::Future;
+
+/// Runs a subcommand; Ctrl-C ends it, and the fleet with it.
+fn block_on<T>(work: impl Future<Output = anyhow::Result<T>>) -> anyhow::Result<T> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        tokio::select! {
+            done = work => done,
+            _ = tokio::signal::ctrl_c() => anyhow::bail!("interrupted"),
+        }
+    })
+}
--- /dev/null
+++ b/crates/bench/src/environment.rs
@@ -0,0 +1,62 @@
+//! Where and how a run was made; every report begins with it.
+
+use hooklug_types::UnixMillis;
+use serde::Serialize;
+
+/// Where and how a run was made.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Environment {
+    /// Version of the workspace.
+    pub version: &'static str,
+    /// `release` or `debug`.
+    pub profile: &'static str,
+    /// When it was read, in milliseconds since 1970.
+    pub at: u64,
+    /// Processors that this process may use.
+    pub processors: usize,
+    /// Processor model, as the system names it.
+    pub processor: String,
+    /// Memory in all, in kilobytes.
+    pub memory_kb: u64,
+    /// Load averages over 1, 5 and 15 minutes.
+    pub load: String,
+    /// Kernel.
+    pub kernel: String,
+}
+
+impl Environment {
+    /// The environment now.
+    #[must_use]
+    pub fn read() -> Self {
+        Self {
+            version: env!("CARGO_PKG_VERSION"),
+            profile: if cfg!(debug_assertions) { "debug" } else { "release" },
+            at: UnixMillis::now().0,
+            processors: std::thread::available_parallelism().map_or(0, usize::from),
+            processor: field("/proc/cpuinfo", "model name"),
+            memory_kb: field("/proc/meminfo", "MemTotal")
+                .trim_end_matches(" kB")
+                .parse()
+                .unwrap_or(0),
+            load: load(),
+            kernel: text("/proc/sys/kernel/osrelease"),
+        }
+    }
+}
+
+/// Load averages over 1, 5 and 15 minutes.
+#[must_use]
+pub fn load() -> String {
+    text("/proc/loadavg").split(' ').take(3).collect::<Vec<_>>().join(" ")
+}
+
+fn text(path: &str) -> String {
+    std::fs::read_to_string(path).unwrap_or_default().trim().to_owned()
+}
+
+/// The value after the first `name:` of a file of the system.
+fn field(path: &str, name: &str) -> String {
+    let text = text(path);
+    let line = text.lines().find(|line| line.starts_with(name));
+    line.and_then(|line| line.split_once(':')).map_or("", |(_, value)| value.trim()).to_owned()
+}
--- /dev/null
+++ b/crates/bench/src/faults/apply.rs
@@ -0,0 +1,51 @@
+//! Begins and ends faults on a running fleet.
+
+use hooklug_fleet::{Fleet, FleetError, ProcessKind};
+
+use super::backends;
+use super::fault::Fault;
+
+/// Begins a fault.
+///
+/// # Errors
+/// When the fleet can't do it.
+pub(super) async fn begin(fleet: &Fleet, fault: &Fault) -> Result<(), FleetError> {
+    match fault {
+        Fault::Kill(names) => names.iter().try_for_each(|name| fleet.kill(*name)),
+        Fault::Freeze(name) => fleet.freeze(*name),
+        Fault::CutOff(name) => fleet.cut_off(*name).await,
+        Fault::CutOneWay(from, to) if from == to => Ok(()),
+        Fault::CutOneWay(from, to) => fleet.cut(*from, *to, true).await,
+        Fault::Replace(name) => fleet.replace(*name).await,
+        Fault::LoseDisk(name) => fleet.lose_disk(*name).await,
+        Fault::Drain(name) => fleet.drain(*name).await,
+        Fault::RollingRestart(kind) => fleet.rolling_restart(&[*kind]).await,
+        Fault::Backend(name, fault) => backends::misbehave(fleet, *name, *fault).await,
+        Fault::RestartBackend(name) => backends::restart(fleet, *name).await,
+        Fault::HarmfulRelease => Ok(()),
+    }
+}
+
+/// Ends a fault. Cuts are healed for all at once by the caller.
+///
+/// # Errors
+/// When the fleet can't do it.
+pub(super) async fn end(fleet: &Fleet, fault: &Fault) -> Result<(), FleetError> {
+    match fault {
+        Fault::Kill(names) => restart_all(fleet, names).await,
+        Fault::Freeze(name) => fleet.wake(*name),
+        Fault::Drain(name) if name.kind == ProcessKind::App => backends::behave(fleet, *name).await,
+        Fault::Drain(name) => fleet.restart(*name).await,
+        Fault::Backend(name, _) => backends::behave(fleet, *name).await,
+        _ => Ok(()),
+    }
+}
+
+/// Starts machines together, as when power returns.
+async fn restart_all(
+    fleet: &Fleet,
+    names: &[hooklug_fleet::ProcessName],
+) -> Result<(), FleetError> {
+    let restarts = names.iter().map(|name| fleet.restart(*name));
+    futures::future::join_all(restarts).await.into_iter().collect()
+}
--- /dev/null
+++ b/crates/bench/src/faults/backends.rs
@@ -0,0 +1,32 @@
+//! Faults of model servers and application engines.
+
+use hooklug_emulator::{FaultKind, FaultRule, Faults, Restart};
+use hooklug_fleet::{Fleet, FleetError, ProcessName};
+
+use super::fault::BackendFault;
+
+/// How much slower a slow answer is, in milliseconds (ours).
+const SLOW_MS: u64 = 600;
+/// How long a restarting back end is away, in milliseconds (ours).
+const DOWN_MS: u64 = 500;
+
+pub(super) async fn misbehave(
+    fleet: &Fleet,
+    name: ProcessName,
+    fault: BackendFault,
+) -> Result<(), FleetError> {
+    let rule = FaultRule {
+        share: f64::from(fault.percent) / 100.0,
+        millis: if fault.kind == FaultKind::Slow { SLOW_MS } else { 0 },
+        ..FaultRule::always(fault.kind)
+    };
+    fleet.set_faults(name, &Faults { rules: vec![rule], ..Faults::default() }).await
+}
+
+pub(super) async fn behave(fleet: &Fleet, name: ProcessName) -> Result<(), FleetError> {
+    fleet.set_faults(name, &Faults::default()).await
+}
+
+pub(super) async fn restart(fleet: &Fleet, name: ProcessName) -> Result<(), FleetError> {
+    fleet.restart_stand_in(name, &Restart { down_ms: DOWN_MS, ..Restart::default() }).await
+}
--- /dev/null
+++ b/crates/bench/src/faults/draw.rs
@@ -0,0 +1,136 @@
+//! Draws rounds of faults from a seed, never more at once than the promises survive.
+//!
+//! The limits: only one store loses its disk in a round, in a round without any other store fault, and
+//! only once all groups are whole again (each group has three replicas; a majority of them must not be
+//! lost for good). Stores that keep their disks may fail in any number. At least one session-host engine
+//! and one gateway are left alone in each round, so that there is service to speak of. No process is hit
+//! twice in one round.
+
+use std::collections::BTreeSet;
+
+use hooklug_emulator::FaultKind;
+use hooklug_fleet::{Fleet, ProcessKind, ProcessName};
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt};
+
+use super::fault::{BackendFault, Fault};
+
+/// Faults in a round, most.
+const MOST_AT_ONCE: usize = 3;
+
+/// What there is to break.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shape {
+    /// All processes that may be hit.
+    pub names: Vec<ProcessName>,
+}
+
+/// One round.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Draw {
+    /// Faults at once.
+    pub faults: Vec<Fault>,
+    /// Whether silent nodes stay silent for longer than any lease.
+    pub long: bool,
+    /// Whether the same strikes again as soon as service is back.
+    pub twice: bool,
+}
+
+impl Shape {
+    /// The processes of a fleet.
+    #[must_use]
+    pub fn of(fleet: &Fleet) -> Self {
+        Self { names: fleet.all_names() }
+    }
+
+    fn all(&self, kind: ProcessKind) -> Vec<ProcessName> {
+        self.names.iter().filter(|name| name.kind == kind).copied().collect()
+    }
+
+    /// One of a kind, the last one spared so that its kind keeps serving.
+    fn one<R: Rng>(&self, kind: ProcessKind, random: &mut R) -> Option<ProcessName> {
+        let all = self.all(kind);
+        let spared = all.len().min(1);
+        all[..all.len() - spared].choose(random).copied()
+    }
+}
+
+/// Draws a round.
+pub fn draw_round<R: Rng>(shape: &Shape, random: &mut R) -> Draw {
+    let wanted = random.random_range(1..=MOST_AT_ONCE);
+    let mut faults: Vec<Fault> = Vec::new();
+    let mut hit: BTreeSet<ProcessName> = BTreeSet::new();
+    // A draw that the limits forbid is drawn again, a bounded number of times.
+    for _ in 0..wanted * 4 {
+        if faults.len() == wanted {
+            break;
+        }
+        let Some(fault) = draw_fault(shape, random) else { continue };
+        if allowed(&fault, &faults) && fault.hit().iter().all(|name| !hit.contains(name)) {
+            hit.extend(fault.hit());
+            faults.push(fault);
+        }
+    }
+    Draw { faults, long: random.random_bool(0.3), twice: random.random_bool(0.3) }
+}
+
+fn allowed(fault: &Fault, others: &[Fault]) -> bool {
+    let rolling = |fault: &Fault| matches!(fault, Fault::RollingRestart(_));
+    let kind = std::mem::discriminant(fault);
+    let stores_clash = others.iter().any(|other| {
+        let both = fault.hits_stores() && other.hits_stores();
+        both && (fault.loses_disk() || other.loses_disk())
+    });
+    // A rolling restart waits for readiness, which other faults of the round would withhold.
+    let rolling_clash = !others.is_empty() && rolling(fault) || others.iter().any(rolling);
+    let same = others.iter().any(|other| std::mem::discriminant(other) == kind);
+    !stores_clash && !rolling_clash && !same
+}
+
+fn draw_fault<R: Rng>(shape: &Shape, random: &mut R) -> Option<Fault> {
+    use ProcessKind::{App, Core, Engine, Gateway, Model, Store};
+    let node = [Store, Core, Engine, Gateway].choose(random).copied()?;
+    Some(match random.random_range(0..17) {
+        0..=2 => Fault::Kill(vec![shape.one(node, random)?]),
+        3 => Fault::Kill(shape.all(Core)),
+        4 => Fault::Kill(draw_many(shape, random)),
+        5..=6 => Fault::Freeze(shape.one(node, random)?),
+        7..=8 => Fault::CutOff(shape.one(node, random)?),
+        9 => Fault::CutOneWay(shape.one(node, random)?, shape.one(Store, random)?),
+        10 => Fault::Replace(shape.one([Store, Core, Gateway].choose(random).copied()?, random)?),
+        11 => Fault::LoseDisk(shape.one(Store, random)?),
+        12 => Fault::Drain(shape.one([Engine, App].choose(random).copied()?, random)?),
+        13 => Fault::RollingRestart(node),
+        14 => Fault::Backend(
+            shape.one([Model, App].choose(random).copied()?, random)?,
+            backend(random),
+        ),
+        15 => Fault::RestartBackend(shape.one([Model, App].choose(random).copied()?, random)?),
+        _ => Fault::HarmfulRelease,
+    })
+}
+
+/// Many at once: two stores, or a mix of stores, cores, an engine and a gateway.
+fn draw_many<R: Rng>(shape: &Shape, random: &mut R) -> Vec<ProcessName> {
+    use ProcessKind::{Core, Engine, Gateway, Store};
+    if random.random_bool(0.5) {
+        return shape.all(Store);
+    }
+    let kinds = [Store, Core, Engine, Gateway];
+    kinds.into_iter().filter_map(|kind| shape.one(kind, random)).collect()
+}
+
+fn backend<R: Rng>(random: &mut R) -> BackendFault {
+    const KINDS: [FaultKind; 8] = [
+        FaultKind::LoseAnswer,
+        FaultKind::CutShort,
+        FaultKind::Cross,
+        FaultKind::Garble,
+        FaultKind::Stall,
+        FaultKind::Slow,
+        FaultKind::Fail,
+        FaultKind::Refuse,
+    ];
+    let kind = KINDS[random.random_range(0..KINDS.len())];
+    BackendFault { kind, percent: random.random_range(20..=100) }
+}
--- /dev/null
+++ b/crates/bench/src/faults/groups.rs
@@ -0,0 +1,59 @@
+//! Whether every group of the stores has all its replicas again.
+
+use std::time::Duration;
+
+use hooklug_fleet::http::{Ask, HttpClient};
+use hooklug_fleet::{Fleet, ProcessKind};
+use http::Method;
+use serde::Deserialize;
+use tokio::time::{Instant, sleep};
+
+/// Replicas of a group (design).
+const REPLICAS: usize = 3;
+/// Entries that a replica may be behind and still count as caught up: what is in flight under load (ours).
+const MOST_LAG: u64 = 500;
+/// Pause between two looks (ours).
+const PAUSE: Duration = Duration::from_millis(250);
+
+#[derive(Debug, Deserialize)]
+struct Shard {
+    replicas: Vec<Replica>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Replica {
+    member: String,
+    lag: Option<u64>,
+}
+
+impl Shard {
+    fn is_whole(&self) -> bool {
+        let voters = || self.replicas.iter().filter(|replica| replica.member == "voter");
+        let current = |replica: &Replica| replica.lag.is_some_and(|lag| lag <= MOST_LAG);
+        voters().count() >= REPLICAS && voters().all(current)
+    }
+}
+
+/// Waits until all groups are whole; tells how long it took, or nothing when they were not in time.
+pub(super) async fn wait_whole(fleet: &Fleet, time: Duration) -> Option<Duration> {
+    let http = HttpClient::default();
+    let began = Instant::now();
+    while began.elapsed() < time {
+        if are_whole(fleet, &http).await {
+            return Some(began.elapsed());
+        }
+        sleep(PAUSE).await;
+    }
+    None
+}
+
+async fn are_whole(fleet: &Fleet, http: &HttpClient) -> bool {
+    let ask = Ask::new(Method::GET, "/admin/v1/shards");
+    for name in fleet.names(ProcessKind::Gateway) {
+        let Ok(address) = fleet.http_address(name) else { continue };
+        let Ok(answer) = http.ask(address, &ask).await else { continue };
+        let Ok(shards) = answer.json::<Vec<Shard>>() else { continue };
+        return !shards.is_empty() && shards.iter().all(Shard::is_whole);
+    }
+    false
+}
--- /dev/null
+++ b/crates/bench/src/faults/probe.rs
@@ -0,0 +1,64 @@
+//! How long it takes until every gateway serves a whole path again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future::join_all;
+use hooklug_fleet::caller::{CallRequest, CallerError, SessionRef, TurnRequest};
+use hooklug_fleet::{Caller, Fleet};
+use hooklug_types::UnixMillis;
+use serde_json::json;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::oracle::evidence::{Millis, Recovery};
+use crate::workload::{Profile, now};
+
+/// Longest wait for service to come back (ours; the promise is far shorter).
+const LONGEST: Duration = Duration::from_secs(40);
+/// Longest time for one try of the whole path (ours).
+const TRY_TIME: Duration = Duration::from_secs(4);
+/// Pause between two tries (ours).
+const PAUSE: Duration = Duration::from_millis(200);
+/// Budget of a probing program, in tokens.
+const BUDGET: u64 = 100;
+
+/// Measures how service comes back at all gateways after machines did.
+pub async fn recover(fleet: &Fleet, profile: &Profile, after: String, healed: Millis) -> Recovery {
+    let tenant = fleet.topology().tenants.first().map(ToString::to_string).unwrap_or_default();
+    let gateways = fleet.gateways().into_iter();
+    let probes = gateways.map(|gateway| probe(gateway, &tenant, profile));
+    let served: Option<Vec<Millis>> = join_all(probes).await.into_iter().collect();
+    Recovery { after, healed, served: served.and_then(|all| all.into_iter().max()) }
+}
+
+async fn probe(gateway: SocketAddr, tenant: &str, profile: &Profile) -> Option<Millis> {
+    let deadline = Instant::now() + LONGEST;
+    while Instant::now() < deadline {
+        let caller = Caller::new(vec![gateway], tenant);
+        if let Ok(Ok(())) = timeout(TRY_TIME, walk(&caller, profile)).await {
+            return Some(now());
+        }
+        sleep(PAUSE).await;
+    }
+    None
+}
+
+/// A program, a session, a turn and a call that may not be repeated, all new.
+async fn walk(caller: &Caller, profile: &Profile) -> Result<(), CallerError> {
+    let program = format!("probe-{:016x}", rand::random::<u64>());
+    let end = UnixMillis::now().plus(Duration::from_secs(600)).0;
+    caller.put_program(0, &program, BUDGET, end).await?;
+    let session = SessionRef::new(&program, "s");
+    caller.open_session(0, &session, &profile.model, None).await?;
+    let turn = TurnRequest::new("t", None, "[tokens 2]", 8);
+    let transcript = caller.run_turn(0, &session, &turn).await?;
+    transcript.check("t")?;
+    if let Some(tool) = profile.once.first() {
+        let request = CallRequest::new(tool, json!({"probe": program}));
+        caller.call(0, &program, "c", &request).await?;
+    }
+    if transcript.end() == "finished" {
+        return Ok(());
+    }
+    Err(CallerError::Broken(transcript.end().to_owned()))
+}
--- /dev/null
+++ b/crates/bench/src/faults/release.rs
@@ -0,0 +1,61 @@
+//! A release that does harm: some engines of a new version that lose most of their answers.
+
+use hooklug_bundle::{VersionEntry, VersionState};
+use hooklug_emulator::{FaultKind, FaultRule, Faults};
+use hooklug_fleet::http::HttpClient;
+use hooklug_fleet::{Fleet, FleetError, ProcessName};
+use hooklug_types::{BundleVersion, ServiceVersion};
+
+use crate::oracle::evidence::HarmfulRelease;
+use crate::workload::{Recorder, read_back, submit};
+
+/// Share of answers that the new version loses (ours: far above the default threshold of 0.1).
+const LOST_SHARE: f64 = 0.6;
+/// Tries to get the bundle accepted while other operators submit theirs.
+const TRIES: usize = 8;
+
+/// Releases a harmful version of the first application service; returns its engine.
+///
+/// # Errors
+/// When the engine can't be added or no node takes the bundle.
+pub(super) async fn begin(fleet: &Fleet, recorder: &Recorder) -> Result<ProcessName, FleetError> {
+    let none = || FleetError::Unexpected("no application services".to_owned());
+    let mut group = fleet.topology().applications.first().cloned().ok_or_else(none)?;
+    let version = ServiceVersion::new(format!("bad-{:08x}", rand::random::<u32>()))
+        .map_err(|e| FleetError::Unexpected(e.to_string()))?;
+    group.version = version.clone();
+    let engine = fleet.add_application(&group).await?;
+    let rule = FaultRule { share: LOST_SHARE, ..FaultRule::always(FaultKind::LoseAnswer) };
+    fleet.set_faults(engine, &Faults { rules: vec![rule], ..Faults::default() }).await?;
+    let http = HttpClient::default();
+    let nodes: Vec<ProcessName> =
+        fleet.all_names().into_iter().filter(|name| name.kind.is_node()).collect();
+    for node in nodes.iter().cycle().take(TRIES) {
+        let Some(mut bundle) = read_back(fleet, &http, recorder, *node).await else { continue };
+        bundle.base = bundle.version;
+        bundle.version = BundleVersion(bundle.version.0 + 1);
+        let Some(service) = bundle.services.get_mut(&group.service) else { return Err(none()) };
+        let least = service.harm.least_samples as usize;
+        service.versions.retain(|entry| entry.state == VersionState::Sound);
+        service
+            .versions
+            .push(VersionEntry { version: version.clone(), state: VersionState::Sound });
+        if submit(fleet, recorder, *node, &bundle).await {
+            // Samples are judged by route.
+            let samples = least * group.tools.len().max(1);
+            let release = HarmfulRelease { version: version.to_string(), samples };
+            recorder.lock().harmful.push(release);
+            return Ok(engine);
+        }
+    }
+    Err(FleetError::Unexpected("no node took the release".to_owned()))
+}
+
+/// Takes the harmful version's engine away.
+///
+/// # Errors
+/// When the platform's list can't be told.
+pub(super) async fn end(fleet: &Fleet, engine: ProcessName) -> Result<(), FleetError> {
+    fleet.kill(engine)?;
+    fleet.list_applications().await
+}
--- /dev/null
+++ b/crates/bench/src/oracle/budgets.rs
@@ -0,0 +1,49 @@
+//! A program streams at most its budget plus one turn, and its ledger counts what was streamed.
+
+use std::collections::BTreeMap;
+
+use hooklug_fleet::caller::StreamEvent;
+
+use super::evidence::Evidence;
+use super::{Promise, Verdict};
+
+pub(super) fn check(evidence: &Evidence, verdict: &mut Verdict) {
+    let streamed = streamed(evidence);
+    for (name, program) in &evidence.programs {
+        verdict.examined("budgets", 1);
+        let streamed = streamed.get(name.as_str()).copied().unwrap_or(0);
+        let most = program.budget + program.longest_turn;
+        if streamed > most {
+            let detail = format!("{streamed} tokens of {} and one turn", program.budget);
+            verdict.add(Promise::TokenBudget, name, detail);
+        }
+        if let Some(booked) = program.booked.filter(|booked| *booked < streamed) {
+            let detail = format!("{streamed} tokens streamed, {booked} booked");
+            verdict.add(Promise::TokenBudget, name, detail);
+        }
+    }
+}
+
+/// Tokens streamed by program: each place of a session counts once.
+fn streamed(evidence: &Evidence) -> BTreeMap<&str, u64> {
+    let mut places: BTreeMap<(&str, u64), u64> = BTreeMap::new();
+    for (session, event) in shown(evidence) {
+        if let Some(tokens) = event.data["count"].as_u64() {
+            places.insert((session, event.id), tokens);
+        }
+    }
+    let mut programs = BTreeMap::new();
+    for ((session, _), tokens) in places {
+        let program = session.split('/').next().unwrap_or_default();
+        *programs.entry(program).or_insert(0) += tokens;
+    }
+    programs
+}
+
+fn shown(evidence: &Evidence) -> impl Iterator<Item = (&str, &StreamEvent)> {
+    let turns = evidence.turns.iter().map(|turn| (turn.session.as_str(), &turn.events));
+    let sessions = evidence.sessions.iter().flat_map(|(name, session)| {
+        session.joined.iter().chain(&session.history).map(move |events| (name.as_str(), events))
+    });
+    turns.chain(sessions).flat_map(|(name, events)| events.iter().map(move |e| (name, e)))
+}
--- /dev/null
+++ b/crates/bench/src/oracle/calls.rs
@@ -0,0 +1,46 @@
+//! Calls that may not be repeated run at most once, and what is said not to have run did not.
+
+use std::collections::BTreeMap;
+
+use hooklug_emulator::LedgerEntry;
+
+use super::evidence::{CallClaim, Evidence};
+use super::{Promise, Verdict};
+
+/// How often each call ran, over all application engines and their restarts.
+pub(super) fn runs(evidence: &Evidence) -> BTreeMap<&str, usize> {
+    let mut runs = BTreeMap::new();
+    for line in &evidence.applications {
+        if let LedgerEntry::CallRan { call, .. } = &line.entry {
+            *runs.entry(call.as_str()).or_insert(0) += 1;
+        }
+    }
+    runs
+}
+
+pub(super) fn check_at_most_once(evidence: &Evidence, verdict: &mut Verdict) {
+    let runs = runs(evidence);
+    let once = || evidence.calls.iter().filter(|call| !call.may_repeat);
+    verdict.examined("calls that may not be repeated", once().count());
+    for call in once() {
+        let times = runs.get(call.call.as_str()).copied().unwrap_or(0);
+        if times > 1 {
+            let detail = format!("{} ran {times} times; told {:?}", call.tool, call.claims);
+            verdict.add(Promise::AtMostOnce, &call.call, detail);
+        }
+    }
+}
+
+pub(super) fn check_refusals(evidence: &Evidence, verdict: &mut Verdict) {
+    let runs = runs(evidence);
+    for call in &evidence.calls {
+        for claim in &call.claims {
+            let CallClaim::NotRun(code) = claim else { continue };
+            verdict.examined("claims that a call did not run", 1);
+            if let Some(times) = runs.get(call.call.as_str()) {
+                let detail = format!("told {code}, ran {times} times");
+                verdict.add(Promise::TrueRefusals, &call.call, detail);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/oracle/streams.rs
@@ -0,0 +1,85 @@
+//! Streams lose, repeat and splice nothing: places without gaps, one content a place for everyone.
+
+use std::collections::BTreeMap;
+
+use hooklug_fleet::caller::{StreamEvent, Transcript};
+
+use super::evidence::{Evidence, SessionRecord, TurnClaim, TurnRecord};
+use super::{Promise, Verdict};
+
+/// Each turn's own stream.
+pub(super) fn check_turns(evidence: &Evidence, verdict: &mut Verdict) {
+    for turn in &evidence.turns {
+        if turn.events.is_empty() {
+            continue;
+        }
+        verdict.examined("streams of turns", 1);
+        let subject = || format!("{}/{}", turn.session, turn.turn);
+        if turn.ended_without_terminal {
+            let detail = "a stream ended properly without a terminal event";
+            verdict.add(Promise::ExactStreams, subject(), detail);
+        }
+        if let Some(fault) = fault_of_turn(turn) {
+            verdict.add(Promise::ExactStreams, subject(), fault);
+        }
+    }
+}
+
+fn fault_of_turn(turn: &TurnRecord) -> Option<String> {
+    if matches!(turn.claim, TurnClaim::Ended(_)) {
+        let transcript = Transcript { events: turn.events.clone(), cuts: turn.cuts };
+        return transcript.check(&turn.turn).err().map(|error| error.to_string());
+    }
+    // A stream that was given up has no end, but it must have no gap either.
+    let first = turn.events.first()?.id;
+    let gap = turn.events.iter().zip(first..).find(|(event, place)| event.id != *place);
+    gap.map(|(event, place)| format!("event {} where {place} belongs", event.id))
+}
+
+/// All clients of a session see the same events, and its history holds them all.
+pub(super) fn check_sessions(evidence: &Evidence, verdict: &mut Verdict) {
+    let mut turns: BTreeMap<&str, Vec<&TurnRecord>> = BTreeMap::new();
+    for turn in &evidence.turns {
+        turns.entry(&turn.session).or_default().push(turn);
+    }
+    for (name, session) in &evidence.sessions {
+        let none = Vec::new();
+        let turns = turns.get(name.as_str()).unwrap_or(&none);
+        if let Some(fault) = fault_of_session(session, turns) {
+            verdict.add(Promise::ExactStreams, name, fault);
+        }
+        verdict.examined("sessions read back whole", usize::from(session.history.is_some()));
+        verdict.examined("streams of joined clients", session.joined.len());
+    }
+}
+
+fn fault_of_session(session: &SessionRecord, turns: &[&TurnRecord]) -> Option<String> {
+    for joined in &session.joined {
+        let gap = joined.windows(2).find(|pair| pair[1].id != pair[0].id + 1);
+        if let Some(pair) = gap {
+            return Some(format!("a joined client got {} after {}", pair[1].id, pair[0].id));
+        }
+    }
+    let mut known: BTreeMap<u64, &StreamEvent> = BTreeMap::new();
+    if let Some(history) = &session.history {
+        let gap = history.iter().zip(1..).find(|(event, place)| event.id != *place);
+        if let Some((event, place)) = gap {
+            return Some(format!("the history has event {} where {place} belongs", event.id));
+        }
+        known.extend(history.iter().map(|event| (event.id, event)));
+    }
+    let streams = turns.iter().map(|turn| &turn.events).chain(&session.joined);
+    for event in streams.flatten() {
+        let first = match known.get(&event.id) {
+            Some(first) => first,
+            None if session.history.is_some() => {
+                return Some(format!("event {} was shown and is not in the history", event.id));
+            }
+            None => *known.entry(event.id).or_insert(event),
+        };
+        if first.event != event.event || first.data != event.data {
+            return Some(format!("event {} shown as {first:?} and as {event:?}", event.id));
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/bench/src/oracle/turns.rs
@@ -0,0 +1,62 @@
+//! What is said about turns that were refused.
+
+use std::collections::BTreeSet;
+
+use hooklug_emulator::LedgerEntry;
+
+use super::evidence::{Evidence, TurnClaim, TurnRecord};
+use super::{Promise, Verdict};
+
+/// Codes that say for good that a turn did not run.
+const FINAL_REFUSALS: [&str; 2] = ["budget_spent", "program_ended"];
+
+pub(super) fn check_refusals(evidence: &Evidence, verdict: &mut Verdict) {
+    let began: BTreeSet<(&str, &str)> = evidence
+        .models
+        .iter()
+        .filter_map(|line| match &line.entry {
+            LedgerEntry::GenerationBegan { session, turn, .. } => {
+                Some((session.as_str(), turn.as_str()))
+            }
+            _ => None,
+        })
+        .collect();
+    for (turn, code) in refused(evidence) {
+        if !FINAL_REFUSALS.contains(&code) {
+            continue;
+        }
+        verdict.examined("final refusals of turns", 1);
+        let ran = began.contains(&(turn.session.as_str(), turn.turn.as_str()));
+        if ran || !turn.events.is_empty() {
+            let subject = format!("{}/{}", turn.session, turn.turn);
+            verdict.add(Promise::TrueRefusals, subject, format!("told {code}, but it ran"));
+        }
+    }
+}
+
+pub(super) fn check_known_turns(evidence: &Evidence, verdict: &mut Verdict) {
+    // Runs are far shorter than the keep time, so every turn that ended is within it.
+    let ended: BTreeSet<(&str, &str)> = evidence
+        .turns
+        .iter()
+        .filter(|turn| matches!(turn.claim, TurnClaim::Ended(_)))
+        .map(|turn| (turn.session.as_str(), turn.turn.as_str()))
+        .collect();
+    let following = evidence.turns.iter().filter(|turn| turn.after.is_some()).count();
+    verdict.examined("turns that follow another", following);
+    for (turn, code) in refused(evidence) {
+        let known = turn.after.as_deref().is_some_and(|a| ended.contains(&(&turn.session, a)));
+        if known && matches!(code, "no_such_turn" | "no_session" | "no_turn" | "no_program") {
+            let subject = format!("{}/{}", turn.session, turn.turn);
+            let detail = format!("told {code}, though {:?} had ended", turn.after);
+            verdict.add(Promise::KnownTurns, subject, detail);
+        }
+    }
+}
+
+fn refused(evidence: &Evidence) -> impl Iterator<Item = (&TurnRecord, &str)> {
+    evidence.turns.iter().filter_map(|turn| match &turn.claim {
+        TurnClaim::Refused(code) => Some((turn, code.as_str())),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/bench/src/report/json.rs
@@ -0,0 +1,65 @@
+//! JSON lines: the environment, then one object a line for each figure, count and breach.
+
+use serde::Serialize;
+
+use super::{Measure, Section};
+use crate::environment::Environment;
+use crate::figures::{Figures, Timeline};
+use crate::oracle::{Promise, Violation};
+use crate::scenario::Outcome;
+
+#[derive(Debug, Serialize)]
+#[serde(tag = "line", rename_all = "snake_case")]
+enum Line<'a> {
+    Environment { environment: &'a Environment },
+    Figures { run: &'a str, part: &'a str, figures: &'a Figures },
+    Promise { run: &'a str, promise: Promise, forbids: &'a str, violations: usize },
+    Examined { run: &'a str, what: &'a str, number: usize },
+    Violation { run: &'a str, violation: &'a Violation },
+    Fault { run: &'a str, fault: &'a str, from: u64, until: Option<u64> },
+    Timeline { run: &'a str, timeline: &'a Timeline },
+    Measure { run: &'a str, load: &'a str, measure: &'a Measure },
+}
+
+pub(super) fn render(environment: &Environment, sections: &[Section]) -> String {
+    let mut text = String::new();
+    push(&mut text, &Line::Environment { environment });
+    for section in sections {
+        match section {
+            Section::Run(outcome) => push_run(&mut text, outcome),
+            Section::Measures { name, measures, load } => {
+                for measure in measures {
+                    push(&mut text, &Line::Measure { run: name, load, measure });
+                }
+            }
+        }
+    }
+    text
+}
+
+fn push(text: &mut String, line: &Line<'_>) {
+    // Plain structs with string keys: the writer has no way to fail.
+    text.push_str(&serde_json::to_string(line).unwrap_or_default());
+    text.push('\n');
+}
+
+fn push_run(text: &mut String, outcome: &Outcome) {
+    let run = outcome.name.as_str();
+    for (part, figures) in &outcome.figures {
+        push(text, &Line::Figures { run, part, figures });
+    }
+    for (promise, violations) in outcome.verdict.counts() {
+        push(text, &Line::Promise { run, promise, forbids: promise.forbids(), violations });
+    }
+    for (what, number) in &outcome.verdict.examined {
+        push(text, &Line::Examined { run, what, number: *number });
+    }
+    for violation in &outcome.verdict.violations {
+        push(text, &Line::Violation { run, violation });
+    }
+    for fault in &outcome.disturbances {
+        let line = Line::Fault { run, fault: &fault.fault, from: fault.from, until: fault.until };
+        push(text, &line);
+    }
+    push(text, &Line::Timeline { run, timeline: &outcome.timeline });
+}
--- /dev/null
+++ b/crates/bench/src/scenario/chaos.rs
@@ -0,0 +1,87 @@
+//! Load, operators and random faults together.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_fleet::{Fleet, FleetError, FleetOptions, Topology};
+use tokio_util::sync::CancellationToken;
+
+use super::Outcome;
+use crate::faults::{ChaosOptions, ChaosProgress, run_rounds};
+use crate::workload::{
+    Client, Profile, Recorder, now, observe, operate, read_finally, run_programs,
+};
+
+/// Time for leases to run out and late work to show before everything is read (ours).
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Time over which programs begin (ours).
+const RAMP: Duration = Duration::from_secs(2);
+
+/// A run with random faults.
+#[derive(Debug, Clone)]
+pub struct Chaos {
+    /// The fleet.
+    pub topology: Topology,
+    /// How long faults go on.
+    pub time: Duration,
+    /// Seed of faults, load and operators.
+    pub seed: u64,
+    /// Programs at once.
+    pub programs: usize,
+    /// Folder of the fleet; drawn and removed when none is named.
+    pub data: Option<PathBuf>,
+}
+
+/// Four stores, three cores, three gateways, four session-host engines, six application engines.
+#[must_use]
+pub fn default_topology() -> Topology {
+    let mut topology = Topology::small();
+    topology.name = "chaos".to_owned();
+    topology.gateways = 3;
+    topology.models.truncate(1);
+    topology.models[0].engines = 4;
+    for group in &mut topology.applications {
+        group.engines = 3;
+    }
+    topology
+}
+
+impl Chaos {
+    /// Runs it and judges it.
+    ///
+    /// # Errors
+    /// When the fleet can't be started, broken or mended as drawn.
+    pub async fn run(&self, progress: &dyn ChaosProgress) -> Result<Outcome, FleetError> {
+        let options = FleetOptions { data: self.data.clone() };
+        let fleet = Arc::new(Fleet::start_with(self.topology.clone(), options).await?);
+        progress.say(&format!("{} processes serve", fleet.all_names().len()));
+        let recorder = Recorder::default();
+        let client = Client::new(&fleet, recorder.clone());
+        let profile = Profile::of(&self.topology);
+        let stop = CancellationToken::new();
+        let from = now();
+        let load = {
+            let (client, profile, stop) = (client.clone(), profile.clone(), stop.clone());
+            let (programs, seed) = (self.programs, self.seed);
+            tokio::spawn(async move {
+                run_programs(&client, &profile, programs, RAMP, seed, &stop).await;
+            })
+        };
+        let operators =
+            tokio::spawn(operate(fleet.clone(), recorder.clone(), self.seed, stop.clone()));
+        let observer = tokio::spawn(observe(fleet.clone(), recorder.clone(), stop.clone()));
+        let options = ChaosOptions { time: self.time, seed: self.seed };
+        let rounds = run_rounds(&fleet, &client, &profile, options, progress).await;
+        let to = now();
+        stop.cancel();
+        // Panics of these tasks are faults of the bench itself.
+        let joined = tokio::join!(load, operators, observer);
+        joined.0.and(joined.1).and(joined.2).map_err(|e| FleetError::Unexpected(e.to_string()))?;
+        rounds?;
+        tokio::time::sleep(SETTLE_TIME).await;
+        read_finally(&fleet, &client).await?;
+        let evidence = recorder.snapshot();
+        Ok(Outcome::of("chaos", &evidence, (from, to), &[]))
+    }
+}
--- /dev/null
+++ b/crates/bench/src/scenario/mod.rs
@@ -0,0 +1,6 @@
+//! What is run: fleets under load, with and without faults.
+
+pub mod chaos;
+pub mod outcome;
+
+pub use outcome::Outcome;
--- /dev/null
+++ b/crates/bench/src/workload/calls.rs
@@ -0,0 +1,134 @@
+//! Calls: made, made again after lost answers, settled, and written down.
+
+use std::time::Duration;
+
+use hooklug_fleet::caller::{CallRequest, CallerError};
+use hooklug_fleet::http::{Answer, Ask};
+use http::Method;
+use serde_json::{Value, json};
+
+use super::client::Client;
+use super::now;
+use crate::oracle::evidence::{CallClaim, CallRecord};
+
+/// Longest time in which a call is sent again (ours).
+const CALL_TIME: Duration = Duration::from_secs(20);
+/// Longest time for a question about a call (ours).
+const QUESTION_TIME: Duration = Duration::from_secs(10);
+
+/// A call as a program makes it.
+#[derive(Debug, Clone)]
+pub struct PlannedCall {
+    /// Its program.
+    pub program: String,
+    /// Its id.
+    pub call: String,
+    /// The tool and its arguments.
+    pub request: CallRequest,
+    /// Whether the route lets it run more than once.
+    pub may_repeat: bool,
+    /// Whether to send it once more at another gateway after its answer.
+    pub send_again: bool,
+}
+
+impl PlannedCall {
+    fn path(&self) -> String {
+        format!("/v1/programs/{}/calls/{}", self.program, self.call)
+    }
+}
+
+impl Client {
+    /// Makes a call, writes it down and tells the application's answer, if there is one.
+    pub async fn run_call(&self, gateway: usize, planned: &PlannedCall) -> Option<Value> {
+        let begun = now();
+        let ask = Ask::json(Method::PUT, planned.path(), &planned.request);
+        let mut claims = vec![self.claim(gateway, &ask, CALL_TIME).await];
+        let ended = now();
+        if !planned.may_repeat {
+            match &claims[0] {
+                CallClaim::Answered { .. } if planned.send_again => {
+                    claims.push(self.claim(gateway + 1, &ask, CALL_TIME).await);
+                }
+                CallClaim::Unknown => claims.push(self.state(gateway + 1, planned).await),
+                CallClaim::Nothing(_) => claims.push(self.seal(gateway + 1, planned).await),
+                _ => {}
+            }
+        }
+        let answer = claims.iter().find_map(|claim| match claim {
+            CallClaim::Answered { body, .. } => Some(body.clone()),
+            _ => None,
+        });
+        self.recorder.lock().calls.push(CallRecord {
+            call: format!("{}/{}", planned.program, planned.call),
+            tool: planned.request.tool.clone(),
+            arguments: planned.request.arguments.clone(),
+            may_repeat: planned.may_repeat,
+            begun,
+            ended,
+            claims,
+        });
+        answer
+    }
+
+    async fn claim(&self, gateway: usize, ask: &Ask, time: Duration) -> CallClaim {
+        match self.ask(gateway, ask, time).await {
+            Ok(answered) => own_answer(&answered.answer),
+            Err(error) => claim_of(&error),
+        }
+    }
+
+    /// Asks what became of a call.
+    async fn state(&self, gateway: usize, planned: &PlannedCall) -> CallClaim {
+        let ask = Ask::new(Method::GET, planned.path());
+        self.recorded(gateway, &ask).await
+    }
+
+    /// Seals a call of which nothing is known.
+    async fn seal(&self, gateway: usize, planned: &PlannedCall) -> CallClaim {
+        let request = &planned.request;
+        let body = json!({"tool": request.tool, "arguments": request.arguments});
+        let ask = Ask::json(Method::POST, format!("{}/seal", planned.path()), &body);
+        self.recorded(gateway, &ask).await
+    }
+
+    async fn recorded(&self, gateway: usize, ask: &Ask) -> CallClaim {
+        match self.ask(gateway, ask, QUESTION_TIME).await {
+            Ok(answered) => recorded_claim(&answered.answer),
+            Err(error) => claim_of(&error),
+        }
+    }
+}
+
+fn own_answer(answer: &Answer) -> CallClaim {
+    let body = serde_json::from_slice(&answer.body)
+        .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(&answer.body).into_owned()));
+    CallClaim::Answered { status: answer.status.as_u16(), body }
+}
+
+/// What the record of a call says.
+fn recorded_claim(answer: &Answer) -> CallClaim {
+    let view: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    match view["state"].as_str() {
+        Some("answered") => CallClaim::Answered {
+            status: view["status"].as_u64().and_then(|s| s.try_into().ok()).unwrap_or(0),
+            body: view["body"].clone(),
+        },
+        Some("not_run") => CallClaim::NotRun("not_run".to_owned()),
+        Some("unknown") => CallClaim::Unknown,
+        other => CallClaim::Nothing(other.unwrap_or("no state").to_owned()),
+    }
+}
+
+fn claim_of(error: &CallerError) -> CallClaim {
+    let CallerError::Problem(problem) = error else {
+        return CallClaim::Nothing(error.to_string());
+    };
+    let not_run = problem.outcome.as_deref() == Some("not_run");
+    match problem.code.as_str() {
+        "call_unknown" => CallClaim::Unknown,
+        code if not_run || matches!(code, "call_refused" | "call_sealed") => {
+            CallClaim::NotRun(code.to_owned())
+        }
+        code => CallClaim::Nothing(code.to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/workload/mod.rs
@@ -0,0 +1,21 @@
+//! Callers, operators and observers that write down all that they are told.
+
+mod calls;
+mod client;
+mod final_reading;
+mod observer;
+mod operators;
+mod profile;
+mod programs;
+mod recorder;
+mod sessions;
+mod turns;
+
+pub use client::Client;
+pub use final_reading::read_finally;
+pub use observer::observe;
+pub use operators::operate;
+pub(crate) use operators::{read_back, submit};
+pub use profile::Profile;
+pub use programs::run_programs;
+pub use recorder::{Recorder, now};
--- /dev/null
+++ b/crates/bench/src/workload/programs.rs
@@ -0,0 +1,202 @@
+//! Programs of dispatchers and growers: turns, tool calls between them, a new program after the last.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use hooklug_fleet::caller::{CallRequest, SessionRef, TurnRequest};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::calls::PlannedCall;
+use super::client::Client;
+use super::profile::Profile;
+use crate::oracle::evidence::{TurnClaim, TurnRecord};
+
+/// Tokens of a large budget: more than a program streams (ours).
+const LARGE_BUDGET: u64 = 100_000;
+/// Shared prefixes that programs use (ours).
+const PREFIXES: u64 = 4;
+
+/// Runs as many programs at once as asked, each followed by a new one, until told to stop. The first ones
+/// begin spread over `ramp`.
+pub async fn run_programs(
+    client: &Client,
+    profile: &Profile,
+    count: usize,
+    ramp: Duration,
+    seed: u64,
+    stop: &CancellationToken,
+) {
+    static RUNS: AtomicU64 = AtomicU64::new(0);
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let profile = Arc::new(profile.clone());
+    let mut users = JoinSet::new();
+    for user in 0..count {
+        let delay = ramp.mul_f64(user as f64 / count as f64);
+        let user = User {
+            client: client.clone(),
+            profile: profile.clone(),
+            random: ChaCha8Rng::seed_from_u64(seed ^ (run << 32) ^ user as u64),
+            name: format!("r{run}-u{user}"),
+            programs: 0,
+        };
+        users.spawn(user.run(delay, stop.clone()));
+    }
+    while users.join_next().await.is_some() {}
+}
+
+/// Someone who runs one program after another.
+struct User {
+    client: Client,
+    profile: Arc<Profile>,
+    random: ChaCha8Rng,
+    name: String,
+    programs: u64,
+}
+
+impl User {
+    async fn run(mut self, delay: Duration, stop: CancellationToken) {
+        if stop.run_until_cancelled(tokio::time::sleep(delay)).await.is_none() {
+            return;
+        }
+        while !stop.is_cancelled() {
+            self.run_program(&stop).await;
+        }
+    }
+
+    fn gateway(&mut self) -> usize {
+        self.random.random_range(0..64)
+    }
+
+    async fn run_program(&mut self, stop: &CancellationToken) {
+        self.programs += 1;
+        let program = format!("{}-p{}", self.name, self.programs);
+        let longest = self.profile.turn_tokens.1;
+        let small = self.random.random_bool(self.profile.small_budget_share);
+        let budget = if small { longest * self.random.random_range(1..4) } else { LARGE_BUDGET };
+        let gateway = self.gateway();
+        if self.client.declare(gateway, &program, budget, longest).await.is_err() {
+            return;
+        }
+        // A small budget is fought over by two sessions at once.
+        let sessions = if small { 2 } else { 1 };
+        let mut running = JoinSet::new();
+        for number in 0..sessions {
+            let one = OneSession {
+                client: self.client.clone(),
+                profile: self.profile.clone(),
+                random: ChaCha8Rng::seed_from_u64(self.random.random()),
+                session: SessionRef::new(&program, &format!("s{number}")),
+                calls: 0,
+            };
+            running.spawn(one.run(stop.clone()));
+        }
+        while running.join_next().await.is_some() {}
+    }
+}
+
+/// One session of a program, from its opening to its last turn.
+struct OneSession {
+    client: Client,
+    profile: Arc<Profile>,
+    random: ChaCha8Rng,
+    session: SessionRef,
+    calls: u64,
+}
+
+impl OneSession {
+    fn gateway(&mut self) -> usize {
+        self.random.random_range(0..64)
+    }
+
+    async fn run(mut self, stop: CancellationToken) {
+        let prefix = format!("prefix-{}", self.random.random_range(0..PREFIXES));
+        let gateway = self.gateway();
+        if self.client.open(gateway, &self.session, &self.profile.model, &prefix).await.is_err() {
+            return;
+        }
+        let left = CancellationToken::new();
+        let joined = self.random.random_bool(self.profile.join_share).then(|| {
+            let (client, session, left) = (self.client.clone(), self.session.clone(), left.clone());
+            let gateway = gateway + 1;
+            tokio::spawn(async move { client.join(gateway, &session, left).await })
+        });
+        self.run_turns(&stop).await;
+        left.cancel();
+        if let Some(joined) = joined {
+            // The task only writes down what it saw.
+            let _ = joined.await;
+        }
+    }
+
+    async fn run_turns(&mut self, stop: &CancellationToken) {
+        let mut after: Option<String> = None;
+        for number in 0..self.profile.turns {
+            if stop.is_cancelled() {
+                return;
+            }
+            let record = self.run_turn(number, after.as_deref()).await;
+            match &record.claim {
+                TurnClaim::Ended(_) => after = Some(record.turn.clone()),
+                TurnClaim::Refused(_) | TurnClaim::Nothing(_) => return,
+            }
+            let gateway = self.gateway();
+            // Only what it shows is of interest; a look that fails shows nothing.
+            let _ = self.client.look(gateway, &self.session).await;
+            if self.random.random_bool(self.profile.call_share) {
+                self.run_calls().await;
+            }
+            let think = self.profile.think.mul_f64(self.random.random_range(0.2..1.0));
+            stop.run_until_cancelled(tokio::time::sleep(think)).await;
+        }
+    }
+
+    async fn run_turn(&mut self, number: u32, after: Option<&str>) -> TurnRecord {
+        let (least, most) = self.profile.turn_tokens;
+        let tokens = self.random.random_range(least..=most);
+        let tool = if self.random.random_bool(0.2) { " [tool read_sensor]" } else { "" };
+        let input = format!("Vent or heat, {}? [tokens {tokens}]{tool}", self.session.program);
+        let turn = TurnRequest::new(&format!("t{number}"), after, &input, most);
+        let gateway = self.gateway();
+        self.client.run_turn(gateway, &self.session, &turn).await
+    }
+
+    async fn run_calls(&mut self) {
+        for _ in 0..self.random.random_range(1..=self.profile.calls.max(1)) {
+            let Some(planned) = self.plan_call() else { return };
+            let gateway = self.gateway();
+            let answer = self.client.run_call(gateway, &planned).await;
+            if let Some(answer) = answer.filter(|_| self.random.random_bool(0.5)) {
+                self.tell_result(&planned.call, &answer).await;
+            }
+        }
+    }
+
+    async fn tell_result(&mut self, call: &str, answer: &Value) {
+        let gateway = self.gateway();
+        // A result that gets lost is no breach; its event shows in the history if it came through.
+        let _ = self.client.caller().tell_tool_result(gateway, &self.session, call, answer).await;
+    }
+
+    fn plan_call(&mut self) -> Option<PlannedCall> {
+        let may_repeat = !self.random.random_bool(self.profile.once_share);
+        let tools = if may_repeat { &self.profile.repeatable } else { &self.profile.once };
+        let tool = tools.get(self.random.random_range(0..tools.len().max(1)))?.clone();
+        self.calls += 1;
+        let call = format!("{}-c{}", self.session.session, self.calls);
+        let arguments = json!({"of": self.session.program, "call": call});
+        let request = CallRequest::new(&tool, arguments);
+        let send_again = self.random.random_bool(0.2);
+        Some(PlannedCall {
+            program: self.session.program.clone(),
+            call,
+            request,
+            may_repeat,
+            send_again,
+        })
+    }
+}
--- /dev/null
+++ b/crates/bench/src/workload/sessions.rs
@@ -0,0 +1,142 @@
+//! Programs declared, sessions opened, joined, looked at and read back.
+
+use std::time::Duration;
+
+use hooklug_fleet::caller::{CallerError, SessionRef, SessionView, StreamEvent};
+use hooklug_fleet::http::{Answer, Ask};
+use hooklug_types::UnixMillis;
+use http::Method;
+use serde_json::{Value, json};
+use tokio_util::sync::CancellationToken;
+
+use super::client::{Answered, Client};
+use crate::oracle::evidence::{OwnerSeen, ProgramRecord};
+
+/// Longest time for a request that opens something (ours).
+const OPEN_TIME: Duration = Duration::from_secs(30);
+/// Time that programs have: longer than any run (ours).
+const PROGRAM_TIME: Duration = Duration::from_secs(86_400);
+
+fn path(session: &SessionRef) -> String {
+    format!("/v1/programs/{}/sessions/{}", session.program, session.session)
+}
+
+fn name(session: &SessionRef) -> String {
+    format!("{}/{}", session.program, session.session)
+}
+
+fn decode(answer: &Answer) -> Result<SessionView, CallerError> {
+    serde_json::from_slice(&answer.body).map_err(|e| CallerError::Broken(e.to_string()))
+}
+
+impl Client {
+    /// Declares a program.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn declare(
+        &self,
+        gateway: usize,
+        program: &str,
+        budget: u64,
+        longest_turn: u64,
+    ) -> Result<(), CallerError> {
+        let end = UnixMillis::now().plus(PROGRAM_TIME).0;
+        let body = json!({"token_budget": budget, "end_time_ms": end});
+        let ask = Ask::json(Method::PUT, format!("/v1/programs/{program}"), &body);
+        self.ask(gateway, &ask, OPEN_TIME).await?;
+        let record = ProgramRecord { budget, longest_turn, booked: None };
+        self.recorder.lock().programs.insert(program.to_owned(), record);
+        Ok(())
+    }
+
+    /// Opens a session and writes down its owner.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn open(
+        &self,
+        gateway: usize,
+        session: &SessionRef,
+        model: &str,
+        prefix: &str,
+    ) -> Result<(), CallerError> {
+        let body = json!({"model": model, "prefix": prefix});
+        let ask = Ask::json(Method::PUT, path(session), &body);
+        let answered = self.ask(gateway, &ask, OPEN_TIME).await?;
+        // An answer after a lost one may be about a session that the lost one opened.
+        let opened = answered.first_try;
+        self.note_owner(session, &answered, opened)
+    }
+
+    /// Looks at a session at one gateway and writes down its owner.
+    ///
+    /// # Errors
+    /// A problem that does not pass.
+    pub async fn look(&self, gateway: usize, session: &SessionRef) -> Result<(), CallerError> {
+        let ask = Ask::new(Method::GET, path(session));
+        let answered = self.ask(gateway, &ask, Duration::ZERO).await?;
+        self.note_owner(session, &answered, false)
+    }
+
+    fn note_owner(
+        &self,
+        session: &SessionRef,
+        answered: &Answered,
+        opened: bool,
+    ) -> Result<(), CallerError> {
+        let view = decode(&answered.answer)?;
+        let mut evidence = self.recorder.lock();
+        let record = evidence.sessions.entry(name(session)).or_default();
+        if let Some(owner) = view.owner {
+            let seen = OwnerSeen { owner, epoch: view.epoch, begun: answered.begun, opened };
+            record.owners.push(seen);
+        }
+        Ok(())
+    }
+
+    /// Joins a session as a second client and writes down what it gets until told to stop or cut off.
+    pub async fn join(&self, gateway: usize, session: &SessionRef, stop: CancellationToken) {
+        let Ok(mut stream) = self.caller().join(gateway, session, None).await else { return };
+        let mut events = Vec::new();
+        while let Some(Ok(Some(event))) = stop.run_until_cancelled(stream.next()).await {
+            if event.event == "sync" {
+                events.extend(sync_events(&event));
+            } else {
+                events.push(event);
+            }
+        }
+        let mut evidence = self.recorder.lock();
+        evidence.sessions.entry(name(session)).or_default().joined.push(events);
+    }
+
+    /// The whole history of a session.
+    ///
+    /// # Errors
+    /// A problem, or no answer.
+    pub async fn history(
+        &self,
+        gateway: usize,
+        session: &SessionRef,
+    ) -> Result<Vec<StreamEvent>, CallerError> {
+        let mut stream = self.caller().join(gateway, session, None).await?;
+        match stream.next().await? {
+            Some(event) if event.event == "sync" => Ok(sync_events(&event)),
+            other => Err(CallerError::Broken(format!("a joined stream began with {other:?}"))),
+        }
+    }
+}
+
+/// The events in a `sync`.
+fn sync_events(sync: &StreamEvent) -> Vec<StreamEvent> {
+    let events = sync.data["events"].as_array().map(Vec::as_slice).unwrap_or_default();
+    events.iter().map(event_in_sync).collect()
+}
+
+fn event_in_sync(value: &Value) -> StreamEvent {
+    StreamEvent {
+        id: value["id"].as_u64().unwrap_or(0),
+        event: value["event"].as_str().unwrap_or_default().to_owned(),
+        data: value["data"].clone(),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/workload/turns.rs
@@ -0,0 +1,135 @@
+//! Turns: sent, followed over cuts, and written down.
+
+use std::time::Duration;
+
+use hooklug_fleet::caller::{CallerError, EventStream, SessionRef, TurnRequest};
+use tokio::time::{Instant, sleep};
+
+use super::client::{Client, pause_after};
+use super::now;
+use crate::oracle::evidence::{TurnClaim, TurnRecord};
+
+/// Longest time for a turn with all its resumptions (ours).
+const TURN_TIME: Duration = Duration::from_secs(60);
+
+impl Client {
+    /// Sends a turn, follows it to its terminal event over cuts and other gateways, writes it down, and
+    /// tells what came of it.
+    pub async fn run_turn(
+        &self,
+        mut gateway: usize,
+        session: &SessionRef,
+        request: &TurnRequest,
+    ) -> TurnRecord {
+        let mut following = Following::new(session, request);
+        loop {
+            let caller = self.caller();
+            let opened = match following.last_id() {
+                None => caller.begin_turn(gateway, session, request).await,
+                after => caller.resume_turn(gateway, session, &request.turn, after).await,
+            };
+            let error = match opened {
+                Ok(mut stream) => following.read(&mut stream).await.err(),
+                Err(error) => Some(error),
+            };
+            if let Some(claim) = following.settle(error.as_ref()) {
+                let record = following.finish(claim);
+                self.recorder.lock().turns.push(record.clone());
+                return record;
+            }
+            gateway += 1;
+            sleep(error.as_ref().map_or(Duration::ZERO, pause_after)).await;
+        }
+    }
+}
+
+/// A turn whose stream is being followed.
+struct Following {
+    record: TurnRecord,
+    sent: Instant,
+    last_token: Option<Instant>,
+}
+
+impl Following {
+    fn new(session: &SessionRef, request: &TurnRequest) -> Self {
+        let record = TurnRecord {
+            session: format!("{}/{}", session.program, session.session),
+            turn: request.turn.clone(),
+            after: request.after.clone(),
+            begun: now(),
+            ended: 0,
+            events: Vec::new(),
+            ended_without_terminal: false,
+            claim: TurnClaim::Nothing(String::new()),
+            first_token_ms: None,
+            gaps_ms: Vec::new(),
+            cuts: 0,
+        };
+        Self { record, sent: Instant::now(), last_token: None }
+    }
+
+    fn last_id(&self) -> Option<u64> {
+        self.record.events.last().map(|event| event.id)
+    }
+
+    fn ended(&self) -> Option<&str> {
+        let last = self.record.events.last().filter(|event| event.ends_turn());
+        last.map(|event| event.event.as_str())
+    }
+
+    async fn read(&mut self, stream: &mut EventStream) -> Result<(), CallerError> {
+        while self.ended().is_none() {
+            match stream.next().await {
+                Ok(Some(event)) => {
+                    if event.event == "tokens" {
+                        self.time_token();
+                    }
+                    self.record.events.push(event);
+                }
+                Ok(None) => {
+                    self.record.ended_without_terminal = true;
+                    return Ok(());
+                }
+                Err(error) => {
+                    self.record.cuts += 1;
+                    self.last_token = None;
+                    return Err(error);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn time_token(&mut self) {
+        let at = Instant::now();
+        if self.record.first_token_ms.is_none() {
+            self.record.first_token_ms = Some((at - self.sent).as_secs_f64() * 1e3);
+        }
+        if let Some(last) = self.last_token.replace(at) {
+            self.record.gaps_ms.push((at - last).as_secs_f64() * 1e3);
+        }
+    }
+
+    /// What the turn was told, once that is final.
+    fn settle(&self, error: Option<&CallerError>) -> Option<TurnClaim> {
+        if let Some(end) = self.ended() {
+            return Some(TurnClaim::Ended(end.to_owned()));
+        }
+        let over = self.sent.elapsed() >= TURN_TIME;
+        match error {
+            Some(error) if !error.is_passing() => Some(match error.code() {
+                Some(code) => TurnClaim::Refused(code.to_owned()),
+                None => TurnClaim::Nothing(error.to_string()),
+            }),
+            Some(error) if over => Some(TurnClaim::Nothing(error.to_string())),
+            None if over => Some(TurnClaim::Nothing("no terminal event".to_owned())),
+            _ => None,
+        }
+    }
+
+    fn finish(mut self, claim: TurnClaim) -> TurnRecord {
+        self.record.ended = now();
+        self.record.claim = claim;
+        self.record
+    }
+}
--- a/crates/emulator/src/application.rs
+++ b/crates/emulator/src/application.rs
@@ -113,7 +113,10 @@
         let headers = request.headers().clone();
         let (id, hit) = match self.core.admit(&headers, &tool) {
             Ok(admitted) => admitted,
-            Err(refusal) => return Ok(*refusal),
+            Err(refusal) => {
+                self.record_refusal(&headers, &refusal);
+                return Ok(*refusal);
+            }
         };
         let arguments: Value = match read_json(request).await {
             Ok(arguments) => arguments,
@@ -125,6 +128,13 @@
         self.send(finished, hit).await
     }
 
+    fn record_refusal(&self, request: &HeaderMap, answer: &Response<Body>) {
+        if let Some(reason) = header_text(answer.headers(), headers::REFUSED) {
+            let call = header_text(request, headers::CALL).unwrap_or_default().to_owned();
+            self.core.record(LedgerEntry::Refused { call, reason: reason.to_owned() });
+        }
+    }
+
     async fn run(
         self: Arc<Self>,
         tool: String,
--- a/crates/emulator/src/ledger.rs
+++ b/crates/emulator/src/ledger.rs
@@ -29,6 +29,13 @@
         /// How often this process has run this call, this time included.
         times: u32,
     },
+    /// An application engine refused a call explicitly; it did not run.
+    Refused {
+        /// `program/call`; empty when the request named none.
+        call: String,
+        /// `draining`, `overloaded` or `identity`.
+        reason: String,
+    },
     /// A model server began a generation.
     GenerationBegan {
         /// Id of the request.
@@ -56,7 +63,7 @@
         text: String,
         /// Tokens in it.
         tokens: u64,
-        /// `stop`, `length`, or `aborted`.
+        /// `stop`, `length`, `aborted`, or `crossed` when another request's lines went out.
         end: String,
     },
 }
--- a/crates/emulator/src/model/generation.rs
+++ b/crates/emulator/src/model/generation.rs
@@ -80,6 +80,8 @@
     hit: Hit,
     /// What goes out: its own lines, or another request's when answers are crossed.
     lines: Lines,
+    /// Whether these lines are another request's.
+    crossed: bool,
     record: Record,
 }
 
@@ -131,7 +133,8 @@
             _running: server.core.enter(),
             server: server.clone(),
         };
-        Self { server, body, hit, lines: crossed.unwrap_or(own), record }
+        let is_crossed = crossed.is_some();
+        Self { server, body, hit, lines: crossed.unwrap_or(own), crossed: is_crossed, record }
     }
 
     /// Runs to the end, or until the reader goes away.
@@ -147,7 +150,9 @@
             () = pieces.closed() => Err(Ended),
         };
         drop(slot);
-        if streamed.is_ok() {
+        if self.crossed {
+            self.record.end = "crossed";
+        } else if streamed.is_ok() {
             self.record.end = match self.lines.bodies.last() {
                 Some(LineBody::End { end, .. }) => end,
                 _ => "stop",
