--- /dev/null
+++ b/crates/bench/src/command/compare.rs
@@ -0,0 +1,61 @@
+//! `compare`: two scenarios one after the other on the same machine, and their figures by one another.
+
+use clap::Args;
+
+use super::run::{Common, section};
+use crate::environment::Environment;
+use crate::figures::Figures;
+use crate::report::{Measure, Report, Section};
+
+/// Arguments of `compare`.
+#[derive(Debug, Args)]
+pub struct Arguments {
+    /// The first scenario, as for `run`.
+    first: String,
+    /// The second one, `frost-night@plain` or `frost-nightx3` for example.
+    second: String,
+    #[command(flatten)]
+    common: Common,
+}
+
+/// Runs both. Violations are reported and do not fail the comparison: a baseline may have them.
+///
+/// # Errors
+/// When a fleet fails.
+pub fn run(arguments: &Arguments) -> anyhow::Result<()> {
+    let environment = Environment::read();
+    let (first, second) = super::block_on(async {
+        let first = section(&arguments.first, &arguments.common).await?;
+        Ok((first, section(&arguments.second, &arguments.common).await?))
+    })?;
+    let ratios = ratios(&first, &second);
+    let name = format!("{}-and-{}", arguments.first, arguments.second);
+    let report = Report::new(&name, environment, vec![first, second, ratios]);
+    report.print();
+    report.write(&arguments.common.reports)?;
+    Ok(())
+}
+
+/// The second run's figures by the first's, part by part.
+fn ratios(first: &Section, second: &Section) -> Section {
+    let mut measures = Vec::new();
+    if let (Section::Run(first), Section::Run(second)) = (first, second) {
+        for ((part, one), (_, other)) in first.figures.iter().zip(&second.figures) {
+            measures.extend(ratios_of(part, one, other));
+        }
+    }
+    let name = "the second by the first".to_owned();
+    Section::Measures { name, measures, load: crate::environment::load() }
+}
+
+fn ratios_of(part: &str, one: &Figures, other: &Figures) -> [Measure; 4] {
+    let ratio = |what: &str, one: f64, other: f64| {
+        Measure::new(format!("{part}: {what}"), other / one.max(f64::MIN_POSITIVE), "")
+    };
+    [
+        ratio("turns finished a second", one.turns_per_second, other.turns_per_second),
+        ratio("calls answered a second", one.calls_per_second, other.calls_per_second),
+        ratio("first token, p95", one.first_token_ms.p95, other.first_token_ms.p95),
+        ratio("call, p95", one.call_ms.p95, other.call_ms.p95),
+    ]
+}
--- a/crates/bench/src/command/mod.rs
+++ b/crates/bench/src/command/mod.rs
@@ -1,8 +1,10 @@
 //! The subcommands.
 
 pub mod chaos;
+pub mod compare;
 
 mod progress;
+pub mod run;
 
 use std::future::Future;
 
--- /dev/null
+++ b/crates/bench/src/command/run.rs
@@ -0,0 +1,112 @@
+//! `run`: one scenario.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Args;
+use hooklug_fleet::Topology;
+
+use super::progress::TimeBar;
+use crate::environment::Environment;
+use crate::report::{Report, Section};
+use crate::scenario::chaos::default_topology;
+use crate::scenario::scene::SceneRun;
+use crate::scenario::specification::Specification;
+use crate::scenario::{call_rate, overhead, proxy};
+
+/// Starting a fleet and reading everything back, beside the load itself (ours; for the bar only).
+const AROUND: Duration = Duration::from_secs(15);
+
+/// Arguments of `run`.
+#[derive(Debug, Args)]
+pub struct Arguments {
+    /// `frost-night`, `sowing-morning` or `storm-warning`, with `@plain` for baseline gateways and `xN` for N
+    /// times the load; or `calls`, `proxy`, `overhead`.
+    scenario: String,
+    #[command(flatten)]
+    pub(super) common: Common,
+}
+
+/// What all scenarios take.
+#[derive(Debug, Args)]
+pub struct Common {
+    /// Factor on the load.
+    #[arg(long, default_value_t = 1.0)]
+    scale: f64,
+    /// Length of the steady part and of the burst each, or of the measurement.
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// Seed of load, operators and kills.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Callers or streams at once, for `calls`, `proxy` and `overhead`.
+    #[arg(long)]
+    callers: Option<usize>,
+    /// Topology file (default: four stores, three cores, three gateways, four engines).
+    #[arg(long)]
+    topology: Option<PathBuf>,
+    /// Folder for the reports.
+    #[arg(long, default_value = "bench-reports")]
+    pub(super) reports: PathBuf,
+    /// Folder for the fleet's logs, ledgers and disks; kept afterwards (default: drawn, and removed).
+    #[arg(long)]
+    data: Option<PathBuf>,
+}
+
+impl Common {
+    fn topology(&self) -> anyhow::Result<Topology> {
+        match &self.topology {
+            Some(path) => Ok(Topology::read(path)?),
+            None => Ok(default_topology()),
+        }
+    }
+
+    fn part(&self) -> Duration {
+        Duration::from_secs(self.seconds)
+    }
+}
+
+/// Callers at once unless asked otherwise (ours).
+const CALLERS: usize = 64;
+/// Streams at once at which the overhead is to be measured (issue 5).
+const STREAMS: usize = 200;
+
+/// Runs it.
+///
+/// # Errors
+/// When the fleet fails, or any promise was broken.
+pub fn run(arguments: &Arguments) -> anyhow::Result<()> {
+    let environment = Environment::read();
+    let scenario = arguments.scenario.as_str();
+    let section = super::block_on(section(scenario, &arguments.common))?;
+    let report = Report::new(scenario, environment, vec![section]);
+    report.print();
+    report.write(&arguments.common.reports)?;
+    anyhow::ensure!(report.violations() == 0, "{} violations", report.violations());
+    Ok(())
+}
+
+/// Runs one scenario and tells what came of it.
+pub(super) async fn section(scenario: &str, common: &Common) -> anyhow::Result<Section> {
+    let (topology, part) = (common.topology()?, common.part());
+    let callers = common.callers.unwrap_or(CALLERS);
+    let _bar = TimeBar::start(scenario, part + AROUND);
+    match scenario {
+        "calls" => Ok(call_rate::run(topology, callers, part).await?),
+        "proxy" => Ok(proxy::run(topology, callers, part).await?),
+        "overhead" => Ok(overhead::run(topology, common.callers.unwrap_or(STREAMS)).await?),
+        _ => scene(scenario.parse()?, common, topology).await,
+    }
+}
+
+async fn scene(
+    mut specification: Specification,
+    common: &Common,
+    topology: Topology,
+) -> anyhow::Result<Section> {
+    specification.scale *= common.scale;
+    let data = common.data.clone();
+    let run = SceneRun { specification, topology, part: common.part(), seed: common.seed, data };
+    let bar = TimeBar::start(&specification.to_string(), common.part() * 2 + AROUND);
+    Ok(run.run(&bar).await?.into_section())
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -16,12 +16,18 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Runs a scenario and writes its report.
+    Run(command::run::Arguments),
+    /// Runs two scenarios one after the other and shows their figures side by side.
+    Compare(command::compare::Arguments),
     /// Random faults against a fleet under load, judged by the oracle.
     Chaos(command::chaos::Arguments),
 }
 
 fn main() -> anyhow::Result<()> {
     match Arguments::parse().command {
+        Command::Run(arguments) => command::run::run(&arguments),
+        Command::Compare(arguments) => command::compare::run(&arguments),
         Command::Chaos(arguments) => command::chaos::run(&arguments),
     }
 }
--- a/crates/bench/src/scenario/mod.rs
+++ b/crates/bench/src/scenario/mod.rs
@@ -1,6 +1,12 @@
-//! What is run: fleets under load, with and without faults.
+//! What is run: fleets under load, with and without faults, and measurements of single paths.
 
+pub mod call_rate;
 pub mod chaos;
 pub mod outcome;
+pub mod overhead;
+pub mod proxy;
+mod rate;
+pub mod scene;
+pub mod specification;
 
 pub use outcome::Outcome;
--- /dev/null
+++ b/crates/bench/src/scenario/scene.rs
@@ -0,0 +1,244 @@
+//! Runs a scene: steady state, then all of a zone's users in one second, engines replaced meanwhile.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_bundle::Bundle;
+use hooklug_fleet::{Fleet, FleetError, FleetOptions, ProcessKind, Topology};
+use hooklug_types::BundleVersion;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use super::Outcome;
+use super::specification::{Load, Specification};
+use crate::faults::{ChaosProgress, recover};
+use crate::oracle::evidence::{Disturbance, DrainRecord};
+use crate::workload::{
+    Client, Profile, Recorder, now, observe, operate, read_finally, run_programs,
+};
+
+/// Time for late work to show before everything is read (ours).
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// All of a zone's users come within this time (brief).
+const BURST_TIME: Duration = Duration::from_secs(1);
+/// Pause between two kills (ours).
+const BETWEEN_KILLS: Duration = Duration::from_secs(6);
+/// How long a killed node is away (ours).
+const AWAY: Duration = Duration::from_secs(3);
+/// Requests a second and at once that a tenant may make at one gateway: the scenes measure capacity, not
+/// tenants' limits.
+const TENANT_LIMIT: u32 = 100_000;
+
+/// A scene to be run.
+#[derive(Debug, Clone)]
+pub struct SceneRun {
+    /// The scene, its mode and its scale.
+    pub specification: Specification,
+    /// The fleet.
+    pub topology: Topology,
+    /// Length of the steady part and of the burst, each.
+    pub part: Duration,
+    /// Seed of load, operators and kills.
+    pub seed: u64,
+    /// Folder of the fleet; drawn and removed when none is named.
+    pub data: Option<PathBuf>,
+}
+
+impl SceneRun {
+    /// Runs it and judges it.
+    ///
+    /// # Errors
+    /// When the fleet can't be started or what happens to it can't be done.
+    pub async fn run(&self, progress: &dyn ChaosProgress) -> Result<Outcome, FleetError> {
+        let mut topology = self.topology.clone();
+        topology.gateway_mode = self.specification.mode;
+        let options = FleetOptions { data: self.data.clone() };
+        let fleet = Arc::new(Fleet::start_with(topology, options).await?);
+        lift_tenant_limits(&fleet).await?;
+        let name = self.specification.to_string();
+        progress.say(&format!("{name}: {} processes serve", fleet.all_names().len()));
+        let stage = Stage::new(self, fleet);
+        let from = now();
+        let burst = stage.play(progress).await?;
+        let to = now();
+        stage.stop().await?;
+        sleep(SETTLE_TIME).await;
+        read_finally(&stage.fleet, &stage.client).await?;
+        let evidence = stage.client.recorder().snapshot();
+        let parts = [("steady".to_owned(), from, burst), ("burst".to_owned(), burst, to)];
+        Ok(Outcome::of(&name, &evidence, (from, to), &parts))
+    }
+}
+
+/// Submits the topology's bundle again with tenants' limits out of the way.
+///
+/// # Errors
+/// When no node takes it.
+pub async fn lift_tenant_limits(fleet: &Fleet) -> Result<(), FleetError> {
+    let made = fleet.topology().bundle(BundleVersion(2), BundleVersion(1));
+    let mut bundle: Bundle = made.map_err(|e| FleetError::Unexpected(e.to_string()))?;
+    for tenant in bundle.tenants.values_mut() {
+        tenant.limits.requests_per_second = f64::from(TENANT_LIMIT);
+        tenant.limits.concurrency = TENANT_LIMIT;
+    }
+    fleet.submit_bundle(&bundle).await.map(drop)
+}
+
+/// A running scene.
+struct Stage {
+    fleet: Arc<Fleet>,
+    client: Client,
+    profile: Profile,
+    load: Load,
+    slots: f64,
+    part: Duration,
+    seed: u64,
+    stop: CancellationToken,
+    tasks: tokio::sync::Mutex<JoinSet<()>>,
+}
+
+impl Stage {
+    fn new(run: &SceneRun, fleet: Arc<Fleet>) -> Self {
+        let load = run.specification.scene.load();
+        let client = Client::new(&fleet, Recorder::default());
+        let slots: usize = run.topology.models.iter().map(|g| g.engines * g.slots as usize).sum();
+        let profile = Profile {
+            turn_tokens: load.turn_tokens,
+            calls: load.calls,
+            once_share: load.once_share,
+            turns: load.turns,
+            think: load.think,
+            small_budget_share: 0.1,
+            ..Profile::of(&run.topology)
+        };
+        Self {
+            fleet,
+            client,
+            profile,
+            load,
+            slots: slots as f64 * run.specification.scale,
+            part: run.part,
+            seed: run.seed,
+            stop: CancellationToken::new(),
+            tasks: tokio::sync::Mutex::default(),
+        }
+    }
+
+    /// Plays both parts; tells when the burst began.
+    async fn play(&self, progress: &dyn ChaosProgress) -> Result<u64, FleetError> {
+        let recorder = self.client.recorder();
+        {
+            let mut tasks = self.tasks.lock().await;
+            tasks.spawn(operate(
+                self.fleet.clone(),
+                recorder.clone(),
+                self.seed,
+                self.stop.clone(),
+            ));
+            tasks.spawn(observe(self.fleet.clone(), recorder, self.stop.clone()));
+        }
+        self.add_programs(self.load.steady, self.part / 4, 1).await;
+        let kills = self.kill_until(Instant::now() + self.part * 2, progress);
+        let parts = async {
+            sleep(self.part).await;
+            let burst = now();
+            progress.say("all users of a zone arrive");
+            self.add_programs(self.load.burst, BURST_TIME, 2).await;
+            let end = Instant::now() + self.part;
+            if self.load.replace_engines {
+                self.restart_engines(end, progress).await?;
+            }
+            tokio::time::sleep_until(end).await;
+            Ok::<u64, FleetError>(burst)
+        };
+        let (killed, burst) = tokio::join!(kills, parts);
+        killed?;
+        burst
+    }
+
+    async fn add_programs(&self, by_slot: f64, ramp: Duration, part: u64) {
+        let count = (self.slots * by_slot).round().max(1.0) as usize;
+        let (client, profile, stop) =
+            (self.client.clone(), self.profile.clone(), self.stop.clone());
+        let seed = self.seed.wrapping_mul(31).wrapping_add(part);
+        self.tasks.lock().await.spawn(async move {
+            run_programs(&client, &profile, count, ramp, seed, &stop).await;
+        });
+    }
+
+    /// Engines are replaced one after another, as the platform does it.
+    async fn restart_engines(
+        &self,
+        end: Instant,
+        progress: &dyn ChaosProgress,
+    ) -> Result<(), FleetError> {
+        for name in self.fleet.names(ProcessKind::Engine) {
+            if Instant::now() >= end {
+                break;
+            }
+            progress.say(&format!("{name} is replaced"));
+            self.begin(format!("replace {name}"), vec![name.to_string()]);
+            let drain = DrainRecord { engine: name.word(), known: now(), until: None };
+            self.client.recorder().lock().drains.push(drain);
+            self.fleet.restart(name).await?;
+            self.end(&format!("replace {name}"), &name.word());
+        }
+        Ok(())
+    }
+
+    /// Kills nodes at random, one at a time, and brings them back.
+    async fn kill_until(
+        &self,
+        end: Instant,
+        progress: &dyn ChaosProgress,
+    ) -> Result<(), FleetError> {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        let kinds = [ProcessKind::Store, ProcessKind::Core, ProcessKind::Gateway];
+        while self.load.kills && Instant::now() + BETWEEN_KILLS + AWAY < end {
+            sleep(BETWEEN_KILLS).await;
+            let kind = *kinds.choose(&mut random).unwrap_or(&ProcessKind::Core);
+            let names = self.fleet.names(kind);
+            let Some(name) = names.choose(&mut random).copied() else { continue };
+            progress.say(&format!("{name} is killed"));
+            self.begin(format!("kill {name}"), vec![name.to_string()]);
+            self.fleet.kill(name)?;
+            sleep(AWAY).await;
+            self.fleet.restart(name).await?;
+            self.end(&format!("kill {name}"), "");
+            let recovery = recover(&self.fleet, &self.profile, format!("kill {name}"), now()).await;
+            self.client.recorder().lock().recoveries.push(recovery);
+        }
+        Ok(())
+    }
+
+    fn begin(&self, fault: String, hit: Vec<String>) {
+        let disturbance = Disturbance { fault, hit, from: now(), until: None };
+        self.client.recorder().lock().disturbances.push(disturbance);
+    }
+
+    fn end(&self, fault: &str, drained: &str) {
+        let recorder = self.client.recorder();
+        let mut evidence = recorder.lock();
+        for disturbance in evidence.disturbances.iter_mut().filter(|d| d.fault == fault) {
+            disturbance.until.get_or_insert(now());
+        }
+        for drain in evidence.drains.iter_mut().filter(|drain| drain.engine == drained) {
+            drain.until.get_or_insert(now());
+        }
+    }
+
+    async fn stop(&self) -> Result<(), FleetError> {
+        self.stop.cancel();
+        let mut tasks = self.tasks.lock().await;
+        while let Some(ended) = tasks.join_next().await {
+            // A panic of such a task is a fault of the bench itself.
+            ended.map_err(|e| FleetError::Unexpected(e.to_string()))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/oracle.rs
@@ -0,0 +1,372 @@
+//! The oracle notices every breach: sound records, doctored one at a time.
+
+use hooklug_bench::oracle::evidence::{
+    BundleRead, CallClaim, CallRecord, Disturbance, DrainRecord, Evidence, HarmfulRelease,
+    InstalledSeen, OwnerSeen, ProgramRecord, Recovery, SessionRecord, SubmissionAnswer,
+    SubmissionRecord, TurnClaim, TurnRecord,
+};
+use hooklug_bench::oracle::{Promise, judge};
+use hooklug_emulator::{LedgerEntry, LedgerLine};
+use hooklug_fleet::caller::StreamEvent;
+use hooklug_types::UnixMillis;
+use serde_json::{Value, json};
+
+const CALL: &str = "p/c1";
+const SESSION: &str = "p/s";
+
+fn line(at: u64, engine: &str, version: &str, entry: LedgerEntry) -> LedgerLine {
+    let identity = format!("service/{engine}/7");
+    LedgerLine { at: UnixMillis(at), identity, version: version.to_owned(), entry }
+}
+
+fn ran(at: u64, engine: &str, version: &str, call: &str) -> LedgerLine {
+    let (call, attempt) = (call.to_owned(), "1".to_owned());
+    let (tool, request) = ("send_alarm".to_owned(), "r".to_owned());
+    line(at, engine, version, LedgerEntry::CallRan { call, attempt, tool, request, times: 1 })
+}
+
+fn generation(engine: &str, turn: &str, text: &str, tokens: u64, end: &str) -> [LedgerLine; 2] {
+    let (session, request) = (SESSION.to_owned(), format!("r-{turn}"));
+    let began = LedgerEntry::GenerationBegan {
+        request: request.clone(),
+        session: session.clone(),
+        turn: turn.to_owned(),
+        prefix: None,
+        prefix_hit: false,
+        uncached_tokens: 0,
+    };
+    let ended = LedgerEntry::GenerationEnded {
+        request,
+        session,
+        turn: turn.to_owned(),
+        text: text.to_owned(),
+        tokens,
+        end: end.to_owned(),
+    };
+    [line(10, engine, "v1", began), line(20, engine, "v1", ended)]
+}
+
+fn event(id: u64, event: &str, data: Value) -> StreamEvent {
+    StreamEvent { id, event: event.to_owned(), data }
+}
+
+fn events() -> Vec<StreamEvent> {
+    vec![
+        event(1, "turn", json!({"turn": "t1", "after": null, "input": "?"})),
+        event(2, "tokens", json!({"turn": "t1", "text": "vent ", "count": 1})),
+        event(3, "tokens", json!({"turn": "t1", "text": "now ", "count": 1})),
+        event(4, "finished", json!({"turn": "t1", "tokens": 2})),
+    ]
+}
+
+fn turn(name: &str, after: Option<&str>, events: Vec<StreamEvent>, claim: TurnClaim) -> TurnRecord {
+    TurnRecord {
+        session: SESSION.to_owned(),
+        turn: name.to_owned(),
+        after: after.map(str::to_owned),
+        begun: 5,
+        ended: 30,
+        events,
+        ended_without_terminal: false,
+        claim,
+        first_token_ms: None,
+        gaps_ms: Vec::new(),
+        cuts: 0,
+    }
+}
+
+fn submission(version: u64, digest: &str, at: u64, answer: SubmissionAnswer) -> SubmissionRecord {
+    let (base, digest) = (version - 1, digest.to_owned());
+    SubmissionRecord { version, base, digest, begun: at, answered: at + 10, answer }
+}
+
+fn answer_body() -> Value {
+    json!({"tool": "send_alarm", "call": CALL, "times": 1, "arguments": {"house": 4}, "engine": "app-0"})
+}
+
+/// Records of a run in which every promise was kept.
+fn sound() -> Evidence {
+    let mut evidence = Evidence::default();
+    let program = ProgramRecord { budget: 10, longest_turn: 4, booked: Some(2) };
+    evidence.programs.insert("p".to_owned(), program);
+    let owner = OwnerSeen { owner: "engine-0".to_owned(), epoch: 1, begun: 4, opened: true };
+    let history = Some(events());
+    let session = SessionRecord { owners: vec![owner], joined: vec![events()], history };
+    evidence.sessions.insert(SESSION.to_owned(), session);
+    evidence.turns.push(turn("t1", None, events(), TurnClaim::Ended("finished".to_owned())));
+    let refused = TurnClaim::Refused("budget_spent".to_owned());
+    evidence.turns.push(turn("t2", Some("t1"), Vec::new(), refused));
+    evidence.calls.push(CallRecord {
+        call: CALL.to_owned(),
+        tool: "send_alarm".to_owned(),
+        arguments: json!({"house": 4}),
+        may_repeat: false,
+        begun: 40,
+        ended: 50,
+        claims: vec![CallClaim::Answered { status: 200, body: answer_body() }],
+    });
+    evidence.applications.push(ran(45, "app-0", "v1", CALL));
+    evidence.models.extend(generation("model-0", "t1", "vent now ", 2, "stop"));
+    evidence.submissions.push(submission(2, "a", 100, SubmissionAnswer::Acknowledged));
+    evidence.submissions.push(submission(2, "b", 105, SubmissionAnswer::Refused("race".into())));
+    evidence.submissions.push(submission(2, "a", 150, SubmissionAnswer::Acknowledged));
+    evidence.installed.push(seen(120, 1));
+    evidence.installed.push(seen(2_200, 2));
+    evidence.bundle_reads.push(BundleRead { begun: 200, version: 2 });
+    evidence.recoveries.push(Recovery { after: "x".into(), healed: 0, served: Some(11_000) });
+    evidence
+}
+
+fn seen(begun: u64, version: u64) -> InstalledSeen {
+    InstalledSeen { node: "gateway:0".to_owned(), begun, version }
+}
+
+/// Doctors sound records and expects breaches of exactly one promise.
+fn breaks(promise: Promise, doctor: impl FnOnce(&mut Evidence)) {
+    let mut evidence = sound();
+    doctor(&mut evidence);
+    let verdict = judge(&evidence);
+    assert!(!verdict.violations.is_empty(), "{promise:?} was broken unnoticed");
+    for violation in verdict.violations {
+        assert_eq!(violation.promise, promise, "{violation}");
+    }
+}
+
+#[test]
+fn sound_records_break_nothing_and_every_check_looked_at_something() {
+    let verdict = judge(&sound());
+    assert_eq!(verdict.violations, []);
+    for what in ["calls that may not be repeated", "answers to calls", "texts of turns", "budgets"]
+    {
+        assert!(verdict.examined[what] > 0, "{what}");
+    }
+}
+
+#[test]
+fn a_second_run_is_noticed() {
+    breaks(Promise::AtMostOnce, |e| e.applications.push(ran(9_000, "app-1", "v1", CALL)));
+}
+
+#[test]
+fn a_false_not_run_is_noticed_also_when_it_runs_later() {
+    breaks(Promise::TrueRefusals, |e| {
+        e.calls[0].claims = vec![CallClaim::NotRun("not_run".to_owned())];
+        e.applications[0].at = UnixMillis(90_000);
+    });
+}
+
+#[test]
+fn a_false_budget_spent_is_noticed() {
+    breaks(Promise::TrueRefusals, |e| {
+        e.models.extend(generation("model-0", "t2", "", 0, "aborted"));
+    });
+}
+
+#[test]
+fn foreign_crossed_and_cut_answers_of_calls_are_noticed() {
+    let doctored: [fn(&mut Value); 4] = [
+        |body| body["call"] = "p/c2".into(),
+        |body| body["arguments"] = json!({}),
+        |body| body["engine"] = "app-9".into(),
+        |body| *body = Value::String("{\"tool\": \"send_al".to_owned()),
+    ];
+    for doctor in doctored {
+        breaks(Promise::OwnWholeAnswers, |e| {
+            let mut body = answer_body();
+            doctor(&mut body);
+            e.calls[0].claims = vec![CallClaim::Answered { status: 200, body }];
+        });
+    }
+}
+
+#[test]
+fn a_second_answer_that_differs_is_noticed() {
+    breaks(Promise::OwnWholeAnswers, |e| {
+        let mut body = answer_body();
+        body["times"] = 2.into();
+        e.calls[0].claims.push(CallClaim::Answered { status: 200, body });
+    });
+}
+
+#[test]
+fn a_text_cut_short_but_shown_as_finished_is_noticed() {
+    breaks(Promise::OwnWholeAnswers, |e| {
+        e.models.truncate(0);
+        e.models.extend(generation("model-0", "t1", "vent now wait ", 3, "stop"));
+    });
+    breaks(Promise::OwnWholeAnswers, |e| {
+        e.models.truncate(0);
+        e.models.extend(generation("model-0", "t1", "vent now ", 2, "aborted"));
+    });
+}
+
+#[test]
+fn another_requests_text_is_noticed() {
+    breaks(Promise::OwnWholeAnswers, |e| {
+        e.models.truncate(0);
+        e.models.extend(generation("model-0", "t1", "vent now ", 2, "crossed"));
+    });
+    breaks(Promise::OwnWholeAnswers, |e| {
+        e.models.truncate(0);
+        e.models.extend(generation("model-0", "t1", "heat up ", 2, "aborted"));
+        let end = event(4, "interrupted", json!({"turn": "t1", "tokens": 2}));
+        replace_event(e, &end);
+        e.turns[0].claim = TurnClaim::Ended("interrupted".to_owned());
+    });
+}
+
+/// Replaces an event wherever it was seen.
+fn replace_event(evidence: &mut Evidence, by: &StreamEvent) {
+    let sessions = evidence.sessions.values_mut();
+    let streams = sessions.flat_map(|s| s.joined.iter_mut().chain(s.history.as_mut()));
+    for event in streams.chain(evidence.turns.iter_mut().map(|t| &mut t.events)).flatten() {
+        if event.id == by.id {
+            *event = by.clone();
+        }
+    }
+}
+
+#[test]
+fn lost_repeated_and_spliced_events_are_noticed() {
+    breaks(Promise::ExactStreams, |e| drop(e.turns[0].events.remove(1)));
+    breaks(Promise::ExactStreams, |e| {
+        let again = e.turns[0].events[2].clone();
+        e.turns[0].events.insert(3, again);
+        // The text doubles as well; a server that made just that hides it from the check of texts.
+        e.models.truncate(0);
+        e.models.extend(generation("model-0", "t1", "vent now now ", 3, "stop"));
+    });
+    breaks(Promise::ExactStreams, |e| {
+        e.turns[0].events[2].data["turn"] = "t0".into();
+        e.sessions.clear();
+    });
+}
+
+#[test]
+fn a_stream_that_ends_without_its_end_is_noticed() {
+    breaks(Promise::ExactStreams, |e| e.turns[0].ended_without_terminal = true);
+}
+
+#[test]
+fn an_event_shown_before_its_commit_is_noticed() {
+    breaks(Promise::ExactStreams, |e| {
+        // The former owner showed a second token that was never committed; the taker put the end there.
+        let session = e.sessions.get_mut(SESSION).unwrap();
+        session.joined.clear();
+        let end = event(3, "interrupted", json!({"turn": "t1", "tokens": 1}));
+        session.history = Some(vec![events()[0].clone(), events()[1].clone(), end]);
+        e.turns[0].events.truncate(3);
+        e.turns[0].claim = TurnClaim::Nothing("cut".to_owned());
+    });
+}
+
+#[test]
+fn clients_that_see_different_events_are_noticed() {
+    breaks(Promise::ExactStreams, |e| {
+        let session = e.sessions.get_mut(SESSION).unwrap();
+        session.history = None;
+        session.joined[0][1].data["text"] = "heat ".into();
+    });
+    breaks(Promise::ExactStreams, |e| {
+        let session = e.sessions.get_mut(SESSION).unwrap();
+        session.joined[0].remove(2);
+    });
+}
+
+#[test]
+fn two_owners_are_noticed() {
+    breaks(Promise::SingleOwner, |e| {
+        let session = e.sessions.get_mut(SESSION).unwrap();
+        let owner = "engine-1".to_owned();
+        session.owners.push(OwnerSeen { owner, epoch: 1, begun: 60, opened: false });
+    });
+    breaks(Promise::SingleOwner, |e| {
+        e.models.extend(generation("model-1", "t1", "vent ", 1, "aborted"));
+    });
+}
+
+#[test]
+fn tokens_over_the_budget_and_unbooked_ones_are_noticed() {
+    breaks(Promise::TokenBudget, |e| {
+        e.programs.get_mut("p").unwrap().budget = 0;
+        e.programs.get_mut("p").unwrap().longest_turn = 1;
+    });
+    breaks(Promise::TokenBudget, |e| e.programs.get_mut("p").unwrap().booked = Some(1));
+}
+
+#[test]
+fn a_false_no_such_turn_is_noticed() {
+    breaks(Promise::KnownTurns, |e| {
+        e.turns[1].claim = TurnClaim::Refused("no_such_turn".to_owned());
+    });
+}
+
+#[test]
+fn work_at_a_draining_engine_is_noticed() {
+    let drain = |engine: &str, known| DrainRecord { engine: engine.into(), known, until: None };
+    breaks(Promise::DrainedEngines, |e| {
+        e.sessions.get_mut(SESSION).unwrap().owners[0].begun = 3_002;
+        e.drains.push(drain("engine-0", 1));
+    });
+    breaks(Promise::DrainedEngines, |e| {
+        e.drains.push(drain("app-0", 1));
+        let refused = LedgerEntry::Refused { call: "p/c9".into(), reason: "draining".into() };
+        e.applications.push(line(3_002, "app-0", "v1", refused));
+    });
+}
+
+#[test]
+fn a_bundle_that_is_late_somewhere_is_noticed_unless_a_fault_hit_the_node() {
+    let late = |e: &mut Evidence| e.installed.push(seen(2_400, 1));
+    breaks(Promise::BundleInForce, |e| {
+        e.installed.clear();
+        late(e);
+    });
+    let mut evidence = sound();
+    evidence.installed.clear();
+    late(&mut evidence);
+    evidence.disturbances.push(Disturbance {
+        fault: "freeze gateway:0".to_owned(),
+        hit: vec!["gateway:0".to_owned()],
+        from: 90,
+        until: None,
+    });
+    assert_eq!(judge(&evidence).violations, []);
+}
+
+#[test]
+fn a_node_that_goes_back_is_noticed() {
+    breaks(Promise::BundleInForce, |e| {
+        e.installed.insert(1, seen(130, 2));
+        e.installed.insert(2, seen(140, 1));
+    });
+}
+
+#[test]
+fn two_accepted_racers_and_a_refused_resend_are_noticed() {
+    breaks(Promise::BundleRaces, |e| e.submissions[1].answer = SubmissionAnswer::Acknowledged);
+    breaks(Promise::BundleRaces, |e| {
+        e.submissions[2].answer = SubmissionAnswer::Refused("stale base".to_owned());
+    });
+}
+
+#[test]
+fn an_old_bundle_read_back_is_noticed() {
+    breaks(Promise::DurableBundles, |e| e.bundle_reads[0].version = 1);
+}
+
+#[test]
+fn late_traffic_to_a_harmful_version_is_noticed() {
+    breaks(Promise::HarmfulVersions, |e| {
+        e.harmful.push(HarmfulRelease { version: "bad".to_owned(), samples: 2 });
+        for (at, call) in [(1_000, "p/x"), (2_000, "p/y"), (7_001, "p/z")] {
+            e.applications.push(ran(at, "app-5", "bad", call));
+        }
+    });
+}
+
+#[test]
+fn late_and_missing_recoveries_are_noticed() {
+    breaks(Promise::Recovery, |e| e.recoveries[0].served = Some(12_001));
+    breaks(Promise::Recovery, |e| e.recoveries[0].served = None);
+}
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -166,7 +166,7 @@
             enable_faults: true,
             store,
             engine,
-            gateway: GatewaySettings::default(),
+            gateway: GatewaySettings { mode: topology.gateway_mode, ..GatewaySettings::default() },
             core: CoreSettings {
                 platform_list: is_core.then(|| format!("http://{}/engines", self.platform)),
             },
--- a/crates/fleet/src/topology.rs
+++ b/crates/fleet/src/topology.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use hooklug_settings::GatewayMode;
 use hooklug_types::{ModelName, ServiceName, ServiceVersion, TenantId, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -41,6 +42,9 @@
     /// How long finished turns and calls are kept, in seconds (default 86,400; ours).
     #[serde(default = "default_keep_seconds")]
     pub keep_seconds: u64,
+    /// How gateways route (default `full`).
+    #[serde(default)]
+    pub gateway_mode: GatewayMode,
     /// Time between stop and kill, in milliseconds (default 10,000; ours).
     #[serde(default = "default_grace_ms")]
     pub grace_ms: u64,
