--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -219,6 +219,14 @@
         })
     }
 
+    /// Allows a process to end by itself, as an engine does that has drained.
+    ///
+    /// # Errors
+    /// When there is none of that name.
+    pub fn allow_end(&self, name: ProcessName) -> Result<(), FleetError> {
+        self.with_member(name, |member| member.expected_end = true)
+    }
+
     /// Freezes a process (`SIGSTOP`).
     ///
     /// # Errors
--- /dev/null
+++ b/crates/fleet/tests/bundle_races.rs
@@ -0,0 +1,104 @@
+//! Of two racing bundles on one version one wins, and a bundle that was acknowledged, or whose answer was
+//! lost, is never refused when it comes again at any node.
+//!
+//! Catches: two bundles accepted for one version; a resend refused because its version is taken or its base
+//! is no longer the newest; a decision that the answering node alone knew.
+
+mod support;
+
+use std::time::Duration;
+
+use hooklug_bundle::Bundle;
+use hooklug_fleet::{Fleet, ProcessName, Submitted, Verdict};
+use hooklug_types::BundleVersion;
+use support::{PATIENCE, name, read_current, running_nodes, topology, turn_to_run};
+
+async fn submit(fleet: &Fleet, at: ProcessName, bundle: &Bundle) -> Verdict {
+    fleet.submit_until_decided(at, bundle, PATIENCE).await.unwrap()
+}
+
+async fn accepted(fleet: &Fleet, at: ProcessName, bundle: &Bundle) -> Submitted {
+    match submit(fleet, at, bundle).await {
+        Verdict::Accepted(submitted) => submitted,
+        refused => panic!("{at} refused version {}: {refused:?}", bundle.version),
+    }
+}
+
+fn refused_as_taken(verdict: &Verdict) -> bool {
+    matches!(verdict, Verdict::Refused { status: 409, body } if body.contains("version_taken"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_racing_bundles_wins_and_its_resend_gets_the_same_answer_at_every_node() {
+    let _turn = turn_to_run().await;
+    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let (left, right) = (name("gateway:0"), name("gateway:1"));
+    for version in 2..=6 {
+        let ours = fleet.marked_bundle(version, 20).unwrap();
+        let theirs = fleet.marked_bundle(version, 30).unwrap();
+        let (first, second) =
+            tokio::join!(submit(&fleet, left, &ours), submit(&fleet, right, &theirs));
+        let (winner, answer, loser) = match (first, second) {
+            (Verdict::Accepted(answer), lost) if refused_as_taken(&lost) => (ours, answer, theirs),
+            (lost, Verdict::Accepted(answer)) if refused_as_taken(&lost) => (theirs, answer, ours),
+            both => panic!("version {version}: {both:?}"),
+        };
+        for node in running_nodes(&fleet) {
+            assert_eq!(accepted(&fleet, node, &winner).await.bundle, answer.bundle, "at {node}");
+            assert!(refused_as_taken(&submit(&fleet, node, &loser).await), "at {node}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bundle_whose_answer_was_lost_is_accepted_again_at_another_node() {
+    let _turn = turn_to_run().await;
+    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let (left, right) = (name("gateway:0"), name("gateway:1"));
+    let mut version = 1;
+    // The node dies at any moment of its work: the bundle may be committed or not.
+    for millis in [0, 1, 2, 4, 8, 16, 32, 64] {
+        version += 1;
+        let bundle = fleet.marked_bundle(version, 20).unwrap();
+        let dying = async {
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            fleet.kill(left).unwrap();
+        };
+        let (answer, ()) = tokio::join!(fleet.submit_bundle_at(left, &bundle), dying);
+        let again = accepted(&fleet, right, &bundle).await;
+        if let Ok(first) = answer {
+            assert_eq!(first.bundle, again.bundle);
+        }
+        fleet.restart(left).await.unwrap();
+        assert_eq!(accepted(&fleet, left, &bundle).await.bundle, again.bundle);
+    }
+    a_committed_one_stays_even_after_newer_ones(&fleet, version + 1).await;
+}
+
+/// The answer is surely lost after the commit: it waits for a node that is frozen, and then its own node dies.
+async fn a_committed_one_stays_even_after_newer_ones(fleet: &Fleet, version: u64) {
+    let (left, right) = (name("gateway:0"), name("gateway:1"));
+    fleet.wait_all_ready(PATIENCE).await.unwrap();
+    fleet.freeze(name("engine:1")).unwrap();
+    let bundle = fleet.marked_bundle(version, 20).unwrap();
+    let committed = async {
+        let look = || async {
+            let current = fleet.current_bundle(right).await.map_err(|e| e.to_string())?;
+            let seen = current.record.version;
+            if seen == BundleVersion(version) { Ok(()) } else { Err(seen.to_string()) }
+        };
+        fleet.wait_until("it is committed", PATIENCE, look).await.unwrap();
+        fleet.kill(left).unwrap();
+    };
+    let (answer, ()) = tokio::join!(fleet.submit_bundle_at(left, &bundle), committed);
+    println!("the first answer: {answer:?}");
+    fleet.wake(name("engine:1")).unwrap();
+    let other = fleet.marked_bundle(version, 30).unwrap();
+    assert!(refused_as_taken(&submit(fleet, right, &other).await));
+    let newer = fleet.marked_bundle(version + 1, 20).unwrap();
+    accepted(fleet, right, &newer).await;
+    let again = accepted(fleet, right, &bundle).await;
+    assert_eq!(again.bundle.version, BundleVersion(version));
+    let current = read_current(fleet, right).await;
+    assert_eq!(current.record.version, BundleVersion(version + 1), "a resend changes nothing");
+}
--- /dev/null
+++ b/crates/fleet/tests/core_failures.rs
@@ -0,0 +1,108 @@
+//! Cores may be lost, cut off and split: traffic goes on, one leader's word counts, and members are seen
+//! right afterwards.
+//!
+//! Catches: a data plane that waits for a core; a former leader whose writes are taken after it was cut off;
+//! nodes that stay dead or doubled in the view of the core that leads next.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hooklug_fleet::http::{Ask, HttpClient};
+use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
+use http::Method;
+use serde::Deserialize;
+use support::load::Load;
+use support::{PATIENCE, name, read_current, restart_all, running_nodes, topology, wait_installed};
+
+/// How long a leader is cut off (brief: twenty seconds or more).
+const CUT_OFF: Duration = Duration::from_secs(21);
+
+#[derive(Debug, Deserialize)]
+struct Member {
+    http: SocketAddr,
+    health: String,
+    core_leader: bool,
+}
+
+async fn members(fleet: &Fleet, at: ProcessName) -> Result<Vec<Member>, String> {
+    let ask = Ask::new(Method::GET, "/admin/v1/members");
+    let answer = HttpClient::default().ask(fleet.http_address(at).unwrap(), &ask).await;
+    answer.and_then(|answer| answer.json()).map_err(|e| e.to_string())
+}
+
+/// Each node shows each running node once and alive, and all show the same single leader.
+async fn seen_right(fleet: &Fleet) -> Result<(), String> {
+    let nodes = running_nodes(fleet);
+    let mut leaders = BTreeMap::new();
+    for observer in &nodes {
+        let seen = members(fleet, *observer).await?;
+        for node in &nodes {
+            let http = fleet.http_address(*node).unwrap();
+            let alive = seen.iter().filter(|m| m.http == http && m.health == "Alive").count();
+            if alive != 1 {
+                return Err(format!("{observer} sees {node} alive {alive} times: {seen:?}"));
+            }
+        }
+        for leader in seen.iter().filter(|m| m.core_leader) {
+            *leaders.entry(leader.http).or_insert(0) += 1;
+        }
+    }
+    let one = leaders.len() == 1 && leaders.values().all(|count| *count == nodes.len());
+    if one { Ok(()) } else { Err(format!("leaders by observers: {leaders:?}")) }
+}
+
+async fn wait_seen_right(fleet: &Fleet) {
+    let look = || seen_right(fleet);
+    fleet.wait_until("all members are seen right", PATIENCE, look).await.unwrap();
+}
+
+async fn accept(fleet: &Fleet, version: u64) {
+    let bundle = fleet.marked_bundle(version, 10).unwrap();
+    let verdict = fleet.submit_until_decided(name("gateway:0"), &bundle, PATIENCE).await.unwrap();
+    assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_cores_are_lost_and_then_the_leader_is_cut_off() {
+    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let load = Load::start(&fleet, 6).await;
+    let cores = fleet.names(ProcessKind::Core);
+    cores.iter().for_each(|core| fleet.kill(*core).unwrap());
+    // Without any core sessions, calls and bundles go on.
+    load.wait_rounds(&fleet, 5).await;
+    accept(&fleet, 2).await;
+    for gateway in fleet.names(ProcessKind::Gateway) {
+        wait_installed(&fleet, gateway, 2).await;
+    }
+    restart_all(&fleet, &cores).await.unwrap();
+    wait_seen_right(&fleet).await;
+    load.wait_rounds(&fleet, 2).await;
+
+    let former = fleet.core_leader().await.unwrap();
+    let until = Instant::now() + CUT_OFF;
+    fleet.cut_off(former).await.unwrap();
+    accept(&fleet, 3).await;
+    let look = || async {
+        let seen = members(&fleet, name("gateway:0")).await?;
+        let at = fleet.http_address(former).unwrap();
+        let next = seen.iter().any(|m| m.core_leader && m.http != at);
+        if next { Ok(()) } else { Err(format!("{seen:?}")) }
+    };
+    fleet.wait_until("another core leads", PATIENCE, look).await.unwrap();
+    while Instant::now() < until {
+        load.wait_rounds(&fleet, 1).await;
+    }
+    fleet.heal().await.unwrap();
+    wait_installed(&fleet, former, 3).await;
+    wait_seen_right(&fleet).await;
+    accept(&fleet, 4).await;
+    // The former leader committed nothing: the newest bundle is the operators' own, not a roll-back.
+    let current = read_current(&fleet, name("gateway:0")).await;
+    assert_eq!((current.record.version.0, current.record.rollback), (4, None));
+    println!("turns ended {:?}", load.ends());
+    assert_eq!(load.ends().keys().collect::<Vec<_>>(), ["finished"], "turns ended early");
+    load.stop_and_read_back(&fleet).await;
+}
