fleet: how fast bundles spread, and that they outlast power losses and lost disks

Change: bundle_spread.rs (core leader and another node killed at the moment of the submission, nodes cut off and back), durable_bundles.rs (200 changes and power losses, a second loss right after a repair and after a replacement, disks lost right after an acknowledgement).

--- /dev/null
+++ b/crates/fleet/tests/bundle_spread.rs
@@ -0,0 +1,132 @@
+//! An acknowledged bundle is in force everywhere within about 2 s, and no node goes back to an older one.
+//!
+//! Catches: acknowledging before a quorum has the bundle; a notice of a new version that is lost with the
+//! core leader; a restarted node that serves with an older bundle; a node cut off that is not caught up.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
+use hooklug_types::BundleVersion;
+use support::{IN_FORCE_BOUND, PATIENCE, name, pid, running_nodes, topology, wait_installed};
+use tokio::task::JoinHandle;
+
+/// Versions that nodes were seen at, each run of a process by itself.
+struct Watch {
+    stop: Arc<AtomicBool>,
+    watching: JoinHandle<Vec<String>>,
+}
+
+impl Watch {
+    fn start(fleet: Arc<Fleet>) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let watching = tokio::spawn(watch(fleet, stop.clone()));
+        Self { stop, watching }
+    }
+
+    /// Fails when a node went back.
+    async fn end(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        let steps_back = self.watching.await.unwrap();
+        assert!(steps_back.is_empty(), "nodes went back: {steps_back:?}");
+    }
+}
+
+async fn watch(fleet: Arc<Fleet>, stop: Arc<AtomicBool>) -> Vec<String> {
+    let mut newest = BTreeMap::<(ProcessName, u32), BundleVersion>::new();
+    let mut steps_back = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        for node in running_nodes(&fleet) {
+            let Some(before) = pid(&fleet, node) else { continue };
+            let Ok(seen) = fleet.installed_bundle(node).await else { continue };
+            if pid(&fleet, node) != Some(before) {
+                continue; // Restarted meanwhile: whose answer it was is not known.
+            }
+            let known = newest.entry((node, before)).or_default();
+            if seen < *known {
+                steps_back.push(format!("{node} from {known} to {seen}"));
+            }
+            *known = seen.max(*known);
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    steps_back
+}
+
+/// Submits a version; returns how long after the first node the last of the nodes had it. The answer itself
+/// may come later, since it waits a while for nodes that are thought alive.
+async fn spread(fleet: &Fleet, version: u64, nodes: &[ProcessName]) -> Duration {
+    let bundle = fleet.marked_bundle(version, 100).unwrap();
+    let at = fleet.names(ProcessKind::Gateway)[0];
+    let submitting = async {
+        let verdict = fleet.submit_until_decided(at, &bundle, PATIENCE).await.unwrap();
+        assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
+        Instant::now()
+    };
+    let installing = join_all(nodes.iter().map(|node| async {
+        wait_installed(fleet, *node, version).await;
+        Instant::now()
+    }));
+    let (answered, installed) = tokio::join!(submitting, installing);
+    let first = *installed.iter().min().unwrap();
+    let last = *installed.iter().max().unwrap();
+    let (spread, after_answer) = (last - first, last.saturating_duration_since(answered));
+    println!(
+        "version {version}: at all {spread:?} after the first, {after_answer:?} after its answer"
+    );
+    spread
+}
+
+fn others(fleet: &Fleet, without: &[ProcessName]) -> Vec<ProcessName> {
+    running_nodes(fleet).into_iter().filter(|node| !without.contains(node)).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bundles_spread_while_the_core_leader_dies_and_nodes_restart() {
+    let fleet = Arc::new(Fleet::start(topology(3)).await.unwrap());
+    let watch = Watch::start(fleet.clone());
+    let mut version = 1;
+    for restarted in ["gateway:1", "store:1", "engine:0"] {
+        version += 1;
+        let (leader, restarted) = (fleet.core_leader().await.unwrap(), name(restarted));
+        fleet.kill(leader).unwrap();
+        fleet.kill(restarted).unwrap();
+        let rest = others(&fleet, &[leader, restarted]);
+        let (took, started) =
+            tokio::join!(spread(&fleet, version, &rest), fleet.restart(restarted));
+        started.unwrap();
+        assert!(took <= IN_FORCE_BOUND, "version {version} took {took:?}");
+        fleet.restart(leader).await.unwrap();
+        // A node that came back serves with no older bundle than the one acknowledged meanwhile.
+        for back in [restarted, leader] {
+            fleet.wait_ready(back, PATIENCE).await.unwrap();
+            let installed = fleet.installed_bundle(back).await.unwrap();
+            assert!(installed >= BundleVersion(version), "{back} is ready with {installed}");
+        }
+    }
+    a_node_cut_off_is_caught_up(&fleet, version).await;
+    watch.end().await;
+}
+
+async fn a_node_cut_off_is_caught_up(fleet: &Fleet, mut version: u64) {
+    for cut in ["gateway:1", "core:0"] {
+        let cut = name(cut);
+        fleet.cut_off(cut).await.unwrap();
+        version += 1;
+        let rest = others(fleet, &[cut]);
+        let took = spread(fleet, version, &rest).await;
+        assert!(took <= IN_FORCE_BOUND, "version {version} took {took:?} beside a node cut off");
+        let installed = fleet.installed_bundle(cut).await.unwrap();
+        assert!(installed < BundleVersion(version), "{cut} is not cut off");
+        let healed = Instant::now();
+        fleet.heal().await.unwrap();
+        wait_installed(fleet, cut, version).await;
+        println!("{cut}: caught up {:?} after it was healed", healed.elapsed());
+        fleet.wait_ready(cut, PATIENCE).await.unwrap();
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/durable_bundles.rs
@@ -0,0 +1,160 @@
+//! The bundle read back is never older than the newest acknowledged.
+//!
+//! Catches: an acknowledgement before the sync of a quorum; a log or snapshot that is replayed in part; a
+//! repair that counts a replica as a voter before it has caught up; an emptied disk that votes as before.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use hooklug_bundle::Bundle;
+use hooklug_fleet::http::{Ask, HttpClient};
+use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
+use hooklug_types::BundleVersion;
+use http::Method;
+use serde_json::Value;
+use support::{
+    PATIENCE, name, read_current, restart_all, running_nodes, topology, turn_to_run, wait_installed,
+};
+
+/// Groups: `meta` and the shards.
+const GROUPS: usize = 17;
+
+async fn accept(fleet: &Fleet, at: ProcessName, version: u64, marker: u32) -> Bundle {
+    let bundle = fleet.marked_bundle(version, marker).unwrap();
+    let verdict = fleet.submit_until_decided(at, &bundle, PATIENCE).await.unwrap();
+    assert!(matches!(verdict, Verdict::Accepted(_)), "version {version}: {verdict:?}");
+    bundle
+}
+
+async fn assert_newest(fleet: &Fleet, bundle: &Bundle) {
+    let read = read_current(fleet, name("gateway:0")).await;
+    assert_eq!((read.record.version, &read.bundle), (bundle.version, bundle));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hundreds_of_changes_are_read_back_after_all_stores_and_then_all_nodes_lost_power() {
+    const CHANGES: u64 = 200;
+    let _turn = turn_to_run().await;
+    let mut small = topology(3);
+    (small.cores, small.gateways, small.models[0].engines) = (1, 1, 1);
+    let fleet = Fleet::start(small).await.unwrap();
+    let at = name("gateway:0");
+    let mut newest = accept(&fleet, at, 2, 10).await;
+    for version in 3..=CHANGES {
+        newest = accept(&fleet, at, version, 10 + u32::try_from(version).unwrap()).await;
+    }
+    let stores = fleet.names(ProcessKind::Store);
+    stores.iter().for_each(|store| fleet.kill(*store).unwrap());
+    restart_all(&fleet, &stores).await.unwrap();
+    assert_newest(&fleet, &newest).await;
+
+    newest = accept(&fleet, at, CHANGES + 1, 10).await;
+    let nodes = running_nodes(&fleet);
+    nodes.iter().for_each(|node| fleet.kill(*node).unwrap());
+    restart_all(&fleet, &nodes).await.unwrap();
+    assert_newest(&fleet, &newest).await;
+    for node in nodes {
+        wait_installed(&fleet, node, CHANGES + 1).await;
+    }
+    accept(&fleet, at, CHANGES + 2, 10).await;
+}
+
+async fn shards(fleet: &Fleet) -> BTreeMap<String, Value> {
+    let gateway = fleet.http_address(name("gateway:0")).unwrap();
+    let ask = Ask::new(Method::GET, "/admin/v1/shards");
+    let answer = HttpClient::default().ask(gateway, &ask).await;
+    let Ok(Ok(Value::Array(shards))) = answer.map(|answer| answer.json()) else {
+        return BTreeMap::new();
+    };
+    shards
+        .into_iter()
+        .map(|shard| (shard["group"].as_str().unwrap_or_default().to_owned(), shard))
+        .collect()
+}
+
+/// Node id of a store, as the first gateway's view shows it.
+async fn node_id(fleet: &Fleet, store: ProcessName) -> Option<u64> {
+    let gateway = fleet.http_address(name("gateway:0")).unwrap();
+    let ask = Ask::new(Method::GET, "/admin/v1/members");
+    let answer = HttpClient::default().ask(gateway, &ask).await.ok()?;
+    let members: Vec<Value> = answer.json().ok()?;
+    let http = fleet.http_address(store).unwrap().to_string();
+    members.iter().filter(|m| m["http"] == http.as_str()).find_map(|m| m["node"].as_u64())
+}
+
+/// Whether each group has three voters, all caught up, and the lost node is no member any more.
+fn is_repaired(shards: &BTreeMap<String, Value>, lost: u64) -> bool {
+    let whole = |shard: &Value| {
+        let replicas = shard["replicas"].as_array().cloned().unwrap_or_default();
+        let voters: Vec<&Value> = replicas.iter().filter(|r| r["member"] == "voter").collect();
+        let wanted = shard["placement"]["voters"].as_array().cloned().unwrap_or_default();
+        shard["leader"].is_u64()
+            && voters.len() == 3
+            && voters.iter().all(|v| v["lag"] == 0)
+            && replicas.iter().all(|r| r["store"].as_u64() != Some(lost))
+            && wanted.iter().all(|v| v.as_u64() != Some(lost))
+    };
+    shards.len() == GROUPS && shards.values().all(whole)
+}
+
+async fn wait_repaired(fleet: &Fleet, lost: u64) {
+    let look = || async {
+        let seen = shards(fleet).await;
+        if is_repaired(&seen, lost) { Ok(()) } else { Err(format!("{seen:?}")) }
+    };
+    fleet.wait_until("the lost store is replaced", 2 * PATIENCE, look).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_loss_right_after_a_repair_or_replacement_loses_no_acknowledged_bundle() {
+    let _turn = turn_to_run().await;
+    let fleet = Fleet::start(topology(4)).await.unwrap();
+    let at = name("gateway:0");
+    for version in 2..=20 {
+        accept(&fleet, at, version, 10).await;
+    }
+    // A store is gone for good; the fourth takes its place; the next one dies at that moment.
+    let lost = node_id(&fleet, name("store:0")).await.expect("in the view");
+    fleet.kill(name("store:0")).unwrap();
+    wait_repaired(&fleet, lost).await;
+    let newest = accept(&fleet, at, 21, 11).await;
+    fleet.kill(name("store:1")).unwrap();
+    assert_newest(&fleet, &newest).await;
+    accept(&fleet, at, 22, 12).await;
+    fleet.restart(name("store:1")).await.unwrap();
+
+    // The lost machine is replaced by an empty one at a new address; another one is lost right after it has
+    // taken over.
+    let lost = node_id(&fleet, name("store:2")).await.expect("in the view");
+    fleet.replace(name("store:0")).await.unwrap();
+    fleet.wait_ready(name("store:0"), PATIENCE).await.unwrap();
+    fleet.kill(name("store:2")).unwrap();
+    wait_repaired(&fleet, lost).await;
+    let newest = accept(&fleet, at, 23, 13).await;
+    fleet.kill(name("store:3")).unwrap();
+    assert_newest(&fleet, &newest).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_loses_its_disk_right_after_an_acknowledgement_loses_nothing() {
+    let _turn = turn_to_run().await;
+    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let at = name("gateway:0");
+    let mut version = 1;
+    for store in fleet.names(ProcessKind::Store) {
+        version += 1;
+        let lost = node_id(&fleet, store).await.expect("in the view");
+        let newest = accept(&fleet, at, version, 10 + u32::try_from(version).unwrap()).await;
+        fleet.lose_disk(store).await.unwrap();
+        assert_newest(&fleet, &newest).await;
+        // Before the next loss the empty disk has to be whole again: two at once are too many.
+        wait_repaired(&fleet, lost).await;
+    }
+    assert_eq!(read_current(&fleet, at).await.record.version, BundleVersion(version));
+    let newest = accept(&fleet, at, version + 1, 10).await;
+    let stores = fleet.names(ProcessKind::Store);
+    stores.iter().for_each(|store| fleet.kill(*store).unwrap());
+    restart_all(&fleet, &stores).await.unwrap();
+    assert_newest(&fleet, &newest).await;
+}
