--- a/crates/fleet/tests/durable_bundles.rs
+++ b/crates/fleet/tests/durable_bundles.rs
@@ -5,21 +5,14 @@
 
 mod support;
 
-use std::collections::BTreeMap;
-
 use hooklug_bundle::Bundle;
-use hooklug_fleet::http::{Ask, HttpClient};
 use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
 use hooklug_types::BundleVersion;
-use http::Method;
-use serde_json::Value;
+use support::repair::{node_id, wait_repaired};
 use support::{
     PATIENCE, name, read_current, restart_all, running_nodes, topology, turn_to_run, wait_installed,
 };
 
-/// Groups: `meta` and the shards.
-const GROUPS: usize = 17;
-
 async fn accept(fleet: &Fleet, at: ProcessName, version: u64, marker: u32) -> Bundle {
     let bundle = fleet.marked_bundle(version, marker).unwrap();
     let verdict = fleet.submit_until_decided(at, &bundle, PATIENCE).await.unwrap();
@@ -60,52 +53,6 @@
     accept(&fleet, at, CHANGES + 2, 10).await;
 }
 
-async fn shards(fleet: &Fleet) -> BTreeMap<String, Value> {
-    let gateway = fleet.http_address(name("gateway:0")).unwrap();
-    let ask = Ask::new(Method::GET, "/admin/v1/shards");
-    let answer = HttpClient::default().ask(gateway, &ask).await;
-    let Ok(Ok(Value::Array(shards))) = answer.map(|answer| answer.json()) else {
-        return BTreeMap::new();
-    };
-    shards
-        .into_iter()
-        .map(|shard| (shard["group"].as_str().unwrap_or_default().to_owned(), shard))
-        .collect()
-}
-
-/// Node id of a store, as the first gateway's view shows it.
-async fn node_id(fleet: &Fleet, store: ProcessName) -> Option<u64> {
-    let gateway = fleet.http_address(name("gateway:0")).unwrap();
-    let ask = Ask::new(Method::GET, "/admin/v1/members");
-    let answer = HttpClient::default().ask(gateway, &ask).await.ok()?;
-    let members: Vec<Value> = answer.json().ok()?;
-    let http = fleet.http_address(store).unwrap().to_string();
-    members.iter().filter(|m| m["http"] == http.as_str()).find_map(|m| m["node"].as_u64())
-}
-
-/// Whether each group has three voters, all caught up, and the lost node is no member any more.
-fn is_repaired(shards: &BTreeMap<String, Value>, lost: u64) -> bool {
-    let whole = |shard: &Value| {
-        let replicas = shard["replicas"].as_array().cloned().unwrap_or_default();
-        let voters: Vec<&Value> = replicas.iter().filter(|r| r["member"] == "voter").collect();
-        let wanted = shard["placement"]["voters"].as_array().cloned().unwrap_or_default();
-        shard["leader"].is_u64()
-            && voters.len() == 3
-            && voters.iter().all(|v| v["lag"] == 0)
-            && replicas.iter().all(|r| r["store"].as_u64() != Some(lost))
-            && wanted.iter().all(|v| v.as_u64() != Some(lost))
-    };
-    shards.len() == GROUPS && shards.values().all(whole)
-}
-
-async fn wait_repaired(fleet: &Fleet, lost: u64) {
-    let look = || async {
-        let seen = shards(fleet).await;
-        if is_repaired(&seen, lost) { Ok(()) } else { Err(format!("{seen:?}")) }
-    };
-    fleet.wait_until("the lost store is replaced", 2 * PATIENCE, look).await.unwrap();
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_loss_right_after_a_repair_or_replacement_loses_no_acknowledged_bundle() {
     let _turn = turn_to_run().await;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod load;
+pub mod repair;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/fleet/tests/support/repair.rs
@@ -0,0 +1,60 @@
+//! When a lost store has been replaced in all groups.
+
+use std::collections::BTreeMap;
+
+use hooklug_fleet::http::{Ask, HttpClient};
+use hooklug_fleet::{Fleet, ProcessName};
+use http::Method;
+use serde_json::Value;
+
+use super::{PATIENCE, name};
+
+/// Groups: `meta` and the shards.
+const GROUPS: usize = 17;
+
+async fn shards(fleet: &Fleet) -> BTreeMap<String, Value> {
+    let gateway = fleet.http_address(name("gateway:0")).unwrap();
+    let ask = Ask::new(Method::GET, "/admin/v1/shards");
+    let answer = HttpClient::default().ask(gateway, &ask).await;
+    let Ok(Ok(Value::Array(shards))) = answer.map(|answer| answer.json()) else {
+        return BTreeMap::new();
+    };
+    shards
+        .into_iter()
+        .map(|shard| (shard["group"].as_str().unwrap_or_default().to_owned(), shard))
+        .collect()
+}
+
+/// Node id of a store, as the first gateway's view shows it.
+pub async fn node_id(fleet: &Fleet, store: ProcessName) -> Option<u64> {
+    let gateway = fleet.http_address(name("gateway:0")).unwrap();
+    let ask = Ask::new(Method::GET, "/admin/v1/members");
+    let answer = HttpClient::default().ask(gateway, &ask).await.ok()?;
+    let members: Vec<Value> = answer.json().ok()?;
+    let http = fleet.http_address(store).unwrap().to_string();
+    members.iter().filter(|m| m["http"] == http.as_str()).find_map(|m| m["node"].as_u64())
+}
+
+/// Whether each group has three voters, all caught up, and the lost node is no member any more.
+fn is_repaired(shards: &BTreeMap<String, Value>, lost: u64) -> bool {
+    let whole = |shard: &Value| {
+        let replicas = shard["replicas"].as_array().cloned().unwrap_or_default();
+        let voters: Vec<&Value> = replicas.iter().filter(|r| r["member"] == "voter").collect();
+        let wanted = shard["placement"]["voters"].as_array().cloned().unwrap_or_default();
+        shard["leader"].is_u64()
+            && voters.len() == 3
+            && voters.iter().all(|v| v["lag"] == 0)
+            && replicas.iter().all(|r| r["store"].as_u64() != Some(lost))
+            && wanted.iter().all(|v| v.as_u64() != Some(lost))
+    };
+    shards.len() == GROUPS && shards.values().all(whole)
+}
+
+/// Waits until all groups are whole again without a node.
+pub async fn wait_repaired(fleet: &Fleet, lost: u64) {
+    let look = || async {
+        let seen = shards(fleet).await;
+        if is_repaired(&seen, lost) { Ok(()) } else { Err(format!("{seen:?}")) }
+    };
+    fleet.wait_until("the lost store is replaced", 2 * PATIENCE, look).await.unwrap();
+}
