bench: slopes and hollow nodes; rpc and log traffic as metrics

What a role costs was not measured. rpc counts frames and bytes of each process (hooklug_rpc_bytes_total, hooklug_rpc_frames_total), the log its bytes and syncs; slopes fits costs by least squares with their errors; hollow runs real node agents and lease keepers before real cores and stores.

--- /dev/null
+++ b/crates/bench/src/hollow/field.rs
@@ -0,0 +1,137 @@
+//! Real cores and stores for hollow nodes, and bundles of many tenants.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use hooklug_bundle::Bundle;
+use hooklug_fleet::http::HttpClient;
+use hooklug_fleet::{Fleet, ModelPace, ProcessKind, ProcessName, Topology};
+use hooklug_types::{BundleVersion, TenantId, ZoneName};
+
+use super::access::Access;
+use super::crowd::Crowd;
+use crate::slopes::meter::Look;
+
+/// Longest wait for a bundle to be in force everywhere; beyond it the run fails.
+pub(crate) const LONGEST_INSTALL: Duration = Duration::from_secs(90);
+
+/// Digest of a caller's key, so that tenants have the size that they have in use.
+const KEY_DIGEST_BYTES: usize = 32;
+
+/// Real processes with hollow nodes before them.
+#[derive(Debug)]
+pub(crate) struct Field {
+    /// The real processes.
+    pub(crate) fleet: Fleet,
+    /// The hollow nodes.
+    pub(crate) crowd: Crowd,
+    /// For metrics and operators' requests.
+    pub(crate) http: HttpClient,
+    bundle: Bundle,
+}
+
+/// How long a bundle took to be in force at the hollow nodes, counted from its submission.
+#[derive(Debug, Clone, serde::Serialize)]
+pub(crate) struct InstallTimes {
+    /// Seconds until the answer to the operator, which waits for all nodes, 2 s at most.
+    pub(crate) answered: f64,
+    /// Nodes that the operator was told had it in force by then.
+    pub(crate) installed_at_answer: usize,
+    /// Seconds until half of the nodes had it.
+    pub(crate) half: f64,
+    /// Seconds until 99 of 100 nodes had it.
+    pub(crate) p99: f64,
+    /// Seconds until the last node had it.
+    pub(crate) last: f64,
+}
+
+/// A fleet of stores and cores, with one gateway and no engines.
+pub(crate) fn topology(stores: usize, cores: usize) -> anyhow::Result<Topology> {
+    let zones: Result<Vec<ZoneName>, _> = (1..=4).map(|n| ZoneName::new(format!("z{n}"))).collect();
+    Ok(Topology {
+        name: "hollow".to_owned(),
+        zones: zones?,
+        zone_delay_micros: 0,
+        stores,
+        cores,
+        gateways: 1,
+        tenants: vec![TenantId::new("first")?],
+        models: Vec::new(),
+        applications: Vec::new(),
+        pace: ModelPace::default(),
+        platform_lag_ms: 1_000,
+        keep_seconds: 86_400,
+        grace_ms: 2_000,
+    })
+}
+
+impl Field {
+    /// Starts the real processes; their first bundle has one tenant.
+    pub(crate) async fn start(stores: usize, cores: usize) -> anyhow::Result<Self> {
+        let fleet = Fleet::start(topology(stores, cores)?).await.context("the fleet")?;
+        let bundle = fleet.topology().bundle(BundleVersion(1), BundleVersion(0))?;
+        let access = Access::of(&fleet)?;
+        Ok(Self { fleet, crowd: Crowd::new(access), http: HttpClient::default(), bundle })
+    }
+
+    /// Real nodes that run: stores, cores and gateways.
+    pub(crate) fn real_nodes(&self) -> usize {
+        let kinds = [ProcessKind::Store, ProcessKind::Core, ProcessKind::Gateway];
+        let names = kinds.into_iter().flat_map(|kind| self.fleet.names(kind));
+        names.filter(|name| self.fleet.is_running(*name).unwrap_or(false)).count()
+    }
+
+    /// Looks at the real processes.
+    pub(crate) async fn look(&self) -> anyhow::Result<Look> {
+        Look::at(&self.fleet, &self.http).await
+    }
+
+    /// Submits a bundle with so many tenants, each with a key and limits of its own.
+    pub(crate) async fn set_tenants(&mut self, count: usize) -> anyhow::Result<InstallTimes> {
+        let mut tenants = BTreeMap::new();
+        let mut template: hooklug_bundle::Tenant = serde_json::from_str("{}")?;
+        for n in 0..count {
+            template.key_digests = vec![format!("{n:0width$x}", width = 2 * KEY_DIGEST_BYTES)];
+            tenants.insert(TenantId::new(format!("tenant-{n:06}"))?, template.clone());
+        }
+        self.bundle.tenants = tenants;
+        self.submit().await
+    }
+
+    /// Submits a bundle in which the limit of one tenant changed.
+    pub(crate) async fn change_tenant(&mut self, nth: usize) -> anyhow::Result<InstallTimes> {
+        let count = self.bundle.tenants.len().max(1);
+        if let Some(tenant) = self.bundle.tenants.values_mut().nth(nth % count) {
+            tenant.limits.concurrency += 1;
+        }
+        self.submit().await
+    }
+
+    /// Submits the bundle as the next version and waits until it is in force at each hollow node.
+    async fn submit(&mut self) -> anyhow::Result<InstallTimes> {
+        self.bundle.base = self.bundle.version;
+        self.bundle.version = self.bundle.version.next();
+        let version = self.bundle.version;
+        let began = Instant::now();
+        let gateway = ProcessName::new(ProcessKind::Gateway, 0);
+        let submitting = async {
+            let submitted = self.fleet.submit_bundle_at(gateway, &self.bundle).await?;
+            anyhow::Ok((submitted, began.elapsed()))
+        };
+        let installing = self.crowd.installed(version, began, LONGEST_INSTALL);
+        let (submitted, times) = tokio::join!(submitting, installing);
+        let ((submitted, answered), times) = (submitted?, times?);
+        let at = |share: f64| -> f64 {
+            let place = ((times.len() as f64 * share).ceil() as usize).clamp(1, times.len());
+            times[place - 1].as_secs_f64()
+        };
+        Ok(InstallTimes {
+            answered: answered.as_secs_f64(),
+            installed_at_answer: submitted.installed_nodes,
+            half: at(0.5),
+            p99: at(0.99),
+            last: at(1.0),
+        })
+    }
+}
--- /dev/null
+++ b/crates/bench/src/slopes/data_plane.rs
@@ -0,0 +1,244 @@
+//! A real gateway and engine under turns and tokens, and with many open sessions and streams.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use futures::future::{join_all, try_join_all};
+use hooklug_fleet::caller::SessionRef;
+use hooklug_fleet::caller::TurnRequest;
+use hooklug_fleet::http::HttpClient;
+use hooklug_fleet::{Caller, Fleet, ModelGroup, ModelPace, Topology};
+use hooklug_types::{ModelName, ServiceName, ServiceVersion, TenantId, UnixMillis, ZoneName};
+use serde_json::json;
+use tokio_util::sync::CancellationToken;
+
+use super::fit::Observation;
+use super::meter::{Look, Span};
+use super::report::Report;
+use super::report_slope;
+
+const EXPERIMENT: &str = "data plane";
+/// Streams at once and tokens of each turn.
+const LOADS: [(usize, u64); 11] = [
+    (4, 4),
+    (16, 4),
+    (32, 4),
+    (64, 4),
+    (8, 40),
+    (32, 40),
+    (8, 200),
+    (16, 200),
+    (32, 200),
+    (64, 200),
+    (96, 200),
+];
+/// Time before a span is measured.
+const WARM_UP: Duration = Duration::from_millis(1_500);
+/// Sessions opened one step after the other.
+const SESSION_STEPS: [usize; 5] = [0, 500, 1_000, 2_000, 4_000];
+/// Streams opened one step after the other.
+const STREAM_STEPS: [usize; 5] = [0, 64, 128, 256, 400];
+/// Tokens of a turn whose stream is held open.
+const LONG_TURN_TOKENS: u64 = 4_000;
+/// Requests under way at once.
+const AT_ONCE: usize = 32;
+const TENANT: &str = "first";
+const MODEL: &str = "model-0";
+const SLOTS: u32 = 1_024;
+
+struct Measured {
+    turns: f64,
+    tokens: f64,
+    span: Span,
+}
+
+fn topology(pace: ModelPace) -> anyhow::Result<Topology> {
+    let zones: Result<Vec<ZoneName>, _> = (1..=3).map(|n| ZoneName::new(format!("z{n}"))).collect();
+    let group = ModelGroup {
+        service: ServiceName::new(MODEL)?,
+        model: ModelName::new(MODEL)?,
+        version: ServiceVersion::new("v1")?,
+        engines: 1,
+        slots: SLOTS,
+    };
+    Ok(Topology {
+        name: "slopes".to_owned(),
+        zones: zones?,
+        zone_delay_micros: 0,
+        stores: 3,
+        cores: 1,
+        gateways: 1,
+        tenants: vec![TenantId::new(TENANT)?],
+        models: vec![group],
+        applications: Vec::new(),
+        pace,
+        platform_lag_ms: 1_000,
+        keep_seconds: 86_400,
+        grace_ms: 2_000,
+    })
+}
+
+/// Runs turns in closed loops; fits the cost of a turn and of a token for each role.
+pub(super) async fn run(report: &Report, span: Duration) -> anyhow::Result<()> {
+    let pace = ModelPace { first_token_ms: 20, between_tokens_ms: 20, uncached_token_micros: 0 };
+    let fleet = Fleet::start(topology(pace)?).await?;
+    let http = HttpClient::default();
+    let mut all = Vec::new();
+    for (series, load) in LOADS.into_iter().enumerate() {
+        let measured = measure(&fleet, &http, series, load, span).await?;
+        let fields = json!({
+            "experiment": EXPERIMENT,
+            "streams": load.0,
+            "tokens_a_turn": load.1,
+            "turns": measured.turns,
+            "tokens": measured.tokens,
+            "span": measured.span,
+        });
+        report.line("observation", &fields)?;
+        all.push(measured);
+    }
+    for role in ["gateway", "engine", "store", "core"] {
+        let fitted = |cost: &str, of: &dyn Fn(&Measured) -> f64| {
+            let observe = |m: &Measured| Observation {
+                drivers: vec![m.turns / m.span.seconds, m.tokens / m.span.seconds],
+                cost: of(m) / m.span.seconds,
+            };
+            let observations: Vec<_> = all.iter().map(observe).collect();
+            report_slope(report, (EXPERIMENT, role, cost), &["turn", "token"], &observations)
+        };
+        fitted("cpu seconds", &|m| m.span.role(role).cpu_seconds)?;
+        fitted("rpc bytes sent", &|m| m.span.role(role).rpc_sent_bytes)?;
+        fitted("rpc frames", &|m| m.span.role(role).rpc_frames)?;
+        fitted("log bytes", &|m| m.span.role(role).log_bytes)?;
+        fitted("syncs", &|m| m.span.role(role).syncs)?;
+        fitted("resident bytes", &|m| m.span.role(role).resident_bytes)?;
+    }
+    Ok(())
+}
+
+async fn open(caller: &Caller, session: &SessionRef) -> anyhow::Result<()> {
+    let end = UnixMillis::now().plus(Duration::from_secs(3_600)).0;
+    caller.put_program(0, &session.program, 1_000_000_000, end).await?;
+    caller.open_session(0, session, MODEL, None).await?;
+    Ok(())
+}
+
+async fn measure(
+    fleet: &Fleet,
+    http: &HttpClient,
+    series: usize,
+    (streams, tokens): (usize, u64),
+    span: Duration,
+) -> anyhow::Result<Measured> {
+    let caller = Caller::new(fleet.gateways(), TENANT);
+    let done = Arc::new((AtomicU64::new(0), AtomicU64::new(0)));
+    let stop = CancellationToken::new();
+    let mut tasks = Vec::new();
+    for n in 0..streams {
+        let session = SessionRef::new(&format!("load-{series}-{n}"), "main");
+        open(&caller, &session).await?;
+        let loops = turns(caller.clone(), session, tokens, done.clone(), stop.clone());
+        tasks.push(tokio::spawn(loops));
+    }
+    tokio::time::sleep(WARM_UP).await;
+    let read = || (done.0.load(Ordering::Relaxed), done.1.load(Ordering::Relaxed));
+    let (before, from) = (Look::at(fleet, http).await?, read());
+    tokio::time::sleep(span).await;
+    let (after, to) = (Look::at(fleet, http).await?, read());
+    stop.cancel();
+    for ended in join_all(tasks).await {
+        ended??;
+    }
+    Ok(Measured {
+        turns: (to.0 - from.0) as f64,
+        tokens: (to.1 - from.1) as f64,
+        span: after.since(&before),
+    })
+}
+
+/// Runs one turn after the other; counts each token as it comes.
+async fn turns(
+    caller: Caller,
+    session: SessionRef,
+    tokens: u64,
+    done: Arc<(AtomicU64, AtomicU64)>,
+    stop: CancellationToken,
+) -> anyhow::Result<()> {
+    let mut after: Option<String> = None;
+    let mut number = 0;
+    while !stop.is_cancelled() {
+        let name = format!("t{number}");
+        let input = format!("go on [tokens {tokens}]");
+        let request = TurnRequest::new(&name, after.as_deref(), &input, tokens);
+        let mut stream = caller.begin_turn(0, &session, &request).await?;
+        while let Some(event) = stream.next().await? {
+            done.1.fetch_add(event.data["count"].as_u64().unwrap_or(0), Ordering::Relaxed);
+            if event.ends_turn() {
+                break;
+            }
+        }
+        done.0.fetch_add(1, Ordering::Relaxed);
+        (after, number) = (Some(name), number + 1);
+    }
+    Ok(())
+}
+
+/// Opens sessions, then streams, step by step; fits the memory of each role.
+pub(super) async fn sessions(report: &Report) -> anyhow::Result<()> {
+    let pace = ModelPace { first_token_ms: 20, between_tokens_ms: 500, uncached_token_micros: 0 };
+    let fleet = Fleet::start(topology(pace)?).await?;
+    let http = HttpClient::default();
+    let caller = Caller::new(fleet.gateways(), TENANT);
+    let name = |n: usize| SessionRef::new(&format!("session-{n}"), "main");
+    let mut looks = Vec::new();
+    let mut opened = 0;
+    for step in SESSION_STEPS {
+        let numbers: Vec<usize> = (opened..step).collect();
+        for some in numbers.chunks(AT_ONCE) {
+            let names: Vec<_> = some.iter().map(|n| name(*n)).collect();
+            try_join_all(names.iter().map(|session| open(&caller, session))).await?;
+        }
+        opened = step;
+        looks.push((step, Look::at(&fleet, &http).await?));
+    }
+    memory(report, "open sessions", "session with program and cached owner", &looks)?;
+    let mut looks = Vec::new();
+    let mut streams = Vec::new();
+    for step in STREAM_STEPS {
+        for n in streams.len()..step {
+            let input = format!("go on [tokens {LONG_TURN_TOKENS}]");
+            let request = TurnRequest::new("t0", None, &input, LONG_TURN_TOKENS);
+            let mut stream = caller.begin_turn(0, &name(n), &request).await?;
+            stream.next().await?;
+            streams
+                .push(tokio::spawn(async move { while let Ok(Some(_)) = stream.next().await {} }));
+        }
+        looks.push((step, Look::at(&fleet, &http).await?));
+    }
+    streams.iter().for_each(tokio::task::JoinHandle::abort);
+    memory(report, "open streams", "open stream", &looks)
+}
+
+fn memory(
+    report: &Report,
+    experiment: &str,
+    driver: &str,
+    looks: &[(usize, Look)],
+) -> anyhow::Result<()> {
+    for (count, look) in looks {
+        let fields = json!({"experiment": experiment, "count": count, "roles": look.roles});
+        report.line("observation", &fields)?;
+    }
+    for role in ["gateway", "engine", "store"] {
+        let resident =
+            |look: &Look| look.roles.get(role).map_or(0.0, |counted| counted.resident_bytes);
+        let observe = |(count, look): &(usize, Look)| Observation {
+            drivers: vec![*count as f64],
+            cost: resident(look),
+        };
+        let observations: Vec<_> = looks.iter().map(observe).collect();
+        report_slope(report, (experiment, role, "resident bytes"), &[driver], &observations)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/slopes/machine.rs
@@ -0,0 +1,105 @@
+//! The shard's state machine alone, in this process: memory, snapshot bytes and processor time by record.
+
+use std::time::{Duration, Instant};
+
+use hooklug_state::StateMachine;
+use hooklug_state::shard::{ShardCommand, ShardMachine};
+use serde_json::json;
+
+use super::fit::Observation;
+use super::process::Usage;
+use super::report::Report;
+use super::report_slope;
+use crate::hollow::ProgramRecords;
+
+const EXPERIMENT: &str = "machine";
+const ROLE: &str = "store";
+/// Programs with a session and an open turn, and token events of each.
+const SIZES: [(usize, u64); 9] = [
+    (1_000, 0),
+    (4_000, 0),
+    (16_000, 0),
+    (1_000, 100),
+    (1_000, 400),
+    (4_000, 100),
+    (4_000, 200),
+    (100, 10_000),
+    (16_000, 50),
+];
+/// Token events of one command.
+const EVENTS_A_COMMAND: u64 = 50;
+
+struct Measured {
+    programs: f64,
+    events: f64,
+    resident_bytes: f64,
+    snapshot_bytes: f64,
+    records_seconds: f64,
+    events_seconds: f64,
+}
+
+/// Builds machines of several sizes; each is kept until the end, so that memory freed by one is not mistaken
+/// for memory that the next does not need.
+pub(super) fn run(report: &Report) -> anyhow::Result<()> {
+    let mut machines = Vec::new();
+    let mut all = Vec::new();
+    for (programs, events) in SIZES {
+        let (machine, measured) = build(programs, events)?;
+        let fields = json!({
+            "experiment": EXPERIMENT,
+            "programs": measured.programs,
+            "events": measured.events,
+            "resident_bytes": measured.resident_bytes,
+            "snapshot_bytes": measured.snapshot_bytes,
+            "records_seconds": measured.records_seconds,
+            "events_seconds": measured.events_seconds,
+        });
+        report.line("observation", &fields)?;
+        machines.push(machine);
+        all.push(measured);
+    }
+    let fitted = |cost: &str, of: &dyn Fn(&Measured) -> f64| {
+        let observe =
+            |m: &Measured| Observation { drivers: vec![m.programs, m.events], cost: of(m) };
+        let observations: Vec<_> = all.iter().map(observe).collect();
+        let drivers = ["program with session and open turn", "token event"];
+        report_slope(report, (EXPERIMENT, ROLE, cost), &drivers, &observations)
+    };
+    fitted("resident bytes", &|m| m.resident_bytes)?;
+    fitted("snapshot bytes", &|m| m.snapshot_bytes)?;
+    fitted("cpu seconds to apply", &|m| m.records_seconds + m.events_seconds)
+}
+
+fn build(programs: usize, events: u64) -> anyhow::Result<(ShardMachine, Measured)> {
+    let before = Usage::own()?.resident_bytes;
+    let mut machine = ShardMachine::new(Duration::from_secs(86_400));
+    let records: Result<Vec<_>, _> =
+        (0..programs).map(|n| ProgramRecords::new("machine", n)).collect();
+    let records = records?;
+    let began = Instant::now();
+    for one in &records {
+        for command in [one.put()?, one.open()?, one.begin()] {
+            machine.apply_command(command);
+        }
+    }
+    let records_seconds = began.elapsed().as_secs_f64();
+    let began = Instant::now();
+    for one in &records {
+        for first in (0..events).step_by(EVENTS_A_COMMAND as usize) {
+            let command: ShardCommand = one.append(2 + first, EVENTS_A_COMMAND.min(events - first));
+            machine.apply_command(command);
+        }
+    }
+    let events_seconds = began.elapsed().as_secs_f64();
+    drop(records);
+    let resident = Usage::own()?.resident_bytes.saturating_sub(before);
+    let measured = Measured {
+        programs: programs as f64,
+        events: (programs as u64 * events) as f64,
+        resident_bytes: resident as f64,
+        snapshot_bytes: machine.snapshot().len() as f64,
+        records_seconds,
+        events_seconds,
+    };
+    Ok((machine, measured))
+}
--- /dev/null
+++ b/crates/bench/src/slopes/mod.rs
@@ -0,0 +1,93 @@
+//! How the cost of each role grows with what drives it: observations at several sizes, and a least-squares
+//! fit with its error for each cost.
+
+mod control_plane;
+mod data_plane;
+mod fit;
+mod machine;
+pub(crate) mod meter;
+pub(crate) mod process;
+pub(crate) mod report;
+mod stores;
+
+use std::path::PathBuf;
+
+use serde::Serialize;
+
+use fit::Observation;
+use report::Report;
+
+/// Arguments of `hooklug-bench slopes`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// What to measure; all when not given.
+    #[arg(long, value_enum)]
+    only: Vec<Experiment>,
+    /// Length of each measured span, in seconds.
+    #[arg(long, default_value_t = 5)]
+    span_seconds: u64,
+    /// File that the results are added to as JSON lines.
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+/// One experiment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+enum Experiment {
+    /// The shard's state machine in this process: memory and bytes of its records.
+    Machine,
+    /// Real stores under commits of several sizes.
+    Stores,
+    /// A real gateway and engine under turns and tokens.
+    DataPlane,
+    /// Open sessions and streams: memory.
+    Sessions,
+    /// Hollow nodes before real cores: cost by the number of nodes, and of changes of the view.
+    Nodes,
+    /// Bundle changes with several numbers of tenants.
+    Bundles,
+}
+
+impl Experiment {
+    const ALL: [Self; 6] =
+        [Self::Machine, Self::Stores, Self::DataPlane, Self::Sessions, Self::Nodes, Self::Bundles];
+}
+
+/// Runs the experiments one after the other.
+pub async fn run(args: Args) -> anyhow::Result<()> {
+    let report = Report::begin(args.out.as_deref())?;
+    let span = std::time::Duration::from_secs(args.span_seconds);
+    let chosen = if args.only.is_empty() { Experiment::ALL.to_vec() } else { args.only };
+    for experiment in chosen {
+        match experiment {
+            Experiment::Machine => machine::run(&report)?,
+            Experiment::Stores => stores::run(&report, span).await?,
+            Experiment::DataPlane => data_plane::run(&report, span).await?,
+            Experiment::Sessions => data_plane::sessions(&report).await?,
+            Experiment::Nodes => control_plane::nodes(&report, span).await?,
+            Experiment::Bundles => control_plane::bundles(&report).await?,
+        }
+    }
+    Ok(())
+}
+
+/// A fitted cost, as it is reported.
+#[derive(Debug, Serialize)]
+struct Slope<'a> {
+    experiment: &'a str,
+    role: &'a str,
+    cost: &'a str,
+    drivers: &'a [&'a str],
+    fit: Option<fit::Fit>,
+}
+
+/// Fits a cost and reports it, also when the observations do not determine it.
+fn report_slope(
+    report: &Report,
+    (experiment, role, cost): (&str, &str, &str),
+    drivers: &[&str],
+    observations: &[Observation],
+) -> anyhow::Result<()> {
+    let fit = fit::fit(observations);
+    report.line("slope", &Slope { experiment, role, cost, drivers, fit })
+}
--- /dev/null
+++ b/crates/bench/src/slopes/process.rs
@@ -0,0 +1,47 @@
+//! What a process has used, as the kernel counts it.
+
+use std::time::Duration;
+
+use anyhow::{Context, anyhow};
+
+/// Clock ticks a second in `/proc/PID/stat`; fixed by Linux's user-space interface.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Size of a page in `/proc/PID/statm`, in bytes.
+const PAGE_BYTES: u64 = 4096;
+
+/// What a process has used until now.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Usage {
+    /// Processor time in user and kernel mode, of all threads; steps of 10 ms.
+    pub(crate) cpu: Duration,
+    /// Resident memory, in bytes.
+    pub(crate) resident_bytes: u64,
+}
+
+impl Usage {
+    /// Reads the usage of a process.
+    pub(crate) fn of(pid: u32) -> anyhow::Result<Self> {
+        let stat = read(pid, "stat")?;
+        // The command's name may hold spaces; fields are counted after its closing bracket.
+        let after = stat.rsplit_once(')').map(|(_, rest)| rest).ok_or(anyhow!("odd stat"))?;
+        let fields: Vec<&str> = after.split_whitespace().collect();
+        let ticks = |place: usize| -> anyhow::Result<f64> {
+            Ok(fields.get(place).ok_or(anyhow!("short stat"))?.parse::<f64>()?)
+        };
+        let cpu = Duration::from_secs_f64((ticks(11)? + ticks(12)?) / TICKS_PER_SECOND);
+        let statm = read(pid, "statm")?;
+        let pages = statm.split_whitespace().nth(1).ok_or(anyhow!("short statm"))?;
+        Ok(Self { cpu, resident_bytes: pages.parse::<u64>()? * PAGE_BYTES })
+    }
+
+    /// Reads the usage of this process.
+    pub(crate) fn own() -> anyhow::Result<Self> {
+        Self::of(std::process::id())
+    }
+}
+
+fn read(pid: u32, file: &str) -> anyhow::Result<String> {
+    let path = format!("/proc/{pid}/{file}");
+    std::fs::read_to_string(&path).with_context(|| format!("cannot read {path}"))
+}
--- a/crates/control/src/agent/reach.rs
+++ b/crates/control/src/agent/reach.rs
@@ -61,6 +61,7 @@
             store: within(&shared.reach.store, LATELY),
             newest_bundle: *shared.newest_bundle.borrow(),
         };
+        figures::rpc_traffic(shared.identity.traffic.counts());
         figures::node_state(shared.readiness.reasons().is_empty(), reach);
         shared.reach_feed.send_if_modified(|known| {
             let changed = *known != reach;
--- a/crates/control/src/figures.rs
+++ b/crates/control/src/figures.rs
@@ -3,6 +3,8 @@
 use hooklug_protocol::control::{ClusterView, MemberHealth};
 use metrics::{counter, gauge};
 
+use hooklug_rpc::TrafficCounts;
+
 use crate::handle::Reach;
 
 fn as_gauge(on: bool) -> f64 {
@@ -16,6 +18,15 @@
     gauge!("hooklug_store_within_reach").set(as_gauge(reach.store));
 }
 
+/// What the process has sent and received by rpc since its start.
+pub(crate) fn rpc_traffic(counts: TrafficCounts) {
+    counter!("hooklug_rpc_bytes_total", "direction" => "sent").absolute(counts.sent_bytes);
+    counter!("hooklug_rpc_bytes_total", "direction" => "received").absolute(counts.received_bytes);
+    counter!("hooklug_rpc_frames_total", "direction" => "sent").absolute(counts.sent_frames);
+    counter!("hooklug_rpc_frames_total", "direction" => "received")
+        .absolute(counts.received_frames);
+}
+
 /// A bundle came into force here.
 pub(crate) fn bundle_installed(version: u64) {
     gauge!("hooklug_bundle_version").set(version as f64);
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -73,7 +73,13 @@
             closed: closed.clone(),
             _closing: closed.clone().drop_guard(),
         });
-        let writer = write_frames(writing, frames, identity.faults.clone(), to.ip());
+        let writer = write_frames(
+            writing,
+            frames,
+            identity.faults.clone(),
+            identity.traffic.clone(),
+            to.ip(),
+        );
         let reader = read_frames(reading, waiters.clone(), identity.clone());
         let pinger = ping(queue, identity.clone());
         tokio::spawn(async move {
@@ -153,7 +159,8 @@
 ) -> io::Result<()> {
     let mut reader = BufReader::with_capacity(64 << 10, half);
     loop {
-        let frame: ServerFrame = tokio::time::timeout(SERVER_SILENCE, read(&mut reader)).await??;
+        let reading = read(&mut reader, &identity.traffic);
+        let frame: ServerFrame = tokio::time::timeout(SERVER_SILENCE, reading).await??;
         identity.bundles.saw(frame.bundle);
         deliver(&waiters, frame.body);
     }
--- a/crates/rpc/src/frame.rs
+++ b/crates/rpc/src/frame.rs
@@ -7,7 +7,10 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
-use crate::Fault;
+use crate::{Fault, Traffic};
+
+/// Length of the length prefix.
+const LENGTH_BYTES: usize = 4;
 
 /// Longest frame accepted, in bytes.
 pub(crate) const MAX_FRAME_BYTES: usize = 64 << 20;
@@ -55,7 +58,7 @@
 }
 
 /// Reads and decodes one frame.
-pub(crate) async fn read<T, R>(reader: &mut R) -> io::Result<T>
+pub(crate) async fn read<T, R>(reader: &mut R, traffic: &Traffic) -> io::Result<T>
 where
     T: DeserializeOwned,
     R: AsyncRead + Unpin,
@@ -66,5 +69,6 @@
     }
     let mut bytes = vec![0_u8; length];
     reader.read_exact(&mut bytes).await?;
+    traffic.received(LENGTH_BYTES + length);
     postcard::from_bytes(&bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
 }
--- a/crates/rpc/src/hello.rs
+++ b/crates/rpc/src/hello.rs
@@ -94,8 +94,14 @@
     io::Error::new(io::ErrorKind::PermissionDenied, reason)
 }
 
-async fn send<T: Serialize, S: AsyncWrite + Unpin>(stream: &mut S, value: &T) -> io::Result<()> {
-    stream.write_all(&encode(value)?).await?;
+async fn send<T: Serialize, S: AsyncWrite + Unpin>(
+    stream: &mut S,
+    identity: &LocalIdentity,
+    value: &T,
+) -> io::Result<()> {
+    let bytes = encode(value)?;
+    stream.write_all(&bytes).await?;
+    identity.traffic.sent(bytes.len());
     stream.flush().await
 }
 
@@ -108,13 +114,13 @@
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let challenge: Challenge = read(stream).await?;
+    let challenge: Challenge = read(stream, &identity.traffic).await?;
     if challenge.protocol != PROTOCOL_VERSION {
         return Err(refuse("peer speaks another protocol version"));
     }
     let nonce: Nonce = rand::rng().random();
-    send(stream, &make_hello(identity, Side::Client, &challenge.nonce, nonce)).await?;
-    let reply: Hello = read(stream).await?;
+    send(stream, identity, &make_hello(identity, Side::Client, &challenge.nonce, nonce)).await?;
+    let reply: Hello = read(stream, &identity.traffic).await?;
     check_hello(identity, Side::Server, &nonce, &reply, ip)
 }
 
@@ -128,10 +134,10 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let nonce: Nonce = rand::rng().random();
-    send(stream, &Challenge { protocol: PROTOCOL_VERSION, nonce }).await?;
-    let hello: Hello = read(stream).await?;
+    send(stream, identity, &Challenge { protocol: PROTOCOL_VERSION, nonce }).await?;
+    let hello: Hello = read(stream, &identity.traffic).await?;
     let peer = check_hello(identity, Side::Client, &nonce, &hello, ip)?;
     let own: Nonce = rand::rng().random();
-    send(stream, &make_hello(identity, Side::Server, &hello.nonce, own)).await?;
+    send(stream, identity, &make_hello(identity, Side::Server, &hello.nonce, own)).await?;
     Ok(peer)
 }
--- a/crates/rpc/src/identity.rs
+++ b/crates/rpc/src/identity.rs
@@ -8,7 +8,7 @@
 use hooklug_types::{BundleVersion, Incarnation, NodeId, NodeRole};
 use tokio::sync::watch;
 
-use crate::LinkFaults;
+use crate::{LinkFaults, Traffic};
 
 /// The installed bundle version of this process, and the newest that any peer has named.
 #[derive(Debug)]
@@ -67,6 +67,8 @@
     pub bundles: Arc<BundleNews>,
     /// Cuts and delays of this process's links; empty unless faults are enabled.
     pub faults: Arc<LinkFaults>,
+    /// What this process sends and receives.
+    pub traffic: Arc<Traffic>,
 }
 
 impl LocalIdentity {
@@ -82,6 +84,7 @@
             cluster: Arc::new(AtomicU64::new(0)),
             bundles: Arc::new(BundleNews::default()),
             faults: Arc::new(LinkFaults::default()),
+            traffic: Arc::default(),
         }
     }
 
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -17,6 +17,7 @@
 mod link;
 mod router;
 mod server;
+mod traffic;
 
 pub use client::{ItemStream, RpcClient};
 pub use error::{Fault, RpcError};
@@ -24,3 +25,4 @@
 pub use identity::{BundleNews, LocalIdentity, Peer};
 pub use router::{ItemSink, Router};
 pub use server::RpcServer;
+pub use traffic::{Traffic, TrafficCounts};
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::LinkFaults;
+use crate::{LinkFaults, Traffic};
 
 /// Frames that may wait for one connection's writer.
 pub(crate) const WRITE_QUEUE_FRAMES: usize = 4096;
@@ -31,6 +31,7 @@
     half: W,
     mut queue: mpsc::Receiver<Outgoing>,
     faults: Arc<LinkFaults>,
+    traffic: Arc<Traffic>,
     peer: IpAddr,
 ) -> std::io::Result<()> {
     let mut writer = BufWriter::with_capacity(64 << 10, half);
@@ -39,6 +40,7 @@
         while let Some(frame) = next {
             hold_back(&mut writer, &faults, peer, frame.since).await?;
             writer.write_all(&frame.bytes).await?;
+            traffic.sent(frame.bytes.len());
             next = queue.try_recv().ok();
         }
         writer.flush().await?;
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -86,7 +86,13 @@
     let peer = tokio::time::timeout(HELLO_TIME, hello).await??;
     let (reading, writing) = stream.into_split();
     let (queue, frames) = mpsc::channel(WRITE_QUEUE_FRAMES);
-    let writer = tokio::spawn(write_frames(writing, frames, identity.faults.clone(), from.ip()));
+    let writer = tokio::spawn(write_frames(
+        writing,
+        frames,
+        identity.faults.clone(),
+        identity.traffic.clone(),
+        from.ip(),
+    ));
     let mut connection = Connection {
         peer,
         identity,
@@ -135,7 +141,9 @@
 impl Connection {
     async fn read_frames<R: AsyncRead + Unpin>(&mut self, mut reader: R) -> io::Result<()> {
         loop {
-            let frame = tokio::time::timeout(CLIENT_SILENCE, read(&mut reader)).await??;
+            let traffic = self.identity.traffic.clone();
+            let reading = read(&mut reader, &traffic);
+            let frame = tokio::time::timeout(CLIENT_SILENCE, reading).await??;
             while let Some(done) = self.tasks.try_join_next() {
                 if let Ok(id) = done {
                     self.running.remove(&id);
--- /dev/null
+++ b/crates/rpc/src/traffic.rs
@@ -0,0 +1,49 @@
+//! Counts what a process sends and receives by rpc.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Frames and bytes of all rpc connections of a process, without the headers of TCP and IP.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent_bytes: AtomicU64,
+    sent_frames: AtomicU64,
+    received_bytes: AtomicU64,
+    received_frames: AtomicU64,
+}
+
+/// What was counted until now.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TrafficCounts {
+    /// Bytes sent, length prefixes included.
+    pub sent_bytes: u64,
+    /// Frames sent.
+    pub sent_frames: u64,
+    /// Bytes received, length prefixes included.
+    pub received_bytes: u64,
+    /// Frames received.
+    pub received_frames: u64,
+}
+
+impl Traffic {
+    pub(crate) fn sent(&self, bytes: usize) {
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.sent_frames.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn received(&self, bytes: usize) {
+        self.received_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.received_frames.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// What was counted until now.
+    #[must_use]
+    pub fn counts(&self) -> TrafficCounts {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        TrafficCounts {
+            sent_bytes: read(&self.sent_bytes),
+            sent_frames: read(&self.sent_frames),
+            received_bytes: read(&self.received_bytes),
+            received_frames: read(&self.received_frames),
+        }
+    }
+}
--- a/crates/wal/src/writer.rs
+++ b/crates/wal/src/writer.rs
@@ -94,7 +94,9 @@
             self.file.append(&bytes)?;
             Ok(bytes.len() as u64)
         });
-        self.length += written.map_err(|e| WalError::io("write", &path, &e))?;
+        let written = written.map_err(|e| WalError::io("write", &path, &e))?;
+        metrics::counter!("hooklug_wal_bytes_total").increment(written);
+        self.length += written;
         self.note(&block.records);
         Ok(())
     }
@@ -114,6 +116,7 @@
     fn sync(&mut self) -> Result<(), WalError> {
         let path = segment::path(&self.folder, self.number);
         self.file.sync().map_err(|e| WalError::io("sync", &path, &e))?;
+        metrics::counter!("hooklug_wal_syncs_total").increment(1);
         self.synced = self.length;
         Ok(())
     }
