--- a/crates/bench/src/hollow/field.rs
+++ b/crates/bench/src/hollow/field.rs
@@ -60,6 +60,7 @@
         models: Vec::new(),
         applications: Vec::new(),
         pace: ModelPace::default(),
+        gateway_mode: hooklug_settings::GatewayMode::Full,
         platform_lag_ms: 1_000,
         keep_seconds: 86_400,
         grace_ms: 2_000,
--- a/crates/bench/src/slopes/data_plane.rs
+++ b/crates/bench/src/slopes/data_plane.rs
@@ -73,6 +73,7 @@
         models: vec![group],
         applications: Vec::new(),
         pace,
+        gateway_mode: hooklug_settings::GatewayMode::Full,
         platform_lag_ms: 1_000,
         keep_seconds: 86_400,
         grace_ms: 2_000,
--- a/crates/bench/src/slopes/meter.rs
+++ b/crates/bench/src/slopes/meter.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use hooklug_fleet::http::{Ask, HttpClient};
 use hooklug_fleet::Fleet;
+use hooklug_fleet::http::{Ask, HttpClient};
 use http::Method;
 use serde::Serialize;
 
