--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -18,6 +18,7 @@
 mod generation;
 mod history;
 mod message;
+mod phase;
 mod session;
 mod turn;
 
