control: discovery, heartbeats, view and bundle sections no longer grow with the square of the cluster

Cause (hollow run of 240 nodes, load average 49): a node received 8,673 bytes a second when nothing happened, and installations of a bundle of 4,000 tenants at 240 nodes were not over after 80 s. Discover answered with all known nodes to all nodes each second, over connections from each node to each; each heartbeat was answered with the whole bundle record; a bundle change told of each node as a whole member to all; a change of one tenant fetched a sixteenth of all tenants; and an installation that failed at one section began again with none. Change: an introduction names stores, cores and 8 others, others are asked only while no core answers; the record is sent only to those that are behind; ViewChange::Installed; 256 tenant sections, kept as they arrive, at most 16 fetched at once, and shared by both cached bundles; peers are indexed by address; a sign of life copies no view.

--- a/crates/bench/src/hollow/mod.rs
+++ b/crates/bench/src/hollow/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) use field::Field;
 pub(crate) use records::{ProgramRecords, Writer};
 
+use crate::slopes::interrupt::interruptible;
 use crate::slopes::report::Report;
 
 /// Longest wait until all nodes see each other.
@@ -63,8 +64,12 @@
     out: Option<PathBuf>,
 }
 
-/// Runs the whole scenario and reports each step.
+/// Runs the whole scenario and reports each step. Told to stop, it ends its processes first.
 pub async fn run(args: Args) -> anyhow::Result<()> {
+    interruptible(scenario(args)).await
+}
+
+async fn scenario(args: Args) -> anyhow::Result<()> {
     let report = Report::begin(args.out.as_deref())?;
     let mut field = Field::start(args.stores, args.cores).await?;
     gather(&args, &report, &mut field).await?;
--- a/crates/bench/src/hollow/records.rs
+++ b/crates/bench/src/hollow/records.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{anyhow, bail};
-use futures::stream::{StreamExt, TryStreamExt};
+use futures::stream::TryStreamExt;
 use hooklug_protocol::control::NodeAddress;
 use hooklug_rpc::{LocalIdentity, RpcClient};
 use hooklug_state::shard::{
--- a/crates/bench/src/slopes/data_plane.rs
+++ b/crates/bench/src/slopes/data_plane.rs
@@ -43,7 +43,8 @@
 const LONG_TURN_TOKENS: u64 = 4_000;
 /// Requests under way at once.
 const AT_ONCE: usize = 32;
-const TENANT: &str = "first";
+/// Tenants that the load is spread over, so that none meets its limits.
+const TENANTS: usize = 64;
 const MODEL: &str = "model-0";
 const SLOTS: u32 = 1_024;
 
@@ -53,8 +54,14 @@
     span: Span,
 }
 
+fn tenant(n: usize) -> String {
+    format!("tenant-{}", n % TENANTS)
+}
+
 fn topology(pace: ModelPace) -> anyhow::Result<Topology> {
     let zones: Result<Vec<ZoneName>, _> = (1..=3).map(|n| ZoneName::new(format!("z{n}"))).collect();
+    let tenants: Result<Vec<TenantId>, _> =
+        (0..TENANTS).map(|n| TenantId::new(tenant(n))).collect();
     let group = ModelGroup {
         service: ServiceName::new(MODEL)?,
         model: ModelName::new(MODEL)?,
@@ -69,7 +76,7 @@
         stores: 3,
         cores: 1,
         gateways: 1,
-        tenants: vec![TenantId::new(TENANT)?],
+        tenants: tenants?,
         models: vec![group],
         applications: Vec::new(),
         pace,
@@ -131,14 +138,14 @@
     (streams, tokens): (usize, u64),
     span: Duration,
 ) -> anyhow::Result<Measured> {
-    let caller = Caller::new(fleet.gateways(), TENANT);
     let done = Arc::new((AtomicU64::new(0), AtomicU64::new(0)));
     let stop = CancellationToken::new();
     let mut tasks = Vec::new();
     for n in 0..streams {
+        let caller = Caller::new(fleet.gateways(), &tenant(n));
         let session = SessionRef::new(&format!("load-{series}-{n}"), "main");
         open(&caller, &session).await?;
-        let loops = turns(caller.clone(), session, tokens, done.clone(), stop.clone());
+        let loops = turns(caller, session, tokens, done.clone(), stop.clone());
         tasks.push(tokio::spawn(loops));
     }
     tokio::time::sleep(WARM_UP).await;
@@ -189,15 +196,16 @@
     let pace = ModelPace { first_token_ms: 20, between_tokens_ms: 500, uncached_token_micros: 0 };
     let fleet = Fleet::start(topology(pace)?).await?;
     let http = HttpClient::default();
-    let caller = Caller::new(fleet.gateways(), TENANT);
+    let callers: Vec<Caller> =
+        (0..TENANTS).map(|n| Caller::new(fleet.gateways(), &tenant(n))).collect();
     let name = |n: usize| SessionRef::new(&format!("session-{n}"), "main");
     let mut looks = Vec::new();
     let mut opened = 0;
     for step in SESSION_STEPS {
         let numbers: Vec<usize> = (opened..step).collect();
         for some in numbers.chunks(AT_ONCE) {
-            let names: Vec<_> = some.iter().map(|n| name(*n)).collect();
-            try_join_all(names.iter().map(|session| open(&caller, session))).await?;
+            let names: Vec<_> = some.iter().map(|n| (&callers[n % TENANTS], name(*n))).collect();
+            try_join_all(names.iter().map(|(caller, session)| open(caller, session))).await?;
         }
         opened = step;
         looks.push((step, Look::at(&fleet, &http).await?));
@@ -209,7 +217,7 @@
         for n in streams.len()..step {
             let input = format!("go on [tokens {LONG_TURN_TOKENS}]");
             let request = TurnRequest::new("t0", None, &input, LONG_TURN_TOKENS);
-            let mut stream = caller.begin_turn(0, &name(n), &request).await?;
+            let mut stream = callers[n % TENANTS].begin_turn(0, &name(n), &request).await?;
             stream.next().await?;
             streams
                 .push(tokio::spawn(async move { while let Ok(Some(_)) = stream.next().await {} }));
--- /dev/null
+++ b/crates/bench/src/slopes/interrupt.rs
@@ -0,0 +1,19 @@
+//! Ends a run on Ctrl-C or SIGTERM by dropping it, so that its fleet ends its processes.
+
+use std::future::Future;
+
+use anyhow::bail;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Runs to the end, or until the process is told to stop.
+pub(crate) async fn interruptible(
+    run: impl Future<Output = anyhow::Result<()>>,
+) -> anyhow::Result<()> {
+    let mut interrupted = signal(SignalKind::interrupt())?;
+    let mut terminated = signal(SignalKind::terminate())?;
+    tokio::select! {
+        ended = run => ended,
+        _ = interrupted.recv() => bail!("interrupted"),
+        _ = terminated.recv() => bail!("told to stop"),
+    }
+}
--- a/crates/bench/src/slopes/meter.rs
+++ b/crates/bench/src/slopes/meter.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+use futures::future::try_join_all;
 use hooklug_fleet::http::{Ask, HttpClient};
-use hooklug_fleet::Fleet;
+use hooklug_fleet::{Fleet, ProcessStatus};
 use http::Method;
 use serde::Serialize;
 
@@ -32,6 +33,19 @@
 }
 
 impl Counted {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            processes: self.processes + other.processes,
+            cpu_seconds: self.cpu_seconds + other.cpu_seconds,
+            resident_bytes: self.resident_bytes + other.resident_bytes,
+            rpc_sent_bytes: self.rpc_sent_bytes + other.rpc_sent_bytes,
+            rpc_received_bytes: self.rpc_received_bytes + other.rpc_received_bytes,
+            rpc_frames: self.rpc_frames + other.rpc_frames,
+            log_bytes: self.log_bytes + other.log_bytes,
+            syncs: self.syncs + other.syncs,
+        }
+    }
+
     fn since(self, earlier: Self) -> Self {
         Self {
             processes: self.processes,
@@ -64,24 +78,17 @@
 }
 
 impl Look {
-    /// Looks at all hooklug processes of a fleet that run.
+    /// Looks at all hooklug processes of a fleet that run, all at once.
     pub(crate) async fn at(fleet: &Fleet, http: &HttpClient) -> anyhow::Result<Self> {
+        let nodes = fleet.status().into_iter().filter(|status| status.name.kind.is_node());
+        let looks = nodes.filter(|status| status.pid.is_some()).map(|status| async move {
+            let counted = count(http, &status).await?;
+            anyhow::Ok((status.name.kind.word(), counted))
+        });
         let mut roles: BTreeMap<&'static str, Counted> = BTreeMap::new();
-        for status in fleet.status() {
-            let Some(pid) = status.pid.filter(|_| status.name.kind.is_node()) else { continue };
-            let usage = Usage::of(pid)?;
-            let metrics = http.ask(status.http, &Ask::new(Method::GET, "/metrics")).await?;
-            let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
-            let sum = |name: &str| sum_of(&metrics, name);
-            let counted = roles.entry(status.name.kind.word()).or_default();
-            counted.processes += 1;
-            counted.cpu_seconds += usage.cpu.as_secs_f64();
-            counted.resident_bytes += usage.resident_bytes as f64;
-            counted.rpc_sent_bytes += sum("hooklug_rpc_bytes_total{direction=\"sent\"}");
-            counted.rpc_received_bytes += sum("hooklug_rpc_bytes_total{direction=\"received\"}");
-            counted.rpc_frames += sum("hooklug_rpc_frames_total");
-            counted.log_bytes += sum("hooklug_wal_bytes_total");
-            counted.syncs += sum("hooklug_wal_syncs_total");
+        for (role, counted) in try_join_all(looks).await? {
+            let sum = roles.entry(role).or_default();
+            *sum = sum.plus(counted);
         }
         Ok(Self { at: Instant::now(), roles })
     }
@@ -101,6 +108,23 @@
     }
 }
 
+async fn count(http: &HttpClient, status: &ProcessStatus) -> anyhow::Result<Counted> {
+    let metrics = http.ask(status.http, &Ask::new(Method::GET, "/metrics")).await?;
+    let usage = Usage::of(status.pid.unwrap_or_default())?;
+    let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+    let sum = |name: &str| sum_of(&metrics, name);
+    Ok(Counted {
+        processes: 1,
+        cpu_seconds: usage.cpu.as_secs_f64(),
+        resident_bytes: usage.resident_bytes as f64,
+        rpc_sent_bytes: sum("hooklug_rpc_bytes_total{direction=\"sent\"}"),
+        rpc_received_bytes: sum("hooklug_rpc_bytes_total{direction=\"received\"}"),
+        rpc_frames: sum("hooklug_rpc_frames_total"),
+        log_bytes: sum("hooklug_wal_bytes_total"),
+        syncs: sum("hooklug_wal_syncs_total"),
+    })
+}
+
 /// Sum of all series whose text begins with a name.
 fn sum_of(metrics: &str, name: &str) -> f64 {
     let matching = metrics.lines().filter(|line| line.starts_with(name));
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -4,6 +4,7 @@
 mod control_plane;
 mod data_plane;
 mod fit;
+pub(crate) mod interrupt;
 mod machine;
 pub(crate) mod meter;
 pub(crate) mod process;
@@ -53,8 +54,12 @@
         [Self::Machine, Self::Stores, Self::DataPlane, Self::Sessions, Self::Nodes, Self::Bundles];
 }
 
-/// Runs the experiments one after the other.
+/// Runs the experiments one after the other. Told to stop, it ends its processes first.
 pub async fn run(args: Args) -> anyhow::Result<()> {
+    interrupt::interruptible(experiments(args)).await
+}
+
+async fn experiments(args: Args) -> anyhow::Result<()> {
     let report = Report::begin(args.out.as_deref())?;
     let span = std::time::Duration::from_secs(args.span_seconds);
     let chosen = if args.only.is_empty() { Experiment::ALL.to_vec() } else { args.only };
--- a/crates/bundle/src/canonical.rs
+++ b/crates/bundle/src/canonical.rs
@@ -70,11 +70,13 @@
     Digest::of(&canonical_bytes(bundle))
 }
 
-/// The section that holds a tenant: one of sixteen, by the first hexadecimal digit of its id's BLAKE3 digest.
+/// The section that holds a tenant: one of 256, by the first byte of its id's BLAKE3 digest. With 17,000
+/// tenants a section and the list of all sections' digests are then about equally long, so that a change of
+/// one tenant costs least.
 #[must_use]
 pub fn tenant_section(tenant: &TenantId) -> String {
-    let first = Digest::of(tenant.as_str().as_bytes()).0[0] >> 4;
-    format!("{TENANTS_PREFIX}{first:x}")
+    let first = Digest::of(tenant.as_str().as_bytes()).0[0];
+    format!("{TENANTS_PREFIX}{first:02x}")
 }
 
 /// The bundle's content by section name; the header travels apart. Tenant sections without tenants are left out.
@@ -105,10 +107,11 @@
 /// When a section does not decode or is unknown.
 pub fn from_sections(
     header: BundleHeader,
-    sections: &BTreeMap<String, Vec<u8>>,
+    sections: &BTreeMap<String, impl AsRef<[u8]>>,
 ) -> Result<Bundle, DecodeError> {
     let mut bundle = Bundle { version: header.version, base: header.base, ..Bundle::default() };
-    for (name, bytes) in sections {
+    for (name, section) in sections {
+        let bytes = section.as_ref();
         match name.as_str() {
             SERVICES => bundle.services = from_json(name, bytes)?,
             ROUTES => bundle.routes = from_json(name, bytes)?,
--- a/crates/control/src/agent/discovery.rs
+++ b/crates/control/src/agent/discovery.rs
@@ -17,7 +17,7 @@
 /// Pause between rounds from then on (ours).
 const STEADY_PAUSE: Duration = Duration::from_secs(1);
 
-/// Processes asked in a round, beside seeds and a store (ours).
+/// Processes asked in a round while no core answers, beside seeds and stores (ours).
 const ASKED_IN_A_ROUND: usize = 2;
 
 pub(super) async fn run(shared: Arc<Shared>) {
@@ -37,7 +37,8 @@
 }
 
 /// Whom to ask in this round: seeds that are not known yet, a store (which tells that one is within
-/// reach), and a few others at random.
+/// reach), and, while no core answers, a few others at random. With a core the view tells of all nodes;
+/// asking others then would end with a connection from each node to each.
 fn targets(shared: &Shared) -> Vec<SocketAddr> {
     let others = shared.peers().others();
     let stores = shared.peers().addresses(NodeRole::Store);
@@ -45,9 +46,11 @@
     let mut rng = rand::rng();
     let unknown = |seed: &&SocketAddr| !others.iter().any(|o| o.rpc == **seed);
     let mut targets: Vec<SocketAddr> = shared.seeds.iter().filter(unknown).copied().collect();
-    let store_count = if shared.reach.core_answers() { 1 } else { stores.len() };
+    let alone = !shared.reach.core_answers();
+    let store_count = if alone { stores.len() } else { 1 };
     targets.extend(stores.sample(&mut rng, store_count));
-    targets.extend(others.sample(&mut rng, ASKED_IN_A_ROUND).map(|o| o.rpc));
+    let other_count = if alone { ASKED_IN_A_ROUND } else { 0 };
+    targets.extend(others.sample(&mut rng, other_count).map(|o| o.rpc));
     targets.retain(|target| *target != own);
     targets.sort_unstable();
     targets.dedup();
--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -13,8 +13,10 @@
 use hooklug_types::{BundleVersion, Digest};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
+use tokio::sync::Semaphore;
 use tracing::{info, warn};
 
+use super::sections::Section;
 use super::{Shared, heartbeat};
 use crate::figures;
 use crate::handle::InstalledBundle;
@@ -32,6 +34,9 @@
 /// at most about a thousand nodes a second ask the stores).
 const MOST_PATIENCE_MILLIS: u64 = 500;
 
+/// Sections under way at once (ours): a first installation fetches some 260, and all nodes may do so at once.
+const FETCHES_AT_ONCE: usize = 16;
+
 /// Peers asked for a section before the stores (ours).
 const PEERS_ASKED: usize = 2;
 
@@ -129,19 +134,22 @@
 }
 
 async fn install(shared: &Shared, record: BundleRecord) -> Result<(), InstallError> {
-    let fetches = record.sections.iter().map(|(name, digest)| async move {
+    shared.sections().want(&record.sections.values().copied().collect());
+    let slots = Semaphore::new(FETCHES_AT_ONCE);
+    let fetches = record.sections.iter().map(|(name, digest)| async {
+        let _slot = slots.acquire().await;
         let bytes = fetch(shared, digest).await;
         let missing = || InstallError::Missing { name: name.clone(), digest: *digest };
         Ok::<_, InstallError>((name.clone(), bytes.ok_or_else(missing)?))
     });
-    let sections: BTreeMap<String, Vec<u8>> = try_join_all(fetches).await?.into_iter().collect();
+    let sections: BTreeMap<String, Section> = try_join_all(fetches).await?.into_iter().collect();
     let header = BundleHeader { version: record.version, base: record.base };
     let bundle = hooklug_bundle::from_sections(header, &sections)?;
     if hooklug_bundle::digest(&bundle) != record.digest {
         return Err(InstallError::WrongDigest { version: record.version });
     }
-    let by_digest = sections.into_values().map(|bytes| (Digest::of(&bytes), bytes)).collect();
-    shared.sections().replace(by_digest);
+    let digest_of = |(name, section)| record.sections.get(&name).map(|digest| (*digest, section));
+    shared.sections().replace(sections.into_iter().filter_map(digest_of).collect());
     let version = record.version;
     shared.bundle.send_replace(Some(Arc::new(InstalledBundle { record, bundle })));
     shared.identity.bundles.set_installed(version);
@@ -152,10 +160,17 @@
 }
 
 /// A section from this node, a core, a few peers, or the stores, whoever has it first; always checked.
-async fn fetch(shared: &Shared, digest: &Digest) -> Option<Vec<u8>> {
-    if let Some(bytes) = shared.sections().get(digest) {
-        return Some(bytes);
+async fn fetch(shared: &Shared, digest: &Digest) -> Option<Section> {
+    let held = shared.sections().get(digest);
+    if held.is_some() {
+        return held;
     }
+    let section: Section = fetch_bytes(shared, digest).await?.into();
+    shared.sections().keep(*digest, section.clone());
+    Some(section)
+}
+
+async fn fetch_bytes(shared: &Shared, digest: &Digest) -> Option<Vec<u8>> {
     for peer in sources(shared) {
         let request = FetchSection { digest: *digest };
         let answer = shared.client.call(peer, &request, shared.deadline()).await;
--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -183,13 +183,13 @@
             .route_inline(move |_peer, request: Discover| {
                 let mut peers = discovering.peers();
                 peers.learn(request.from);
-                let known = peers.known();
+                let introduced = peers.introduction(&mut rand::rng());
                 drop(peers);
                 discovering.publish_stores();
-                known
+                introduced
             })
             .route_inline(move |_peer, request: FetchSection| {
-                fetching.sections().get(&request.digest)
+                fetching.sections().get(&request.digest).map(|section| section.to_vec())
             })
     }
 
--- a/crates/control/src/agent/peers.rs
+++ b/crates/control/src/agent/peers.rs
@@ -6,12 +6,19 @@
 use hooklug_protocol::control::{ClusterView, MemberHealth, NodeAddress};
 use hooklug_state::meta::StoreState;
 use hooklug_types::{NodeId, NodeRole};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+/// Gateways and engines that a node that asks is told of, beside all stores and cores (ours).
+const OTHERS_INTRODUCED: usize = 8;
 
 /// The processes that a node knows, itself included.
 #[derive(Debug, Clone)]
 pub struct Peers {
     own: NodeAddress,
     known: BTreeMap<NodeId, NodeAddress>,
+    /// Who listens at an address; the same nodes as in `known`.
+    by_address: BTreeMap<SocketAddr, NodeId>,
     /// Stores that the meta group lists; they may not have been met yet.
     listed_stores: Vec<SocketAddr>,
 }
@@ -20,7 +27,7 @@
     /// Only the node itself.
     #[must_use]
     pub fn new(own: NodeAddress) -> Self {
-        Self { own, known: BTreeMap::new(), listed_stores: Vec::new() }
+        Self { own, known: BTreeMap::new(), by_address: BTreeMap::new(), listed_stores: Vec::new() }
     }
 
     /// Learns of a process. An earlier run changes nothing; a process at the same address that started
@@ -29,16 +36,31 @@
         if address.node == self.own.node || address.rpc == self.own.rpc {
             return;
         }
+        if self.known.get(&address.node) == Some(&address) {
+            return;
+        }
         let newer = |known: &NodeAddress| known.incarnation > address.incarnation;
-        let outdated = self.known.get(&address.node).is_some_and(newer)
-            || self.known.values().any(|k| k.rpc == address.rpc && newer(k));
-        if outdated {
+        let holder = self.by_address.get(&address.rpc).copied();
+        if [Some(address.node), holder]
+            .into_iter()
+            .flatten()
+            .any(|n| self.known.get(&n).is_some_and(newer))
+        {
             return;
         }
-        self.known.retain(|node, k| *node == address.node || k.rpc != address.rpc);
+        for outdated in [Some(address.node), holder].into_iter().flatten() {
+            self.remove(outdated);
+        }
+        self.by_address.insert(address.rpc, address.node);
         self.known.insert(address.node, address);
     }
 
+    fn remove(&mut self, node: NodeId) {
+        if let Some(removed) = self.known.remove(&node) {
+            self.by_address.remove(&removed.rpc);
+        }
+    }
+
     /// Follows the cluster view: learns its members, forgets those that are given up.
     pub fn follow_view(&mut self, view: &ClusterView) {
         for member in view.members.values() {
@@ -46,7 +68,7 @@
             if member.health == MemberHealth::Dead {
                 let same = |k: &NodeAddress| k.incarnation <= address.incarnation;
                 if self.known.get(&address.node).is_some_and(same) {
-                    self.known.remove(&address.node);
+                    self.remove(address.node);
                 }
             } else {
                 self.learn(address.clone());
@@ -56,21 +78,24 @@
         self.listed_stores =
             stores.filter(|s| s.state != StoreState::Removed).map(|s| s.address).collect();
         for removed in view.meta.stores.iter().filter(|s| s.state == StoreState::Removed) {
-            self.known.remove(&removed.node);
+            self.remove(removed.node);
         }
     }
 
     /// Forgets a process that did not answer, unless it started anew since.
     pub fn forget(&mut self, gone: &NodeAddress) {
         if self.known.get(&gone.node).is_some_and(|k| k.incarnation <= gone.incarnation) {
-            self.known.remove(&gone.node);
+            self.remove(gone.node);
         }
     }
 
-    /// All known processes, this one first.
-    #[must_use]
-    pub fn known(&self) -> Vec<NodeAddress> {
-        std::iter::once(&self.own).chain(self.known.values()).cloned().collect()
+    /// What a node that asks is told: this node, all stores and cores, and a few others at random. The rest
+    /// it learns from the view; telling all to all each second would grow with the square of the cluster.
+    pub fn introduction(&self, rng: &mut impl Rng) -> Vec<NodeAddress> {
+        let (central, others): (Vec<&NodeAddress>, Vec<&NodeAddress>) =
+            self.known.values().partition(|a| matches!(a.role, NodeRole::Store | NodeRole::Core));
+        let some = others.sample(rng, OTHERS_INTRODUCED).copied();
+        std::iter::once(&self.own).chain(central).chain(some).cloned().collect()
     }
 
     /// How many others are known.
--- a/crates/control/src/agent/sections.rs
+++ b/crates/control/src/agent/sections.rs
@@ -1,23 +1,41 @@
 //! Bundle sections that this node holds, by digest. Pure.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use hooklug_types::Digest;
 
-/// Sections of the installed bundle and of the one before it, for peers that are behind by one.
+/// Bytes of a section, shared by all who hold it.
+pub(super) type Section = Arc<[u8]>;
+
+/// Sections of the installed bundle and of the one before it, for peers that are behind by one, and those
+/// that have arrived of the next.
 #[derive(Debug, Default)]
 pub(super) struct SectionCache {
-    current: BTreeMap<Digest, Vec<u8>>,
-    former: BTreeMap<Digest, Vec<u8>>,
+    current: BTreeMap<Digest, Section>,
+    former: BTreeMap<Digest, Section>,
+    arrived: BTreeMap<Digest, Section>,
 }
 
 impl SectionCache {
-    pub(super) fn get(&self, digest: &Digest) -> Option<Vec<u8>> {
-        self.current.get(digest).or_else(|| self.former.get(digest)).cloned()
+    pub(super) fn get(&self, digest: &Digest) -> Option<Section> {
+        let held = [&self.current, &self.former, &self.arrived];
+        held.into_iter().find_map(|sections| sections.get(digest)).cloned()
+    }
+
+    /// Forgets what arrived of a bundle other than the one that is wanted now.
+    pub(super) fn want(&mut self, digests: &BTreeSet<Digest>) {
+        self.arrived.retain(|digest, _| digests.contains(digest));
+    }
+
+    /// Keeps a section whose bytes were checked: an installation that fails begins again where it was.
+    pub(super) fn keep(&mut self, digest: Digest, section: Section) {
+        self.arrived.insert(digest, section);
     }
 
     /// Takes the sections of a newly installed bundle.
-    pub(super) fn replace(&mut self, sections: BTreeMap<Digest, Vec<u8>>) {
+    pub(super) fn replace(&mut self, sections: BTreeMap<Digest, Section>) {
         self.former = std::mem::replace(&mut self.current, sections);
+        self.arrived.clear();
     }
 }
--- a/crates/control/src/agent/watch.rs
+++ b/crates/control/src/agent/watch.rs
@@ -72,6 +72,10 @@
 
 /// Takes an item; false when it does not follow what is known.
 fn take(shared: &Shared, item: ViewItem) -> bool {
+    // A sign of life, each second; the view is not copied for it.
+    if matches!(&item, ViewItem::Changes { to, .. } if *to <= shared.view.borrow().revision) {
+        return true;
+    }
     let mut applied = Applied::Old;
     shared.change_view(|view| {
         applied = apply_item(view, item);
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -152,11 +152,12 @@
             return reply;
         }
     }
+    let installed = heartbeat.bundle;
     shared.inbox.put_heartbeat(heartbeat);
     let view = shared.published.view();
     HeartbeatReply {
         revision: view.revision,
-        bundle: view.meta.bundle.clone(),
+        bundle: view.meta.bundle.as_ref().filter(|b| b.version > installed).cloned(),
         leader: shared.other_leader().filter(|_| !leads),
     }
 }
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -1,7 +1,9 @@
 //! Differences between two cluster views, and applying them.
 
-use hooklug_protocol::control::{ClusterView, ViewChange, ViewItem};
-use hooklug_types::{FencingEpoch, Revision};
+use std::collections::BTreeMap;
+
+use hooklug_protocol::control::{ClusterView, Member, ViewChange, ViewItem};
+use hooklug_types::{BundleVersion, FencingEpoch, NodeId, Revision};
 
 /// Bits of a revision that count changes under one core leader; the bits above are its fencing epoch.
 const COUNT_BITS: u32 = 32;
@@ -28,11 +30,18 @@
 #[must_use]
 pub fn changes(before: &ClusterView, after: &ClusterView) -> Vec<ViewChange> {
     let mut changes = Vec::new();
+    let mut installed: BTreeMap<BundleVersion, Vec<NodeId>> = BTreeMap::new();
     for (id, member) in &after.members {
-        if before.members.get(id) != Some(member) {
-            changes.push(ViewChange::Member(member.clone()));
+        match before.members.get(id) {
+            Some(known) if known == member => {}
+            Some(known) if differs_by_bundle_only(known, member) => {
+                installed.entry(member.bundle).or_default().push(*id);
+            }
+            _ => changes.push(ViewChange::Member(member.clone())),
         }
     }
+    let group = |(bundle, nodes)| ViewChange::Installed { bundle, nodes };
+    changes.extend(installed.into_iter().map(group));
     let gone = before.members.keys().filter(|id| !after.members.contains_key(id));
     changes.extend(gone.map(|id| ViewChange::MemberGone(*id)));
     for (id, engine) in &after.engines {
@@ -48,12 +57,25 @@
     changes
 }
 
+fn differs_by_bundle_only(known: &Member, member: &Member) -> bool {
+    known.address == member.address
+        && known.health == member.health
+        && known.engine == member.engine
+}
+
 /// Applies one change.
 pub fn apply_change(view: &mut ClusterView, change: ViewChange) {
     match change {
         ViewChange::Member(member) => {
             view.members.insert(member.address.node, member);
         }
+        ViewChange::Installed { bundle, nodes } => {
+            for node in nodes {
+                if let Some(member) = view.members.get_mut(&node) {
+                    member.bundle = bundle;
+                }
+            }
+        }
         ViewChange::MemberGone(id) => {
             view.members.remove(&id);
         }
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -12,7 +12,7 @@
 
 use crate::{Method, Request, StreamRequest};
 
-/// Asks any process which others it knows.
+/// Asks any process which others it knows. The answer names it, the stores and cores, and a few others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Discover {
     /// The asking node, so that it is known in turn.
@@ -121,6 +121,13 @@
 pub enum ViewChange {
     /// A node came or changed.
     Member(Member),
+    /// Nodes of which only the installed bundle changed; a bundle change makes one of these, not a `Member` a node.
+    Installed {
+        /// The version that they have in force now.
+        bundle: BundleVersion,
+        /// The nodes.
+        nodes: Vec<NodeId>,
+    },
     /// A node left.
     MemberGone(NodeId),
     /// An application engine came or changed.
@@ -179,7 +186,7 @@
 pub struct HeartbeatReply {
     /// The core's newest revision.
     pub revision: Revision,
-    /// The newest bundle that the core knows.
+    /// The newest bundle that the core knows, when the sender has an older one in force.
     pub bundle: Option<BundleRecord>,
     /// Where the core leader is, if this core is not it.
     pub leader: Option<SocketAddr>,
