emulator: explicit refusals are noted in the ledger

Cause: that a draining engine gets no new work could not be seen, since what it refuses left no line. Change: a ledger entry for each explicit refusal, with its reason.

--- a/crates/emulator/src/core.rs
+++ b/crates/emulator/src/core.rs
@@ -84,13 +84,14 @@
         Ok((id, hit))
     }
 
-    /// The explicit refusal: not run.
+    /// The explicit refusal: not run, and noted in the ledger.
     pub(crate) fn refusal(
         &self,
         id: &RequestId,
         status: StatusCode,
         reason: &'static str,
     ) -> Response<Body> {
+        self.record(LedgerEntry::Refused { request: id.0.clone(), reason: reason.to_owned() });
         let mut answer = text(status, reason);
         answer.headers_mut().insert(headers::REFUSED, HeaderValue::from_static(reason));
         self.signed(id, answer)
--- a/crates/emulator/src/ledger.rs
+++ b/crates/emulator/src/ledger.rs
@@ -29,6 +29,13 @@
         /// How often this process has run this call, this time included.
         times: u32,
     },
+    /// A request was refused explicitly, without running.
+    Refused {
+        /// Id of the request.
+        request: String,
+        /// `draining`, `overloaded` or `identity`.
+        reason: String,
+    },
     /// A model server began a generation.
     GenerationBegan {
         /// Id of the request.
