--- /dev/null
+++ b/crates/fleet/tests/at_most_once_calls.rs
@@ -0,0 +1,124 @@
+//! A call that may not be repeated runs at most once, whatever becomes of its answer, its gateway, its
+//! engine or its shard's leader. The verdict is the application engines' own ledgers.
+//!
+//! Catches a gateway that dispatches again after a lost or damaged answer, a second gateway that does
+//! not respect the first one's claim, and a claim that does not outlive its shard's leader.
+
+mod support;
+
+use hooklug_emulator::{FaultKind, FaultRule, Faults};
+use hooklug_fleet::{Caller, Fleet, ProcessKind};
+use support::{LIMIT, alarm, caller, fault, name, put_program, runs, shard_leader, slow, topology};
+
+const PROGRAM: &str = "frost";
+
+async fn start() -> (Fleet, Caller) {
+    let fleet = Fleet::start(topology(1, 2)).await.unwrap();
+    let caller = caller(&fleet);
+    put_program(&caller, PROGRAM, 100).await;
+    (fleet, caller)
+}
+
+fn assert_ran_once(fleet: &Fleet, call: &str) {
+    assert_eq!(runs(fleet, &format!("{PROGRAM}/{call}")), 1, "{call}");
+}
+
+async fn wait_for_run(fleet: &Fleet, call: &str) {
+    support::wait_for_run(fleet, &format!("{PROGRAM}/{call}")).await;
+}
+
+async fn set_faults(fleet: &Fleet, rules: Vec<FaultRule>, no_lookup: bool) {
+    for app in fleet.names(ProcessKind::App) {
+        let faults = Faults { rules: rules.clone(), no_lookup, ..Faults::default() };
+        fleet.set_faults(app, &faults).await.unwrap();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_runs_once_whatever_becomes_of_its_answer() {
+    let (fleet, caller) = start().await;
+    use FaultKind::{Cross, CutShort, Garble, LoseAnswer, Stall};
+    let kinds = [LoseAnswer, CutShort, Cross, Garble, Stall];
+    // With a look-up the back end's word may settle a call; without one it has to stay unknown.
+    let cases = kinds.into_iter().flat_map(|kind| [(kind, false), (kind, true)]);
+    for (kind, no_lookup) in cases {
+        // A request before it, whose answer can be crossed with.
+        let before = format!("before-{kind:?}-{no_lookup}");
+        caller.call(0, PROGRAM, &before, &alarm(1)).await.unwrap();
+        set_faults(&fleet, vec![FaultRule::always(kind)], no_lookup).await;
+        let call = format!("call-{kind:?}-{no_lookup}");
+        let mut request = alarm(2);
+        request.deadline_ms = 1_500;
+        // What it is told is another test's affair; here only what ran counts.
+        let first = caller.call(0, PROGRAM, &call, &request).await;
+        wait_for_run(&fleet, &call).await;
+        set_faults(&fleet, Vec::new(), no_lookup).await;
+        for gateway in 0..4 {
+            let again = caller.call(gateway, PROGRAM, &call, &request).await;
+            println!("{call} at gateway {gateway}: {first:?}, then {again:?}");
+        }
+        assert_ran_once(&fleet, &call);
+        assert_ran_once(&fleet, &before);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_runs_once_though_machines_fail_in_the_middle() {
+    let (fleet, caller) = start().await;
+    fault(&fleet, ProcessKind::App, Some(slow(1_500))).await;
+
+    // The leader of its shard freezes while it runs, and wakes after others have asked.
+    let leader = shard_leader(&fleet, PROGRAM).await;
+    let running = begin(&caller, "leader-frozen");
+    wait_for_run(&fleet, "leader-frozen").await;
+    fleet.freeze(leader).unwrap();
+    resend(&caller, "leader-frozen").await;
+    fleet.wake(leader).unwrap();
+    running.await.unwrap();
+    resend(&caller, "leader-frozen").await;
+
+    // The gateway that dispatched it is killed, the caller goes to the other one.
+    let running = begin(&caller, "gateway-killed");
+    wait_for_run(&fleet, "gateway-killed").await;
+    fleet.kill(name("gateway:0")).unwrap();
+    resend(&caller, "gateway-killed").await;
+    running.await.unwrap();
+    fleet.restart(name("gateway:0")).await.unwrap();
+    fleet.wait_ready(name("gateway:0"), LIMIT).await.unwrap();
+    resend(&caller, "gateway-killed").await;
+
+    // The engine that runs it is killed; another one is there.
+    let running = begin(&caller, "engine-killed");
+    wait_for_run(&fleet, "engine-killed").await;
+    let key = format!("{PROGRAM}/engine-killed");
+    let mut apps = fleet.names(ProcessKind::App).into_iter();
+    let runner = apps.find(|app| support::runs_at(&fleet, *app, &key) > 0).unwrap();
+    fleet.kill(runner).unwrap();
+    resend(&caller, "engine-killed").await;
+    running.await.unwrap();
+    fleet.restart(runner).await.unwrap();
+    resend(&caller, "engine-killed").await;
+
+    for call in ["leader-frozen", "gateway-killed", "engine-killed"] {
+        assert_ran_once(&fleet, call);
+    }
+}
+
+/// Sends a call to the first gateway once, without waiting.
+fn begin(caller: &Caller, call: &str) -> tokio::task::JoinHandle<()> {
+    let (caller, call) = (caller.clone(), call.to_owned());
+    tokio::spawn(async move {
+        let told = caller.call(0, PROGRAM, &call, &alarm(3)).await;
+        println!("{call}: {told:?}");
+    })
+}
+
+/// Sends a call to all gateways at once, as a caller does that lost its answer.
+async fn resend(caller: &Caller, call: &str) {
+    let request = alarm(3);
+    let (first, second) = tokio::join!(
+        caller.call(1, PROGRAM, call, &request),
+        caller.call(0, PROGRAM, call, &request)
+    );
+    println!("{call} again: {first:?}, {second:?}");
+}
--- /dev/null
+++ b/crates/fleet/tests/truthful_refusals.rs
@@ -0,0 +1,151 @@
+//! "Not run" and "budget spent" are said only of what did not run and never will. The verdict is the
+//! ledgers of application engines and model servers, read at the end.
+//!
+//! Catches a "not run" that rests on anything but a committed seal (a dispatch can race it), a seal or
+//! refusal that is forgotten over a restart, and a turn refused at one engine and run at another.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hooklug_emulator::LedgerEntry;
+use hooklug_fleet::caller::{CallAnswer, CallRequest, CallView, CallerError, TurnRequest};
+use hooklug_fleet::{Caller, Fleet, ProcessKind};
+use support::{LIMIT, alarm, caller, open, owner, put_program, runs, shard_leader, topology};
+
+const PROGRAM: &str = "frost";
+/// Calls that race with their seal.
+const RACES: u64 = 40;
+
+/// Sends a call and its seal at once through two gateways, one of them with a head start that grows.
+async fn race_seal(
+    caller: &Caller,
+    call: &str,
+    request: &CallRequest,
+    race: u64,
+) -> (Result<CallAnswer, CallerError>, Result<CallView, CallerError>) {
+    let head_start = Duration::from_micros(race * 500);
+    let (of_seal, of_call) =
+        if race % 4 == 0 { (head_start, Duration::ZERO) } else { (Duration::ZERO, head_start) };
+    let dispatch = async {
+        tokio::time::sleep(of_seal).await;
+        caller.call(0, PROGRAM, call, request).await
+    };
+    let seal = async {
+        tokio::time::sleep(of_call).await;
+        caller.seal_call(1, PROGRAM, call, request).await
+    };
+    tokio::join!(dispatch, seal)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_said_not_to_have_run_never_runs() {
+    let fleet = Fleet::start(topology(1, 2)).await.unwrap();
+    let caller = caller(&fleet);
+    put_program(&caller, PROGRAM, 100).await;
+    let mut sealed = BTreeSet::new();
+    for race in 0..RACES {
+        let (call, request) = (format!("call-{race}"), alarm(race));
+        let (ran, seal) = match race {
+            // Both ends of the race, so that each outcome is seen.
+            0 => {
+                let seal = caller.seal_call(1, PROGRAM, &call, &request).await;
+                (caller.call(0, PROGRAM, &call, &request).await, seal)
+            }
+            1 => {
+                let ran = caller.call(0, PROGRAM, &call, &request).await;
+                (ran, caller.seal_call(1, PROGRAM, &call, &request).await)
+            }
+            _ => race_seal(&caller, &call, &request, race).await,
+        };
+        let state = seal.unwrap().state;
+        let code = ran.as_ref().err().and_then(CallerError::code);
+        assert_eq!(state == "not_run", code == Some("call_sealed"), "{call}: {state}, {ran:?}");
+        if state == "not_run" {
+            sealed.insert(call);
+        }
+    }
+    println!("{} of {RACES} calls were sealed before they began", sealed.len());
+    // Neither a new leader nor a new gateway forgets a seal.
+    let leader = shard_leader(&fleet, PROGRAM).await;
+    fleet.restart(leader).await.unwrap();
+    fleet.restart("gateway:0".parse().unwrap()).await.unwrap();
+    fleet.wait_all_ready(LIMIT).await.unwrap();
+    for call in &sealed {
+        let request = alarm(call.trim_start_matches("call-").parse().unwrap());
+        for gateway in 0..2 {
+            let told = caller.call(gateway, PROGRAM, call, &request).await;
+            let code = told.as_ref().err().and_then(CallerError::code);
+            assert_eq!(code, Some("call_sealed"), "{call}: {told:?}");
+        }
+        assert_eq!(caller.call_state(1, PROGRAM, call).await.unwrap().state, "not_run");
+    }
+    for race in 0..RACES {
+        let call = format!("call-{race}");
+        let expected = usize::from(!sealed.contains(&call));
+        assert_eq!(runs(&fleet, &format!("{PROGRAM}/{call}")), expected, "{call}");
+    }
+}
+
+/// Turns of a session that a model server began to run.
+fn began(fleet: &Fleet, session: &str) -> BTreeSet<String> {
+    let lines = fleet.ledgers(ProcessKind::Model).unwrap().into_iter();
+    let turns = lines.filter_map(|line| match line.entry {
+        LedgerEntry::GenerationBegan { session: of, turn, .. } if of == session => Some(turn),
+        _ => None,
+    });
+    turns.collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_turn_refused_for_its_budget_never_runs() {
+    let fleet = Fleet::start(topology(2, 1)).await.unwrap();
+    let caller = caller(&fleet);
+    put_program(&caller, PROGRAM, 60).await;
+    // Sessions on both engines race for the budget's last tokens.
+    let mut refused = Vec::new();
+    let mut racing = tokio::task::JoinSet::new();
+    for number in 0..4 {
+        let session = open(&caller, PROGRAM, &format!("s{number}")).await;
+        let caller = caller.clone();
+        racing.spawn(async move {
+            let mut head: Option<String> = None;
+            for turn in 0.. {
+                let name = format!("t{turn}");
+                let request = TurnRequest::new(&name, head.as_deref(), "[tokens 10]", 10);
+                match caller.run_turn(number, &session, &request).await {
+                    Ok(transcript) => transcript.check(&name).unwrap(),
+                    Err(error) if error.code() == Some("budget_spent") => {
+                        return (session, request);
+                    }
+                    Err(error) => panic!("{session:?} {name}: {error}"),
+                }
+                head = Some(name);
+            }
+            unreachable!("a budget ends")
+        });
+    }
+    while let Some(ended) = racing.join_next().await {
+        refused.push(ended.unwrap());
+    }
+    // One owner is killed, so that its sessions' next owner has to know the refusal.
+    let killed = owner(&fleet, &caller, &refused[0].0).await;
+    fleet.kill(killed).unwrap();
+    for (session, request) in &refused {
+        for gateway in 0..2 {
+            let told = caller.run_turn(gateway, session, request).await;
+            let code = told.as_ref().err().and_then(CallerError::code);
+            assert_eq!(code, Some("budget_spent"), "{session:?} {request:?}: {told:?}");
+        }
+        let view = caller.turn(0, session, &request.turn).await.unwrap();
+        assert_eq!((view.state.as_str(), view.tokens), ("refused", 0));
+    }
+    for (session, request) in &refused {
+        let key = format!("{PROGRAM}/{}", session.session);
+        let ran = began(&fleet, &key);
+        assert!(!ran.contains(&request.turn), "{key} {} ran: {ran:?}", request.turn);
+    }
+    let program = caller.program(0, PROGRAM).await.unwrap();
+    assert_eq!((program.spent, program.reserved), (60, 0));
+}
