fleet: streams lose, repeat and splice nothing: tests with real processes

Two clients follow each turn, one that resumes and one that joined, while the owner, a gateway or the leader of the session's shard is killed or frozen in the middle; both must see the same events, the turn read again must be the same, and the text must be what the one generation made.

--- /dev/null
+++ b/crates/fleet/tests/gapless_streams.rs
@@ -0,0 +1,135 @@
+//! A stream loses, repeats and splices nothing, whatever fails in the middle of its turn.
+//!
+//! Two clients follow each turn: one that resumes where its stream was cut, one that joined the session.
+//! Both must see the same events, without gaps, and the text must be what a model server made.
+//! Catches events released before their commit (they vanish with their engine), a taker that goes on with
+//! another generation's text, and a gateway that resumes at the wrong place.
+
+mod support;
+
+use hooklug_fleet::caller::{SessionRef, StreamEvent, Transcript, TurnRequest};
+use hooklug_fleet::{Caller, Fleet, ProcessName};
+use support::{
+    LIMIT, caller, check_text, finish, name, open, owner, put_program, shard_leader, topology,
+};
+
+/// Events read before something fails.
+const READ_BEFORE: usize = 6;
+/// Most tokens of a turn; it takes a second and more.
+const TOKENS: u64 = 120;
+
+/// What fails in the middle of a turn.
+#[derive(Debug, Clone, Copy)]
+enum Failure {
+    Kill(ProcessName),
+    Freeze(ProcessName),
+}
+
+/// Runs a turn with two clients and lets a process fail in its middle; then the session goes on.
+async fn disturbed_turn(
+    fleet: &Fleet,
+    session: &SessionRef,
+    failure: Failure,
+) -> (Transcript, bool) {
+    let caller = caller(fleet);
+    let before = finish(&caller, session, &TurnRequest::new("t1", None, "[tokens 5]", 8)).await;
+    let input = format!("[tokens {TOKENS}]");
+    let turn = TurnRequest::new("t2", Some("t1"), &input, TOKENS);
+    let joined = tokio::spawn(follow_joined(caller.clone(), session.clone(), before.last_id()));
+    let mut stream = caller.begin_turn(0, session, &turn).await.unwrap();
+    let mut seen = Transcript::default();
+    while seen.events.len() < READ_BEFORE {
+        seen.events.push(stream.next().await.unwrap().unwrap());
+    }
+    let failed = match failure {
+        Failure::Kill(name) => fleet.kill(name).map(|()| name).unwrap(),
+        Failure::Freeze(name) => fleet.freeze(name).map(|()| name).unwrap(),
+    };
+    // What was on its way when it failed counts as seen.
+    while let Ok(Some(event)) = stream.next().await {
+        let ended = event.ends_turn();
+        seen.events.push(event);
+        if ended {
+            break;
+        }
+    }
+    let seen = match seen.terminal() {
+        Some(_) => seen,
+        None => caller.follow_turn(1, session, &turn, seen).await.unwrap(),
+    };
+    println!("{failure:?}: {} after {} events, {} cuts", seen.end(), seen.events.len(), seen.cuts);
+    seen.check("t2").unwrap();
+    check_text(fleet, session, "t2", &seen).await;
+    assert_eq!(joined.await.unwrap(), seen.events, "the joined client saw something else");
+    let again = caller.follow_turn(1, session, &turn, Transcript::default()).await.unwrap();
+    assert_eq!(again.events, seen.events, "a turn read again differs");
+    let next = finish(&caller, session, &TurnRequest::new("t3", Some("t2"), "[tokens 5]", 8)).await;
+    assert_eq!(next.events[0].id, seen.last_id().unwrap() + 1);
+    if matches!(failure, Failure::Freeze(_)) {
+        fleet.wake(failed).unwrap();
+    } else {
+        fleet.restart(failed).await.unwrap();
+    }
+    fleet.wait_ready(failed, LIMIT).await.unwrap();
+    let whole = seen.end() == "finished" && seen.tokens() == TOKENS;
+    (seen, whole)
+}
+
+/// Follows a joined session over cuts until the end of a turn; gives the events after `last`.
+async fn follow_joined(caller: Caller, session: SessionRef, last: Option<u64>) -> Vec<StreamEvent> {
+    let mut events: Vec<StreamEvent> = Vec::new();
+    let begun = tokio::time::Instant::now();
+    for gateway in 1.. {
+        assert!(begun.elapsed() < LIMIT, "the joined stream saw no end: {events:?}");
+        let after = events.last().map_or(last, |event| Some(event.id));
+        let Ok(mut stream) = caller.join(gateway, &session, after).await else {
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            continue;
+        };
+        while let Ok(Some(event)) = stream.next().await {
+            let ended = event.ends_turn();
+            events.push(event);
+            if ended {
+                return events;
+            }
+        }
+    }
+    unreachable!("it tries until it is out of time")
+}
+
+/// A session in a program, and so perhaps a shard, of its own.
+async fn session(fleet: &Fleet, program: &str) -> SessionRef {
+    let caller = caller(fleet);
+    put_program(&caller, program, 100_000).await;
+    open(&caller, program, "s").await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_owner_fails_in_the_middle_of_a_turn() {
+    let fleet = Fleet::start(topology(3, 1)).await.unwrap();
+    for frozen in [false, true] {
+        let session = session(&fleet, &format!("owner-{frozen}")).await;
+        let owner = owner(&fleet, &caller(&fleet), &session).await;
+        let failure = if frozen { Failure::Freeze(owner) } else { Failure::Kill(owner) };
+        let (seen, whole) = disturbed_turn(&fleet, &session, failure).await;
+        assert!(whole || seen.end() == "interrupted", "{}", seen.end());
+        // A turn is sealed where its committed events end; it is not begun again elsewhere.
+        let generations = support::generations(&fleet, &session, "t2");
+        assert_eq!(generations, 1, "the turn was generated {generations} times");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_or_a_shards_leader_fails_in_the_middle_of_a_turn() {
+    let fleet = Fleet::start(topology(2, 1)).await.unwrap();
+    let of_gateway = session(&fleet, "gateway").await;
+    let (seen, whole) = disturbed_turn(&fleet, &of_gateway, Failure::Kill(name("gateway:0"))).await;
+    assert!(whole, "a gateway's end cost its turn: {}", seen.end());
+    for frozen in [false, true] {
+        let session = session(&fleet, &format!("store-{frozen}")).await;
+        let leader = shard_leader(&fleet, &session.program).await;
+        let failure = if frozen { Failure::Freeze(leader) } else { Failure::Kill(leader) };
+        let (seen, whole) = disturbed_turn(&fleet, &session, failure).await;
+        assert!(whole || seen.end() == "interrupted", "{}", seen.end());
+    }
+}
