fleet: exact budgets and turns that are always found: tests with real processes

token_budget: four sessions on three engines spend one budget while an engine is killed and restarted and then every node is killed at once and restarted; streamed and booked tokens equal the budget to the last token. turn_lookup: every engine, gateway and store is killed and restarted in turn, then all nodes at once; each finished turn is found with all its events and can be followed, and nobody is told of its absence meanwhile.

--- /dev/null
+++ b/crates/fleet/tests/token_budget.rs
@@ -0,0 +1,103 @@
+//! A program streams no more tokens than its budget, over many engines, their ends, and a restart of
+//! everything. The brief allows one turn more; here the last token counts.
+//!
+//! Catches a budget that is counted in memory, a reservation that is lost or settled twice in a takeover,
+//! and tokens that were streamed and are not booked.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use hooklug_fleet::caller::{SessionRef, Transcript, TurnRequest};
+use hooklug_fleet::{Caller, Fleet};
+use support::{LIMIT, caller, check_text, open, owner, put_program, topology};
+
+const PROGRAM: &str = "frost";
+/// No multiple of a turn, so that the last turn gets what is left.
+const BUDGET: u64 = 5_005;
+/// Tokens that a turn asks for.
+const TURN_TOKENS: u64 = 20;
+const SESSIONS: usize = 4;
+
+/// What was streamed, by session and turn.
+type Streamed = Arc<Mutex<BTreeMap<(String, String), Transcript>>>;
+
+/// Sends turns until the budget is spent.
+async fn spend(caller: Caller, session: SessionRef, gateway: usize, streamed: Streamed) {
+    let mut head: Option<String> = None;
+    for number in 0.. {
+        let name = format!("t{number}");
+        let input = format!("[tokens {TURN_TOKENS}]");
+        let request = TurnRequest::new(&name, head.as_deref(), &input, TURN_TOKENS);
+        let transcript = loop {
+            match caller.run_turn(gateway, &session, &request).await {
+                Ok(transcript) => break transcript,
+                Err(error) if error.code() == Some("budget_spent") => return,
+                // Everything may be down for longer than one patience.
+                Err(error) if error.is_passing() => println!("{} {name}: {error}", session.session),
+                Err(error) => panic!("{} {name}: {error}", session.session),
+            }
+        };
+        transcript.check(&name).unwrap();
+        let key = (session.session.clone(), name.clone());
+        streamed.lock().unwrap().insert(key, transcript);
+        head = Some(name);
+    }
+}
+
+fn total(streamed: &Streamed) -> u64 {
+    streamed.lock().unwrap().values().map(Transcript::tokens).sum()
+}
+
+async fn wait_for_tokens(fleet: &Fleet, streamed: &Streamed, tokens: u64) {
+    let look = || async {
+        let now = total(streamed);
+        if now >= tokens { Ok(()) } else { Err(format!("{now} of {tokens} tokens")) }
+    };
+    fleet.wait_until("tokens are streamed", LIMIT, look).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_budget_is_exact_over_many_engines_their_ends_and_a_restart_of_everything() {
+    let fleet = Fleet::start(topology(3, 1)).await.unwrap();
+    let caller = caller(&fleet);
+    put_program(&caller, PROGRAM, BUDGET).await;
+    let streamed = Streamed::default();
+    let mut sessions = tokio::task::JoinSet::new();
+    let mut opened = Vec::new();
+    for number in 0..SESSIONS {
+        let session = open(&caller, PROGRAM, &format!("s{number}")).await;
+        opened.push(session.clone());
+        sessions.spawn(spend(caller.clone(), session, number, streamed.clone()));
+    }
+    wait_for_tokens(&fleet, &streamed, 300).await;
+    let killed = owner(&fleet, &caller, &opened[0]).await;
+    fleet.kill(killed).unwrap();
+    wait_for_tokens(&fleet, &streamed, 1_000).await;
+    fleet.restart(killed).await.unwrap();
+    wait_for_tokens(&fleet, &streamed, 1_600).await;
+    let nodes: Vec<_> = fleet.all_names().into_iter().filter(|n| n.kind.is_node()).collect();
+    for node in &nodes {
+        fleet.kill(*node).unwrap();
+    }
+    let before = total(&streamed);
+    println!("{before} tokens were streamed when everything was killed");
+    assert!(before < BUDGET, "the budget was spent before everything was killed");
+    for node in &nodes {
+        fleet.restart(*node).await.unwrap();
+    }
+    fleet.wait_all_ready(LIMIT).await.unwrap();
+    while let Some(ended) = sessions.join_next().await {
+        ended.unwrap();
+    }
+    let program = caller.program(0, PROGRAM).await.unwrap();
+    let streamed_tokens = total(&streamed);
+    println!("{streamed_tokens} of {BUDGET} tokens streamed; {program:?}");
+    assert_eq!((program.spent, program.reserved), (BUDGET, 0));
+    assert_eq!(streamed_tokens, BUDGET);
+    let streamed = streamed.lock().unwrap().clone();
+    for ((session, turn), transcript) in streamed.iter().filter(|(_, t)| t.tokens() > 0) {
+        check_text(&fleet, &SessionRef::new(PROGRAM, session), turn, transcript).await;
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/turn_lookup.rs
@@ -0,0 +1,118 @@
+//! A turn whose predecessor finished within the keep time is never told "no such turn", while engines,
+//! gateways and stores are killed and restarted, in turn and all at once.
+//!
+//! Catches a history that lives in an engine or gateway, an answer from a store that lags behind or has
+//! not caught up after its restart, and an absence claimed while the shard can't be reached.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use hooklug_fleet::caller::{SessionRef, Transcript, TurnRequest};
+use hooklug_fleet::{Caller, Fleet, ProcessKind, ProcessName};
+use support::{LIMIT, caller, finish, open, put_program, topology};
+
+/// Programs, so that several shards take part.
+const PROGRAMS: [&str; 3] = ["frost", "sowing", "storm"];
+
+/// A session with the turns that it has finished.
+struct Known {
+    session: SessionRef,
+    turns: Vec<(String, Transcript)>,
+}
+
+impl Known {
+    /// Finishes one more turn, which names the one before.
+    async fn go_on(&mut self, caller: &Caller) {
+        let after = self.turns.last().map(|(name, _)| name.clone());
+        let name = format!("t{}", self.turns.len() + 1);
+        let request = TurnRequest::new(&name, after.as_deref(), "[tokens 5]", 8);
+        let transcript = finish(caller, &self.session, &request).await;
+        self.turns.push((name, transcript));
+    }
+
+    /// Every finished turn is found, with all its events, at every gateway.
+    async fn check(&self, caller: &Caller) {
+        for (name, seen) in &self.turns {
+            for gateway in 0..2 {
+                let view = caller.turn(gateway, &self.session, name).await.unwrap();
+                assert_eq!((view.state.as_str(), view.tokens), ("finished", seen.tokens()));
+                let request = TurnRequest::new(name, None, "", 1);
+                let read = Transcript { events: seen.events[..1].to_vec(), cuts: 0 };
+                let again = caller.follow_turn(gateway, &self.session, &request, read).await;
+                assert_eq!(again.unwrap().events, seen.events);
+            }
+        }
+    }
+}
+
+/// Asks for finished turns all the time; counts answers, and fails on any that claims their absence.
+async fn keep_asking(
+    caller: Caller,
+    wanted: Vec<(SessionRef, String)>,
+    ended: Arc<AtomicBool>,
+    found: Arc<AtomicU64>,
+) {
+    for number in 0.. {
+        if ended.load(Ordering::SeqCst) {
+            return;
+        }
+        let (session, turn) = &wanted[number % wanted.len()];
+        match caller.turn(number, session, turn).await {
+            Ok(view) => {
+                assert_eq!(view.state, "finished");
+                found.fetch_add(1, Ordering::SeqCst);
+            }
+            Err(error) => assert!(error.is_passing(), "{session:?} {turn}: {error}"),
+        }
+    }
+}
+
+async fn kill_and_restart(fleet: &Fleet, names: &[ProcessName]) {
+    for name in names {
+        fleet.kill(*name).unwrap();
+    }
+    for name in names {
+        fleet.restart(*name).await.unwrap();
+    }
+    fleet.wait_all_ready(LIMIT).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_finished_turn_is_always_found() {
+    let fleet = Fleet::start(topology(2, 1)).await.unwrap();
+    let caller = caller(&fleet);
+    let mut known = Vec::new();
+    for program in PROGRAMS {
+        put_program(&caller, program, 10_000).await;
+        let session = open(&caller, program, "s").await;
+        known.push(Known { session, turns: Vec::new() });
+        known.last_mut().unwrap().go_on(&caller).await;
+    }
+    let wanted = known.iter().map(|k| (k.session.clone(), "t1".to_owned())).collect();
+    let (ended, found) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let asking = keep_asking(caller.clone(), wanted, ended.clone(), found.clone());
+    let asking = tokio::spawn(asking);
+
+    let mut rounds: Vec<Vec<ProcessName>> = Vec::new();
+    for kind in [ProcessKind::Engine, ProcessKind::Gateway, ProcessKind::Store] {
+        rounds.extend(fleet.names(kind).into_iter().map(|name| vec![name]));
+    }
+    rounds.push(fleet.all_names().into_iter().filter(|name| name.kind.is_node()).collect());
+    for round in &rounds {
+        kill_and_restart(&fleet, round).await;
+        for session in &mut known {
+            session.check(&caller).await;
+            session.go_on(&caller).await;
+        }
+    }
+    ended.store(true, Ordering::SeqCst);
+    asking.await.unwrap();
+    let found = found.load(Ordering::SeqCst);
+    println!(
+        "{} rounds of kills; asked meanwhile, finished turns were found {found} times",
+        rounds.len()
+    );
+    assert!(found > 0);
+}
