fleet: one owner a session, and drains within the bound: tests with real processes

single_owner: an engine frozen or cut off from all stores for 20 s in the middle of a turn comes back when another one has taken its session; nothing it sent lies outside what is committed, and it changes nothing. A core leader frozen for 20 s, then its successor cut off, change no owner. engine_drain: a stopped session engine, a superseded one and a draining application engine get no new work later than 3 s after their drain is known, refused work included; a running turn ends whole, the session moves between turns, and the process ends with 0: in its grace period when stopped, with its last session when superseded.

--- /dev/null
+++ b/crates/fleet/tests/engine_drain.rs
@@ -0,0 +1,165 @@
+//! A draining engine gets no new work more than three seconds after its drain is known; sessions of a
+//! stopped engine move between turns, and its process ends by itself with success.
+//!
+//! The verdict is the times in the stand-ins' ledgers, all of one machine's clock. Catches a gateway that
+//! places sessions or sends calls by an old view, an engine that takes turns while it leaves, and one
+//! that waits for its sessions until it is killed.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hooklug_emulator::LedgerEntry;
+use hooklug_fleet::caller::{SessionRef, TurnRequest};
+use hooklug_fleet::{Caller, Fleet, ProcessKind, ProcessName};
+use hooklug_types::{BundleVersion, UnixMillis};
+use support::{LIMIT, alarm, caller, finish, name, open, owner, put_program, topology};
+
+const PROGRAM: &str = "frost";
+/// The brief's bound.
+const BOUND: Duration = Duration::from_secs(3);
+/// How long new work is offered after a drain began, so that work past the bound would show.
+const OFFERED: Duration = Duration::from_secs(6);
+
+/// The latest moment at which an engine got work, refused work included.
+fn last_work(fleet: &Fleet, stand_in: ProcessName) -> Option<UnixMillis> {
+    let lines = fleet.ledger(stand_in).unwrap().into_iter();
+    let work = lines.filter(|line| {
+        use LedgerEntry::{CallRan, GenerationBegan, Refused};
+        matches!(line.entry, CallRan { .. } | GenerationBegan { .. } | Refused { .. })
+    });
+    work.map(|line| line.at).max()
+}
+
+fn assert_within_bound(fleet: &Fleet, stand_in: ProcessName, known: UnixMillis) {
+    let last = last_work(fleet, stand_in).expect("it worked before its drain");
+    let millis = last.0.saturating_sub(known.0);
+    println!("{stand_in}: last new work {millis} ms after its drain was known");
+    assert!(last <= known.plus(BOUND), "{stand_in} got work {millis} ms after its drain was known");
+}
+
+/// Opens sessions and runs a turn in each, over both gateways, until told to end.
+async fn new_sessions(caller: Caller, ended: Arc<AtomicBool>) -> Vec<SessionRef> {
+    let mut opened = Vec::new();
+    while !ended.load(Ordering::SeqCst) {
+        let session = open(&caller, PROGRAM, &format!("new-{}", opened.len())).await;
+        let turn = TurnRequest::new("t1", None, "[tokens 2]", 4);
+        caller.run_turn(opened.len(), &session, &turn).await.unwrap().check("t1").unwrap();
+        opened.push(session);
+    }
+    opened
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_session_engine_gets_no_new_work_and_its_sessions_move() {
+    let fleet = Fleet::start(topology(2, 1)).await.unwrap();
+    let caller = caller(&fleet);
+    put_program(&caller, PROGRAM, 1_000_000).await;
+    let session = open(&caller, PROGRAM, "kept").await;
+    finish(&caller, &session, &TurnRequest::new("t1", None, "[tokens 5]", 8)).await;
+    let leaving = owner(&fleet, &caller, &session).await;
+    // A turn that is running when the stop comes ends whole: sessions move between turns only.
+    let long = TurnRequest::new("t2", Some("t1"), "[tokens 150]", 150);
+    let mut stream = caller.begin_turn(0, &session, &long).await.unwrap();
+    let mut seen = hooklug_fleet::caller::Transcript::default();
+    seen.events.extend(stream.next().await.unwrap());
+    let ended = Arc::new(AtomicBool::new(false));
+    let opening = tokio::spawn(new_sessions(caller.clone(), ended.clone()));
+    let known = UnixMillis::now();
+    let stop = async {
+        let begun = tokio::time::Instant::now();
+        let clean = fleet.stop(leaving).await.unwrap();
+        tokio::time::sleep_until(begun + OFFERED).await;
+        ended.store(true, Ordering::SeqCst);
+        clean
+    };
+    let follow = async {
+        while let Ok(Some(event)) = stream.next().await {
+            seen.events.push(event);
+            if seen.terminal().is_some() {
+                return seen;
+            }
+        }
+        caller.follow_turn(1, &session, &long, seen).await.unwrap()
+    };
+    let (clean, seen) = tokio::join!(stop, follow);
+    seen.check("t2").unwrap();
+    assert_eq!((seen.end(), seen.tokens()), ("finished", 150));
+    assert!(clean, "{leaving} did not end by itself with success");
+    let opened = opening.await.unwrap();
+    println!("{} sessions opened meanwhile", opened.len());
+    assert!(!opened.is_empty());
+    assert_within_bound(&fleet, ProcessName::new(ProcessKind::Model, leaving.index), known);
+    finish(&caller, &session, &TurnRequest::new("t3", Some("t2"), "[tokens 5]", 8)).await;
+    assert_ne!(owner(&fleet, &caller, &session).await, leaving);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_superseded_session_engine_gets_no_new_session_and_keeps_its_old_one() {
+    let fleet = Fleet::start(topology(1, 1)).await.unwrap();
+    let caller = caller(&fleet);
+    put_program(&caller, PROGRAM, 1_000_000).await;
+    let kept = open(&caller, PROGRAM, "kept").await;
+    finish(&caller, &kept, &TurnRequest::new("t1", None, "[tokens 5]", 8)).await;
+    let old = owner(&fleet, &caller, &kept).await;
+    let mut next = fleet.topology().clone();
+    let mut group = next.models[0].clone();
+    group.version = "v2".parse().unwrap();
+    next.models.push(group.clone());
+    let new = fleet.add_engine(&group).await.unwrap();
+    let mut bundle = next.bundle(BundleVersion(2), BundleVersion(1)).unwrap();
+    // One step of one second: the time in which the old engine stays for a roll-back.
+    for service in bundle.services.values_mut() {
+        (service.steps, service.step_seconds) = (vec![100], 1);
+    }
+    fleet.submit_bundle(&bundle).await.unwrap();
+    let known = UnixMillis::now();
+    // An engine is ready once a bundle lists its version.
+    fleet.wait_ready(new, LIMIT).await.unwrap();
+    let ended = Arc::new(AtomicBool::new(false));
+    let opening = tokio::spawn(new_sessions(caller.clone(), ended.clone()));
+    tokio::time::sleep(OFFERED).await;
+    ended.store(true, Ordering::SeqCst);
+    let opened = opening.await.unwrap();
+    let last = owner(&fleet, &caller, opened.last().unwrap()).await;
+    assert_eq!(last, new, "of {} sessions the last is not at the new version", opened.len());
+    assert_within_bound(&fleet, ProcessName::new(ProcessKind::Model, old.index), known);
+    // It keeps the session that it has.
+    finish(&caller, &kept, &TurnRequest::new("t2", Some("t1"), "[tokens 5]", 8)).await;
+    assert_eq!(owner(&fleet, &caller, &kept).await, old);
+    // With its last session it ends.
+    for session in opened.iter().chain([&kept]) {
+        caller.close_session(0, session).await.unwrap();
+    }
+    let begun = tokio::time::Instant::now();
+    while fleet.is_running(old).unwrap() {
+        assert!(begun.elapsed() < LIMIT, "{old} still runs, without sessions");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let status = fleet.status().into_iter().find(|status| status.name == old);
+    assert_eq!(status.unwrap().state, "exit code 0");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_application_engine_gets_no_new_calls() {
+    let fleet = Fleet::start(topology(1, 2)).await.unwrap();
+    let caller = caller(&fleet);
+    put_program(&caller, PROGRAM, 100).await;
+    let leaving = name("app:0");
+    for number in 0..20 {
+        caller.call(number, PROGRAM, &format!("before-{number}"), &alarm(1)).await.unwrap();
+    }
+    fleet.drain(leaving).await.unwrap();
+    let (known, begun) = (UnixMillis::now(), tokio::time::Instant::now());
+    let mut answered = 0;
+    while begun.elapsed() < OFFERED {
+        let call = format!("call-{answered}");
+        // A refused call goes to the other engine; callers notice nothing.
+        caller.call(answered, PROGRAM, &call, &alarm(2)).await.unwrap();
+        answered += 1;
+    }
+    println!("{answered} calls answered while one of two engines drained");
+    assert_within_bound(&fleet, leaving, known);
+}
--- /dev/null
+++ b/crates/fleet/tests/single_owner.rs
@@ -0,0 +1,157 @@
+//! Two engines never own one session, also when one that owned it comes back after twenty seconds of
+//! silence, and when a core does.
+//!
+//! Catches an owner that goes on by its own clock or cache after another has taken its session, a lease
+//! that is renewed after its expiry, and a core that acts on a view or leadership that is long gone.
+
+mod support;
+
+use std::time::Duration;
+
+use hooklug_fleet::caller::{SessionRef, SessionView, Transcript, TurnRequest};
+use hooklug_fleet::{Caller, Fleet, ProcessName};
+use support::{LIMIT, caller, check_text, finish, open, owner, put_program, topology};
+
+const PROGRAM: &str = "frost";
+/// The brief's silence.
+const SILENCE: Duration = Duration::from_secs(20);
+
+/// How an engine falls silent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Silence {
+    Frozen,
+    CutOff,
+}
+
+/// A long turn whose owner has fallen silent in its middle.
+struct Silenced {
+    session: SessionRef,
+    turn: TurnRequest,
+    seen: Transcript,
+    stream: hooklug_fleet::caller::EventStream,
+    owner: ProcessName,
+    epoch: u64,
+}
+
+async fn silence(fleet: &Fleet, caller: &Caller, session: &str, how: Silence) -> Silenced {
+    let session = open(caller, PROGRAM, session).await;
+    let turn = TurnRequest::new("t1", None, "[tokens 2000]", 2_000);
+    let mut stream = caller.begin_turn(0, &session, &turn).await.unwrap();
+    let mut seen = Transcript::default();
+    while seen.events.len() < 6 {
+        seen.events.push(stream.next().await.unwrap().unwrap());
+    }
+    let view = caller.session(0, &session).await.unwrap();
+    let owner = owner(fleet, caller, &session).await;
+    match how {
+        Silence::Frozen => fleet.freeze(owner).unwrap(),
+        Silence::CutOff => {
+            for store in fleet.names(hooklug_fleet::ProcessKind::Store) {
+                fleet.cut(owner, store, false).await.unwrap();
+            }
+        }
+    }
+    Silenced { session, turn, seen, stream, owner, epoch: view.epoch }
+}
+
+/// What the session's stream shows, with every event's place.
+async fn history(caller: &Caller, session: &SessionRef) -> serde_json::Value {
+    let mut joined = caller.join(1, session, None).await.unwrap();
+    let sync = joined.next().await.unwrap().unwrap();
+    assert_eq!(sync.event, "sync");
+    sync.data["events"].clone()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_silent_for_twenty_seconds_owns_and_releases_nothing_more() {
+    for how in [Silence::Frozen, Silence::CutOff] {
+        let fleet = Fleet::start(topology(2, 1)).await.unwrap();
+        let caller = caller(&fleet);
+        put_program(&caller, PROGRAM, 100_000).await;
+        let silenced = silence(&fleet, &caller, "s", how).await;
+        let began = tokio::time::Instant::now();
+        // Another engine takes the session and seals the turn where its committed events end.
+        let Silenced { session, turn, mut seen, mut stream, owner: silent, epoch } = silenced;
+        let session = &session;
+        let taken = caller.follow_turn(1, session, &turn, Transcript::default()).await.unwrap();
+        taken.check("t1").unwrap();
+        assert_eq!(taken.end(), "interrupted");
+        println!("{how:?}: taken after {:?}", began.elapsed());
+        let next = TurnRequest::new("t2", Some("t1"), "[tokens 5]", 8);
+        finish(&caller, session, &next).await;
+        let view: SessionView = caller.session(0, session).await.unwrap();
+        assert_ne!(view.owner, Some(silent.word()));
+        assert!(view.epoch > epoch);
+        let before = history(&caller, session).await;
+        // The silence itself is what is tested; the clock runs from its beginning.
+        tokio::time::sleep_until(began + SILENCE).await;
+        match how {
+            Silence::Frozen => fleet.wake(silent).unwrap(),
+            Silence::CutOff => fleet.heal().await.unwrap(),
+        }
+        // All that the old owner ever sent to its client lies within what is committed.
+        while let Ok(Some(event)) = stream.next().await {
+            seen.events.push(event);
+        }
+        for event in &seen.events {
+            assert!(
+                taken.events.contains(event),
+                "{how:?}: released though not committed: {event:?}"
+            );
+        }
+        fleet.wait_ready(silent, LIMIT).await.unwrap();
+        let after: SessionView = caller.session(0, session).await.unwrap();
+        assert_eq!(after, view, "{how:?}: the returned engine changed the session");
+        assert_eq!(history(&caller, session).await, before);
+        let last = TurnRequest::new("t3", Some("t2"), "[tokens 5]", 8);
+        let last = finish(&caller, session, &last).await;
+        check_text(&fleet, session, "t3", &last).await;
+        assert_eq!(caller.session(1, session).await.unwrap().epoch, view.epoch);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_core_silent_for_twenty_seconds_changes_no_owner() {
+    let mut wanted = topology(2, 1);
+    wanted.cores = 3;
+    let fleet = Fleet::start(wanted).await.unwrap();
+    let caller = caller(&fleet);
+    put_program(&caller, PROGRAM, 100_000).await;
+    let session = open(&caller, PROGRAM, "s").await;
+    let view = caller.session(0, &session).await.unwrap();
+    // The leader freezes; its successor is cut off when it wakes.
+    let first = fleet.core_leader().await.unwrap();
+    fleet.freeze(first).unwrap();
+    let began = tokio::time::Instant::now();
+    let mut head = None;
+    let mut number = 0;
+    while began.elapsed() < SILENCE {
+        head = Some(turn(&caller, &session, head.take(), &mut number).await);
+    }
+    let leader = fleet.core_leader().await.unwrap();
+    assert_ne!(leader, first, "a frozen core still leads");
+    fleet.wake(first).unwrap();
+    fleet.cut_off(leader).await.unwrap();
+    fleet.wait_ready(first, LIMIT).await.unwrap();
+    for _ in 0..3 {
+        head = Some(turn(&caller, &session, head.take(), &mut number).await);
+    }
+    fleet.heal().await.unwrap();
+    fleet.wait_all_ready(LIMIT).await.unwrap();
+    turn(&caller, &session, head.take(), &mut number).await;
+    let after = caller.session(1, &session).await.unwrap();
+    assert_eq!((after.owner, after.epoch), (view.owner, view.epoch));
+    println!("{number} turns under one owner, epoch {}", after.epoch);
+}
+
+async fn turn(
+    caller: &Caller,
+    session: &SessionRef,
+    after: Option<String>,
+    number: &mut u32,
+) -> String {
+    *number += 1;
+    let name = format!("t{number}");
+    finish(caller, session, &TurnRequest::new(&name, after.as_deref(), "[tokens 20]", 32)).await;
+    name
+}
