gateway: the first bundle's roll-out steps count from its installation when its commit has no time

Cause: the first bundle of a cluster may be committed before the meta group's clock is first set; its record then says 0, the gateway took the commit to be decades ago, and the newest version got all traffic at once, whatever its steps. Change: a commit without a time counts from now on. Ruled out: steps of the second bundle (they were right, the version's age was not).

--- a/crates/gateway/src/backend/table.rs
+++ b/crates/gateway/src/backend/table.rs
@@ -21,7 +21,7 @@
 use crate::limits::adaptive::{AdaptiveLimit, Sign};
 use crate::limits::baseline::Baseline;
 use crate::limits::circuit::Circuit;
-use crate::versions::{RolloutClock, StoppedVersions, preferred_versions};
+use crate::versions::{RolloutClock, StoppedVersions, preferred_versions, time_since};
 
 /// Share of an engine's limit that only urgent calls may use (ours).
 const URGENT_SHARE: f64 = 0.2;
@@ -116,7 +116,7 @@
     /// Notes a bundle that came into force: the steps of its new versions count from its commit.
     pub fn installed(&self, installed: &InstalledBundle) {
         let bundle = &installed.bundle;
-        let committed_for = installed.record.committed.until(UnixMillis::now());
+        let committed_for = time_since(installed.record.committed, UnixMillis::now());
         let newest = bundle.services.iter();
         let newest = newest.filter_map(|(name, s)| s.newest_sound().map(|version| (name, version)));
         self.rollouts().installed(newest, committed_for, Instant::now());
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hooklug_bundle::{Service, VersionState};
-use hooklug_types::{ServiceName, ServiceVersion};
+use hooklug_types::{ServiceName, ServiceVersion, UnixMillis};
 use tokio::time::Instant;
 
 /// Versions that this gateway sends no new traffic to, by its own evidence. Cheap to clone.
@@ -79,6 +79,13 @@
     }
 }
 
+/// How long ago a bundle was committed. The first of a cluster may have been committed before the group's
+/// clock was first set: it counts from now on, so that no step of its versions is skipped.
+#[must_use]
+pub fn time_since(committed: UnixMillis, now: UnixMillis) -> Duration {
+    if committed == UnixMillis::default() { Duration::ZERO } else { committed.until(now) }
+}
+
 /// Percentage of traffic for a version that has been rolled out for a while.
 #[must_use]
 pub fn step_percentage(service: &Service, age: Option<Duration>) -> u8 {
--- a/crates/gateway/tests/routing.rs
+++ b/crates/gateway/tests/routing.rs
@@ -14,7 +14,7 @@
 use hooklug_gateway::sessions::load::LoadTable;
 use hooklug_gateway::sessions::owner_table::OwnerTable;
 use hooklug_gateway::sessions::placement::{self, Candidate};
-use hooklug_gateway::versions::{RolloutClock, preferred_versions, step_percentage};
+use hooklug_gateway::versions::{RolloutClock, preferred_versions, step_percentage, time_since};
 use hooklug_state::shard::SessionRecord;
 use hooklug_types::*;
 use rand::{Rng, RngExt, SeedableRng};
@@ -309,3 +309,10 @@
     late.installed([(&name, &v2)].into_iter(), Duration::from_millis(700), now);
     assert_eq!(late.age(&name, &v2, now), Some(Duration::from_millis(700)));
 }
+
+#[test]
+fn a_bundle_committed_before_the_clock_was_set_counts_from_now() {
+    let now = UnixMillis(1_700_000_000_000);
+    assert_eq!(time_since(UnixMillis::default(), now), Duration::ZERO);
+    assert_eq!(time_since(UnixMillis(now.0 - 700), now), Duration::from_millis(700));
+}
