fleet: power losses, freezes, one-way cuts and replacements of stores under load

Change: store_failures.rs; after each failure the load goes on, and at the end every acknowledged turn, call and ledger is read back and compared with what the back ends ran.

--- /dev/null
+++ b/crates/fleet/tests/store_failures.rs
@@ -0,0 +1,112 @@
+//! Whatever happens to stores, nothing acknowledged is lost, and service is back about 12 s after the
+//! machines return.
+//!
+//! Catches: an acknowledgement before a quorum's sync; a replay that loses or repeats records; a store that
+//! wakes up and answers from a past state; a replacement that votes without the log; elections that never
+//! settle after one-way cuts; a call that may not be repeated run anew after a recovery.
+
+mod support;
+
+use std::time::Instant;
+
+use hooklug_fleet::{Fleet, ProcessKind, ProcessName};
+use support::load::Load;
+use support::repair::{node_id, wait_repaired};
+use support::{
+    PATIENCE, RETURN_BOUND, name, restart_all, topology, turn_to_run, whole_state_answers,
+};
+
+const SESSIONS: usize = 6;
+
+/// Starts stores again and checks the bound on the way back.
+async fn machines_return(fleet: &Fleet, load: &Load, stores: &[ProcessName], word: &str) {
+    let returned = Instant::now();
+    let (started, answered) =
+        tokio::join!(restart_all(fleet, stores), whole_state_answers(fleet, word));
+    started.unwrap();
+    answered.unwrap();
+    let state = returned.elapsed();
+    load.wait_rounds(fleet, 1).await;
+    let service = returned.elapsed();
+    println!("{word}: all shards after {state:?}, all sessions after {service:?}");
+    assert!(service <= RETURN_BOUND, "{word}: service was back only after {service:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_a_majority_and_all_stores_lose_power_under_load() {
+    let _turn = turn_to_run().await;
+    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let load = Load::start(&fleet, SESSIONS).await;
+    let stores = fleet.names(ProcessKind::Store);
+    fleet.kill(stores[0]).unwrap();
+    // One store less: the rest goes on without it.
+    load.wait_rounds(&fleet, 3).await;
+    machines_return(&fleet, &load, &stores[..1], "one").await;
+    for (word, lost) in [("majority", 2), ("all", 3)] {
+        stores[..lost].iter().for_each(|store| fleet.kill(*store).unwrap());
+        machines_return(&fleet, &load, &stores[..lost], word).await;
+    }
+    println!("turns ended {:?}", load.ends());
+    load.stop_and_read_back(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_freezes_and_wakes_and_links_fail_one_way() {
+    /// How long the store is frozen (brief: twenty seconds).
+    const FROZEN: std::time::Duration = std::time::Duration::from_secs(20);
+    let _turn = turn_to_run().await;
+    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let load = Load::start(&fleet, SESSIONS).await;
+    let frozen = name("store:0");
+    let until = Instant::now() + FROZEN;
+    fleet.freeze(frozen).unwrap();
+    load.wait_rounds(&fleet, 3).await;
+    while Instant::now() < until {
+        load.wait_rounds(&fleet, 1).await;
+    }
+    fleet.wake(frozen).unwrap();
+    load.wait_rounds(&fleet, 3).await;
+    fleet.wait_ready(frozen, PATIENCE).await.unwrap();
+
+    // What the store sends is lost; then what it is sent; then both, so that it campaigns alone.
+    let (one, two) = (name("store:1"), name("store:2"));
+    for (cuts, both) in [
+        ([(one, two), (one, frozen)], false),
+        ([(two, one), (frozen, one)], false),
+        ([(one, two), (one, frozen)], true),
+    ] {
+        for (from, to) in cuts {
+            fleet.cut(from, to, !both).await.unwrap();
+        }
+        load.wait_rounds(&fleet, 3).await;
+        fleet.heal().await.unwrap();
+        load.wait_rounds(&fleet, 2).await;
+    }
+    println!("turns ended {:?}", load.ends());
+    load.stop_and_read_back(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stores_are_replaced_at_new_and_at_the_same_addresses() {
+    let _turn = turn_to_run().await;
+    let fleet = Fleet::start(topology(4)).await.unwrap();
+    let load = Load::start(&fleet, SESSIONS).await;
+    let before = fleet.http_address(name("store:1")).unwrap();
+    let lost = node_id(&fleet, name("store:1")).await.expect("in the view");
+    fleet.replace(name("store:1")).await.unwrap();
+    assert_ne!(before, fleet.http_address(name("store:1")).unwrap());
+    fleet.wait_ready(name("store:1"), PATIENCE).await.unwrap();
+    load.wait_rounds(&fleet, 2).await;
+    // Before the next loss the groups have to be whole again: two of three disks at once are too many.
+    wait_repaired(&fleet, lost).await;
+    let lost = node_id(&fleet, name("store:2")).await.expect("in the view");
+    fleet.lose_disk(name("store:2")).await.unwrap();
+    fleet.wait_ready(name("store:2"), PATIENCE).await.unwrap();
+    load.wait_rounds(&fleet, 2).await;
+    wait_repaired(&fleet, lost).await;
+    load.wait_rounds(&fleet, 2).await;
+    println!("turns ended {:?}", load.ends());
+    // No engine, model server or quorum was touched: no turn had a reason to end before its end.
+    assert_eq!(load.ends().keys().collect::<Vec<_>>(), ["finished"], "turns ended early");
+    load.stop_and_read_back(&fleet).await;
+}
