control, gateway: a listed version that never ran neither hides harm nor passes its share on

Ruled out: lost reports (cores and gateways had found no harm at all), and too few samples. Change: the judge takes the newest older version of which it knows enough on the route; where the draw is against the newest version, it comes last. Gateway's routing test: not run yet.

--- a/crates/control/src/judge/mod.rs
+++ b/crates/control/src/judge/mod.rs
@@ -66,7 +66,17 @@
     reported: Vec<HarmReport>,
 }
 
-/// The two versions of a service that are compared.
+/// The newest version of a service, and those that it may be compared with.
+struct Watched<'a> {
+    name: &'a ServiceName,
+    service: &'a Service,
+    new: &'a ServiceVersion,
+    /// Older sound versions, newest first; never empty.
+    older: Vec<&'a ServiceVersion>,
+}
+
+/// The two versions of a service that are compared on a route.
+#[derive(Clone, Copy)]
 struct Pair<'a> {
     name: &'a ServiceName,
     service: &'a Service,
@@ -122,9 +132,9 @@
         reports.retain(|harm| is_judged(bundle, harm));
         let mut still_suspected = BTreeMap::new();
         for (name, service) in &bundle.services {
-            let Some(pair) = pair(name, service) else { continue };
-            self.note_load(&pair, now);
-            let Some(report) = self.judge(&pair, now) else { continue };
+            let Some(watched) = watched(name, service) else { continue };
+            self.note_load(&watched, now);
+            let Some(report) = self.judge(&watched, now) else { continue };
             let judged = JudgedVersion { service: name.clone(), version: report.version.clone() };
             let since = self.suspected.get(&judged).copied().unwrap_or(now);
             let confirm = match lost_engines.contains(&judged) {
@@ -140,9 +150,21 @@
         reports
     }
 
-    fn judge(&self, pair: &Pair<'_>, now: Instant) -> Option<HarmReport> {
-        let routes = self.window.routes(pair.name, pair.new);
-        routes.iter().find_map(|route| self.judge_route(pair, route, now))
+    fn judge(&self, watched: &Watched<'_>, now: Instant) -> Option<HarmReport> {
+        let routes = self.window.routes(watched.name, watched.new);
+        routes.iter().find_map(|route| self.judge_route(&self.pair(watched, route)?, route, now))
+    }
+
+    /// The newest version and the newest older one of which enough is known on a route: a version that was
+    /// listed and never ran says nothing about the next.
+    fn pair<'a>(&self, watched: &Watched<'a>, route: &RouteName) -> Option<Pair<'a>> {
+        let least = u64::from(watched.service.harm.least_samples);
+        let Watched { name, service, new, older } = watched;
+        let known = older.iter().find(|old| {
+            let seen = self.history.get(&Key::new(name, old, route));
+            seen.is_some_and(|counts| counts.total() >= least)
+        });
+        Some(Pair { name, service, new, old: known? })
     }
 
     fn judge_route(&self, pair: &Pair<'_>, route: &RouteName, now: Instant) -> Option<HarmReport> {
@@ -214,9 +236,13 @@
     }
 
     /// Remembers the load of routes on which the old version has enough samples now.
-    fn note_load(&mut self, pair: &Pair<'_>, now: Instant) {
-        let least = u64::from(pair.service.harm.least_samples);
-        for route in self.window.routes(pair.name, pair.old) {
+    fn note_load(&mut self, watched: &Watched<'_>, now: Instant) {
+        let least = u64::from(watched.service.harm.least_samples);
+        let older = watched.older.iter();
+        let routes: BTreeSet<RouteName> =
+            older.flat_map(|old| self.window.routes(watched.name, old)).collect();
+        for route in routes {
+            let Some(pair) = self.pair(watched, &route) else { continue };
             if self.window.sum(&pair.old_key(&route), LOAD_TIME, now).total() < least {
                 continue;
             }
@@ -237,15 +263,16 @@
 /// Whether a report is about the version that is under watch now.
 fn is_judged(bundle: &Bundle, harm: &HarmReport) -> bool {
     let service = bundle.services.get_key_value(&harm.service);
-    service.and_then(|(name, s)| pair(name, s)).is_some_and(|pair| *pair.new == harm.version)
+    service.and_then(|(name, s)| watched(name, s)).is_some_and(|w| *w.new == harm.version)
 }
 
-/// The newest sound version and the sound one before it.
-fn pair<'a>(name: &'a ServiceName, service: &'a Service) -> Option<Pair<'a>> {
-    let mut sound = service.versions.iter().rev().filter(|v| v.state == VersionState::Sound);
-    let new = &sound.next()?.version;
-    let old = &sound.next()?.version;
-    Some(Pair { name, service, new, old })
+/// The newest sound version and the sound ones before it.
+fn watched<'a>(name: &'a ServiceName, service: &'a Service) -> Option<Watched<'a>> {
+    let sound = service.versions.iter().rev().filter(|v| v.state == VersionState::Sound);
+    let mut sound = sound.map(|v| &v.version);
+    let new = sound.next()?;
+    let older: Vec<&ServiceVersion> = sound.collect();
+    (!older.is_empty()).then_some(Watched { name, service, new, older })
 }
 
 /// Whether what was found over a longer time shows in the last moments too; without recent samples it
--- a/crates/control/tests/judge.rs
+++ b/crates/control/tests/judge.rs
@@ -279,3 +279,23 @@
     simulation.judge.report(harm("v2"));
     assert_eq!(simulation.run(1, well(1), well(1)), Some((2, harm("v2"))));
 }
+
+#[test]
+fn a_version_listed_before_that_never_ran_does_not_hide_harm() {
+    for seed in SEEDS {
+        let mut simulation = Simulation::new(seed);
+        let name = ServiceName::new(SERVICE).expect("valid");
+        let service = simulation.bundle.services.get_mut(&name).expect("listed");
+        let mut next = service.versions[1].clone();
+        next.version = ServiceVersion::new("v3").expect("valid");
+        service.versions.push(next);
+        let bad = Behaviour { error_share: 0.6, ..well(20) };
+        let found = (0..20).find_map(|_| {
+            let seen = [(SERVICE, "v1", ROUTE, well(20)), (SERVICE, "v3", ROUTE, bad)];
+            simulation.second(&seen)
+        });
+        let (second, report) = found.expect("harm is found");
+        assert_eq!(report.version.as_str(), "v3");
+        assert!(second <= 5, "seed {seed}: found in second {second}");
+    }
+}
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -89,7 +89,8 @@
 }
 
 /// Versions in the order in which a call should try them: `draw` in 0..100 decides between the
-/// newest and the one before; the others follow as fall-backs, newest first.
+/// newest and the one before; the others follow as fall-backs, newest first, and the newest of all last
+/// where the draw is against it.
 #[must_use]
 pub fn preferred_versions(
     service: &Service,
@@ -104,7 +105,8 @@
         all.iter().filter(|v| !is_stopped(v)).map(|v| (*v).clone()).collect();
     let newest_is_open = open.first() == newest;
     if newest_is_open && open.len() > 1 && draw >= step_percentage(service, age_of_newest) {
-        open.swap(0, 1);
+        // Last, not second: the one before may have no engine, and its calls then go to older ones.
+        open.rotate_left(1);
     }
     open
 }
--- a/crates/gateway/tests/routing.rs
+++ b/crates/gateway/tests/routing.rs
@@ -290,6 +290,19 @@
     assert_eq!(preferred_versions(&rolled_back, None, 0, |_| false), [id("v1")]);
 }
 
+#[test]
+fn a_listed_version_without_engines_does_not_pass_its_share_to_the_newest() {
+    let mut service = farm();
+    service
+        .versions
+        .push(hooklug_bundle::VersionEntry { version: id("v3"), state: VersionState::Sound });
+    // Version 2 was listed and never ran: its calls are version 1's, not version 3's.
+    let order = preferred_versions(&service, Some(Duration::ZERO), 99, |_| false);
+    assert_eq!(order, [id("v2"), id("v1"), id("v3")]);
+    let order = preferred_versions(&service, Some(Duration::ZERO), 0, |_| false);
+    assert_eq!(order, [id("v3"), id("v2"), id("v1")]);
+}
+
 #[test]
 fn steps_count_from_the_bundle_that_brought_the_version() {
     let (now, name) = (Instant::now(), id::<ServiceName>("farm"));
