--- a/crates/fleet/tests/at_most_once_calls.rs
+++ b/crates/fleet/tests/at_most_once_calls.rs
@@ -6,9 +6,9 @@
 
 mod harness;
 
+use harness::{LIMIT, alarm, caller, fault, name, put_program, runs, shard_leader, slow, topology};
 use hooklug_emulator::{FaultKind, FaultRule, Faults};
 use hooklug_fleet::{Caller, Fleet, ProcessKind};
-use harness::{LIMIT, alarm, caller, fault, name, put_program, runs, shard_leader, slow, topology};
 
 const PROGRAM: &str = "frost";
 
--- a/crates/fleet/tests/engine_drain.rs
+++ b/crates/fleet/tests/engine_drain.rs
@@ -11,11 +11,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use harness::{LIMIT, alarm, caller, finish, name, open, owner, put_program, topology};
 use hooklug_emulator::LedgerEntry;
 use hooklug_fleet::caller::{SessionRef, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessKind, ProcessName};
 use hooklug_types::{BundleVersion, UnixMillis};
-use harness::{LIMIT, alarm, caller, finish, name, open, owner, put_program, topology};
 
 const PROGRAM: &str = "frost";
 /// The brief's bound.
--- a/crates/fleet/tests/gapless_streams.rs
+++ b/crates/fleet/tests/gapless_streams.rs
@@ -7,11 +7,11 @@
 
 mod harness;
 
-use hooklug_fleet::caller::{SessionRef, StreamEvent, Transcript, TurnRequest};
-use hooklug_fleet::{Caller, Fleet, ProcessName};
 use harness::{
     LIMIT, caller, check_text, finish, name, open, owner, put_program, shard_leader, topology,
 };
+use hooklug_fleet::caller::{SessionRef, StreamEvent, Transcript, TurnRequest};
+use hooklug_fleet::{Caller, Fleet, ProcessName};
 
 /// Events read before something fails.
 const READ_BEFORE: usize = 6;
--- a/crates/fleet/tests/genuine_answers.rs
+++ b/crates/fleet/tests/genuine_answers.rs
@@ -5,11 +5,11 @@
 
 mod harness;
 
+use harness::{LIMIT, caller, check_text, fault, open, put_program};
 use hooklug_emulator::{FaultKind, FaultRule, Faults, LedgerEntry, Restart};
 use hooklug_fleet::caller::{CallAnswer, CallRequest, CallerError, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessKind, Topology};
 use serde_json::json;
-use harness::{LIMIT, caller, check_text, fault, open, put_program};
 
 const PROGRAM: &str = "frost";
 /// Service that takes over a back end's address.
--- a/crates/fleet/tests/single_owner.rs
+++ b/crates/fleet/tests/single_owner.rs
@@ -8,9 +8,9 @@
 
 use std::time::Duration;
 
+use harness::{LIMIT, caller, check_text, finish, open, owner, put_program, topology};
 use hooklug_fleet::caller::{SessionRef, SessionView, Transcript, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessName};
-use harness::{LIMIT, caller, check_text, finish, open, owner, put_program, topology};
 
 const PROGRAM: &str = "frost";
 /// The brief's silence.
--- a/crates/fleet/tests/token_budget.rs
+++ b/crates/fleet/tests/token_budget.rs
@@ -9,9 +9,9 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
+use harness::{LIMIT, caller, check_text, open, owner, put_program, topology};
 use hooklug_fleet::caller::{SessionRef, Transcript, TurnRequest};
 use hooklug_fleet::{Caller, Fleet};
-use harness::{LIMIT, caller, check_text, open, owner, put_program, topology};
 
 const PROGRAM: &str = "frost";
 /// No multiple of a turn, so that the last turn gets what is left.
--- a/crates/fleet/tests/turn_lookup.rs
+++ b/crates/fleet/tests/turn_lookup.rs
@@ -9,9 +9,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use harness::{LIMIT, caller, finish, open, put_program, topology};
 use hooklug_fleet::caller::{SessionRef, Transcript, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessKind, ProcessName};
-use harness::{LIMIT, caller, finish, open, put_program, topology};
 
 /// Programs, so that several shards take part.
 const PROGRAMS: [&str; 3] = ["frost", "sowing", "storm"];
