--- a/crates/bench/src/slopes/stores.rs
+++ b/crates/bench/src/slopes/stores.rs
@@ -57,6 +57,7 @@
         report_slope(report, (EXPERIMENT, "three stores", cost), &drivers, &observations)
     };
     fitted("cpu seconds", &|m| m.span.role("store").cpu_seconds)?;
+    fit_syncs(report, &all)?;
     fitted("log bytes", &|m| m.span.role("store").log_bytes)?;
     fitted("syncs", &|m| m.span.role("store").syncs)?;
     fitted("rpc bytes sent", &|m| m.span.role("store").rpc_sent_bytes)?;
@@ -64,6 +65,18 @@
     fitted("resident bytes", &|m| m.span.role("store").resident_bytes)
 }
 
+/// Commits share syncs the better the more there are, so that processor time follows the syncs too.
+fn fit_syncs(report: &Report, all: &[Measured]) -> anyhow::Result<()> {
+    let observe = |m: &Measured| {
+        let store = m.span.role("store");
+        let drivers = [store.syncs, m.commits, m.events].map(|n| n / m.span.seconds);
+        Observation { drivers: drivers.to_vec(), cost: store.cpu_seconds / m.span.seconds }
+    };
+    let observations: Vec<_> = all.iter().map(observe).collect();
+    let drivers = ["sync", "commit", "token event"];
+    report_slope(report, (EXPERIMENT, "three stores", "cpu seconds"), &drivers, &observations)
+}
+
 async fn measure(
     field: &Field,
     writer: &Writer,
