--- /dev/null
+++ b/crates/bench/src/slopes/meter.rs
@@ -0,0 +1,132 @@
+//! What the processes of a fleet used between two looks, summed by role.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use futures::future::try_join_all;
+use hooklug_fleet::http::{Ask, HttpClient};
+use hooklug_fleet::{Fleet, ProcessStatus};
+use http::Method;
+use serde::Serialize;
+
+use super::process::Usage;
+
+/// Sums over all processes of a role, or over this process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub(crate) struct Counted {
+    /// Processes that were looked at.
+    pub(crate) processes: usize,
+    /// Processor time, in seconds.
+    pub(crate) cpu_seconds: f64,
+    /// Resident memory, in bytes.
+    pub(crate) resident_bytes: f64,
+    /// Bytes sent by rpc.
+    pub(crate) rpc_sent_bytes: f64,
+    /// Bytes received by rpc.
+    pub(crate) rpc_received_bytes: f64,
+    /// Frames sent and received by rpc.
+    pub(crate) rpc_frames: f64,
+    /// Bytes written to the log.
+    pub(crate) log_bytes: f64,
+    /// Syncs of the log.
+    pub(crate) syncs: f64,
+}
+
+impl Counted {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            processes: self.processes + other.processes,
+            cpu_seconds: self.cpu_seconds + other.cpu_seconds,
+            resident_bytes: self.resident_bytes + other.resident_bytes,
+            rpc_sent_bytes: self.rpc_sent_bytes + other.rpc_sent_bytes,
+            rpc_received_bytes: self.rpc_received_bytes + other.rpc_received_bytes,
+            rpc_frames: self.rpc_frames + other.rpc_frames,
+            log_bytes: self.log_bytes + other.log_bytes,
+            syncs: self.syncs + other.syncs,
+        }
+    }
+
+    fn since(self, earlier: Self) -> Self {
+        Self {
+            processes: self.processes,
+            cpu_seconds: self.cpu_seconds - earlier.cpu_seconds,
+            resident_bytes: self.resident_bytes - earlier.resident_bytes,
+            rpc_sent_bytes: self.rpc_sent_bytes - earlier.rpc_sent_bytes,
+            rpc_received_bytes: self.rpc_received_bytes - earlier.rpc_received_bytes,
+            rpc_frames: self.rpc_frames - earlier.rpc_frames,
+            log_bytes: self.log_bytes - earlier.log_bytes,
+            syncs: self.syncs - earlier.syncs,
+        }
+    }
+}
+
+/// One look at a fleet.
+#[derive(Debug, Clone)]
+pub(crate) struct Look {
+    at: Instant,
+    /// By role.
+    pub(crate) roles: BTreeMap<&'static str, Counted>,
+}
+
+/// What happened between two looks.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Span {
+    /// Its length, in seconds.
+    pub(crate) seconds: f64,
+    /// By role.
+    pub(crate) roles: BTreeMap<&'static str, Counted>,
+}
+
+impl Look {
+    /// Looks at all hooklug processes of a fleet that run, all at once.
+    pub(crate) async fn at(fleet: &Fleet, http: &HttpClient) -> anyhow::Result<Self> {
+        let nodes = fleet.status().into_iter().filter(|status| status.name.kind.is_node());
+        let looks = nodes.filter(|status| status.pid.is_some()).map(|status| async move {
+            let counted = count(http, &status).await?;
+            anyhow::Ok((status.name.kind.word(), counted))
+        });
+        let mut roles: BTreeMap<&'static str, Counted> = BTreeMap::new();
+        for (role, counted) in try_join_all(looks).await? {
+            let sum = roles.entry(role).or_default();
+            *sum = sum.plus(counted);
+        }
+        Ok(Self { at: Instant::now(), roles })
+    }
+
+    /// What happened since an earlier look.
+    pub(crate) fn since(&self, earlier: &Self) -> Span {
+        let before = |role: &str| earlier.roles.get(role).copied().unwrap_or_default();
+        let roles = self.roles.iter().map(|(role, now)| (*role, now.since(before(role))));
+        Span { seconds: (self.at - earlier.at).as_secs_f64(), roles: roles.collect() }
+    }
+}
+
+impl Span {
+    /// A role's figures.
+    pub(crate) fn role(&self, role: &str) -> Counted {
+        self.roles.get(role).copied().unwrap_or_default()
+    }
+}
+
+async fn count(http: &HttpClient, status: &ProcessStatus) -> anyhow::Result<Counted> {
+    let metrics = http.ask(status.http, &Ask::new(Method::GET, "/metrics")).await?;
+    let usage = Usage::of(status.pid.unwrap_or_default())?;
+    let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+    let sum = |name: &str| sum_of(&metrics, name);
+    Ok(Counted {
+        processes: 1,
+        cpu_seconds: usage.cpu.as_secs_f64(),
+        resident_bytes: usage.resident_bytes as f64,
+        rpc_sent_bytes: sum("hooklug_rpc_bytes_total{direction=\"sent\"}"),
+        rpc_received_bytes: sum("hooklug_rpc_bytes_total{direction=\"received\"}"),
+        rpc_frames: sum("hooklug_rpc_frames_total"),
+        log_bytes: sum("hooklug_wal_bytes_total"),
+        syncs: sum("hooklug_wal_syncs_total"),
+    })
+}
+
+/// Sum of all series whose text begins with a name.
+fn sum_of(metrics: &str, name: &str) -> f64 {
+    let matching = metrics.lines().filter(|line| line.starts_with(name));
+    matching.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -152,11 +152,12 @@
             return reply;
         }
     }
-    shared.inbox.put_heartbeat(heartbeat);
+    let installed = heartbeat.bundle;
+    shared.inbox.put_heartbeat(heartbeat, std::time::Instant::now());
     let view = shared.published.view();
     HeartbeatReply {
         revision: view.revision,
-        bundle: view.meta.bundle.clone(),
+        bundle: view.meta.bundle.as_ref().filter(|b| b.version > installed).cloned(),
         leader: shared.other_leader().filter(|_| !leads),
     }
 }
@@ -172,7 +173,7 @@
             return;
         }
     }
-    shared.inbox.put_harm(report.harm);
+    shared.inbox.put_harm(report.harm, std::time::Instant::now());
 }
 
 async fn figures(
--- a/crates/fleet/tests/at_most_once_calls.rs
+++ b/crates/fleet/tests/at_most_once_calls.rs
@@ -4,11 +4,11 @@
 //! Catches a gateway that dispatches again after a lost or damaged answer, a second gateway that does
 //! not respect the first one's claim, and a claim that does not outlive its shard's leader.
 
-mod support;
+mod harness;
 
+use harness::{LIMIT, alarm, caller, fault, name, put_program, runs, shard_leader, slow, topology};
 use hooklug_emulator::{FaultKind, FaultRule, Faults};
 use hooklug_fleet::{Caller, Fleet, ProcessKind};
-use support::{LIMIT, alarm, caller, fault, name, put_program, runs, shard_leader, slow, topology};
 
 const PROGRAM: &str = "frost";
 
@@ -24,7 +24,7 @@
 }
 
 async fn wait_for_run(fleet: &Fleet, call: &str) {
-    support::wait_for_run(fleet, &format!("{PROGRAM}/{call}")).await;
+    harness::wait_for_run(fleet, &format!("{PROGRAM}/{call}")).await;
 }
 
 async fn set_faults(fleet: &Fleet, rules: Vec<FaultRule>, no_lookup: bool) {
@@ -92,7 +92,7 @@
     wait_for_run(&fleet, "engine-killed").await;
     let key = format!("{PROGRAM}/engine-killed");
     let mut apps = fleet.names(ProcessKind::App).into_iter();
-    let runner = apps.find(|app| support::runs_at(&fleet, *app, &key) > 0).unwrap();
+    let runner = apps.find(|app| harness::runs_at(&fleet, *app, &key) > 0).unwrap();
     fleet.kill(runner).unwrap();
     resend(&caller, "engine-killed").await;
     running.await.unwrap();
--- a/crates/fleet/tests/engine_drain.rs
+++ b/crates/fleet/tests/engine_drain.rs
@@ -5,17 +5,17 @@
 //! places sessions or sends calls by an old view, an engine that takes turns while it leaves, and one
 //! that waits for its sessions until it is killed.
 
-mod support;
+mod harness;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use harness::{LIMIT, alarm, caller, finish, name, open, owner, put_program, topology};
 use hooklug_emulator::LedgerEntry;
 use hooklug_fleet::caller::{SessionRef, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessKind, ProcessName};
 use hooklug_types::{BundleVersion, UnixMillis};
-use support::{LIMIT, alarm, caller, finish, name, open, owner, put_program, topology};
 
 const PROGRAM: &str = "frost";
 /// The brief's bound.
--- a/crates/fleet/tests/gapless_streams.rs
+++ b/crates/fleet/tests/gapless_streams.rs
@@ -5,13 +5,13 @@
 //! Catches events released before their commit (they vanish with their engine), a taker that goes on with
 //! another generation's text, and a gateway that resumes at the wrong place.
 
-mod support;
+mod harness;
 
-use hooklug_fleet::caller::{SessionRef, StreamEvent, Transcript, TurnRequest};
-use hooklug_fleet::{Caller, Fleet, ProcessName};
-use support::{
+use harness::{
     LIMIT, caller, check_text, finish, name, open, owner, put_program, shard_leader, topology,
 };
+use hooklug_fleet::caller::{SessionRef, StreamEvent, Transcript, TurnRequest};
+use hooklug_fleet::{Caller, Fleet, ProcessName};
 
 /// Events read before something fails.
 const READ_BEFORE: usize = 6;
@@ -114,7 +114,7 @@
         let (seen, whole) = disturbed_turn(&fleet, &session, failure).await;
         assert!(whole || seen.end() == "interrupted", "{}", seen.end());
         // A turn is sealed where its committed events end; it is not begun again elsewhere.
-        let generations = support::generations(&fleet, &session, "t2");
+        let generations = harness::generations(&fleet, &session, "t2");
         assert_eq!(generations, 1, "the turn was generated {generations} times");
     }
 }
--- a/crates/fleet/tests/genuine_answers.rs
+++ b/crates/fleet/tests/genuine_answers.rs
@@ -3,20 +3,20 @@
 //! Catches a gateway or engine that trusts an answer cut short, one that belongs to another request, one
 //! that does not decode, or one of another service at a reused address.
 
-mod support;
+mod harness;
 
+use harness::{LIMIT, caller, check_text, fault, open, put_program};
 use hooklug_emulator::{FaultKind, FaultRule, Faults, LedgerEntry, Restart};
 use hooklug_fleet::caller::{CallAnswer, CallRequest, CallerError, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessKind, Topology};
 use serde_json::json;
-use support::{LIMIT, caller, check_text, fault, open, put_program};
 
 const PROGRAM: &str = "frost";
 /// Service that takes over a back end's address.
 const STRANGER: &str = "stranger";
 
 fn topology() -> Topology {
-    let mut topology = support::topology(2, 2);
+    let mut topology = harness::topology(2, 2);
     topology.applications = Topology::small().applications;
     topology
 }
@@ -135,7 +135,7 @@
     for kind in [LoseAnswer, CutShort, Cross, Garble] {
         let session = open(&caller, PROGRAM, &format!("s-{kind:?}").to_lowercase()).await;
         let whole = TurnRequest::new("whole", None, "[tokens 12]", 16);
-        let before = support::finish(&caller, &session, &whole).await;
+        let before = harness::finish(&caller, &session, &whole).await;
         fault(&fleet, ProcessKind::Model, Some(FaultRule::always(kind))).await;
         let damaged = TurnRequest::new("damaged", Some("whole"), "[tokens 12]", 16);
         let shown = caller.run_turn(0, &session, &damaged).await.unwrap();
@@ -149,6 +149,6 @@
         }
         fleet.wait_all_ready(LIMIT).await.unwrap();
         let after = TurnRequest::new("after", Some("damaged"), "[tokens 12]", 16);
-        support::finish(&caller, &session, &after).await;
+        harness::finish(&caller, &session, &after).await;
     }
 }
--- a/crates/fleet/tests/single_owner.rs
+++ b/crates/fleet/tests/single_owner.rs
@@ -4,13 +4,13 @@
 //! Catches an owner that goes on by its own clock or cache after another has taken its session, a lease
 //! that is renewed after its expiry, and a core that acts on a view or leadership that is long gone.
 
-mod support;
+mod harness;
 
 use std::time::Duration;
 
+use harness::{LIMIT, caller, check_text, finish, open, owner, put_program, topology};
 use hooklug_fleet::caller::{SessionRef, SessionView, Transcript, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessName};
-use support::{LIMIT, caller, check_text, finish, open, owner, put_program, topology};
 
 const PROGRAM: &str = "frost";
 /// The brief's silence.
--- a/crates/fleet/tests/token_budget.rs
+++ b/crates/fleet/tests/token_budget.rs
@@ -4,14 +4,14 @@
 //! Catches a budget that is counted in memory, a reservation that is lost or settled twice in a takeover,
 //! and tokens that were streamed and are not booked.
 
-mod support;
+mod harness;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
+use harness::{LIMIT, caller, check_text, open, owner, put_program, topology};
 use hooklug_fleet::caller::{SessionRef, Transcript, TurnRequest};
 use hooklug_fleet::{Caller, Fleet};
-use support::{LIMIT, caller, check_text, open, owner, put_program, topology};
 
 const PROGRAM: &str = "frost";
 /// No multiple of a turn, so that the last turn gets what is left.
--- a/crates/fleet/tests/truthful_refusals.rs
+++ b/crates/fleet/tests/truthful_refusals.rs
@@ -4,15 +4,15 @@
 //! Catches a "not run" that rests on anything but a committed seal (a dispatch can race it), a seal or
 //! refusal that is forgotten over a restart, and a turn refused at one engine and run at another.
 
-mod support;
+mod harness;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use harness::{LIMIT, alarm, caller, open, owner, put_program, runs, shard_leader, topology};
 use hooklug_emulator::LedgerEntry;
 use hooklug_fleet::caller::{CallAnswer, CallRequest, CallView, CallerError, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessKind};
-use support::{LIMIT, alarm, caller, open, owner, put_program, runs, shard_leader, topology};
 
 const PROGRAM: &str = "frost";
 /// Calls that race with their seal.
--- a/crates/fleet/tests/turn_lookup.rs
+++ b/crates/fleet/tests/turn_lookup.rs
@@ -4,14 +4,14 @@
 //! Catches a history that lives in an engine or gateway, an answer from a store that lags behind or has
 //! not caught up after its restart, and an absence claimed while the shard can't be reached.
 
-mod support;
+mod harness;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use harness::{LIMIT, caller, finish, open, put_program, topology};
 use hooklug_fleet::caller::{SessionRef, Transcript, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessKind, ProcessName};
-use support::{LIMIT, caller, finish, open, put_program, topology};
 
 /// Programs, so that several shards take part.
 const PROGRAMS: [&str; 3] = ["frost", "sowing", "storm"];
--- a/crates/gateway/src/backend/table.rs
+++ b/crates/gateway/src/backend/table.rs
@@ -21,7 +21,7 @@
 use crate::limits::adaptive::{AdaptiveLimit, Sign};
 use crate::limits::baseline::Baseline;
 use crate::limits::circuit::Circuit;
-use crate::versions::{RolloutClock, StoppedVersions, preferred_versions};
+use crate::versions::{RolloutClock, StoppedVersions, preferred_versions, time_since};
 
 /// Share of an engine's limit that only urgent calls may use (ours).
 const URGENT_SHARE: f64 = 0.2;
@@ -116,7 +116,7 @@
     /// Notes a bundle that came into force: the steps of its new versions count from its commit.
     pub fn installed(&self, installed: &InstalledBundle) {
         let bundle = &installed.bundle;
-        let committed_for = installed.record.committed.until(UnixMillis::now());
+        let committed_for = time_since(installed.record.committed, UnixMillis::now());
         let newest = bundle.services.iter();
         let newest = newest.filter_map(|(name, s)| s.newest_sound().map(|version| (name, version)));
         self.rollouts().installed(newest, committed_for, Instant::now());
@@ -156,6 +156,18 @@
         view.engines.values().filter(|e| e.service == *service).map(Target::of).collect()
     }
 
+    /// Whether an engine may get a call now: the view lists this run of it as well, and neither the
+    /// view nor its own refusals say that it drains.
+    #[must_use]
+    pub fn is_open(&self, target: &Target) -> bool {
+        let view = self.node.view.borrow().clone();
+        let listed = view
+            .engines
+            .get(&target.run.engine)
+            .is_some_and(|e| e.incarnation == target.run.incarnation && e.healthy && !e.draining);
+        listed && self.lock().engines.get(&target.run).is_none_or(|known| !known.draining)
+    }
+
     /// Looks for an engine with room and takes it up.
     pub fn find(self: &Arc<Self>, wanted: &Wanted<'_>, service: &Service) -> Found {
         let now = Instant::now();
@@ -192,7 +204,7 @@
         let all = self.all_of(name);
         let figures = self.lock();
         let limit = |target: &Target| {
-            figures.engines.get(&target.run).map(|k| k.limit.get(service.concurrency_per_engine))
+            figures.engines.get(&target.run).map(|k| k.limit.steady(service.concurrency_per_engine))
         };
         (all.iter().filter_map(limit).sum(), all.len())
     }
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hooklug_bundle::{Service, VersionState};
-use hooklug_types::{ServiceName, ServiceVersion};
+use hooklug_types::{ServiceName, ServiceVersion, UnixMillis};
 use tokio::time::Instant;
 
 /// Versions that this gateway sends no new traffic to, by its own evidence. Cheap to clone.
@@ -79,6 +79,13 @@
     }
 }
 
+/// How long ago a bundle was committed. The first of a cluster may have been committed before the group's
+/// clock was first set: it counts from now on, so that no step of its versions is skipped.
+#[must_use]
+pub fn time_since(committed: UnixMillis, now: UnixMillis) -> Duration {
+    if committed == UnixMillis::default() { Duration::ZERO } else { committed.until(now) }
+}
+
 /// Percentage of traffic for a version that has been rolled out for a while.
 #[must_use]
 pub fn step_percentage(service: &Service, age: Option<Duration>) -> u8 {
@@ -89,7 +96,8 @@
 }
 
 /// Versions in the order in which a call should try them: `draw` in 0..100 decides between the
-/// newest and the one before; the others follow as fall-backs, newest first.
+/// newest and the one before; the others follow as fall-backs, newest first, and the newest of all last
+/// where the draw is against it.
 #[must_use]
 pub fn preferred_versions(
     service: &Service,
@@ -104,7 +112,8 @@
         all.iter().filter(|v| !is_stopped(v)).map(|v| (*v).clone()).collect();
     let newest_is_open = open.first() == newest;
     if newest_is_open && open.len() > 1 && draw >= step_percentage(service, age_of_newest) {
-        open.swap(0, 1);
+        // Last, not second: the one before may have no engine, and its calls then go to older ones.
+        open.rotate_left(1);
     }
     open
 }
--- a/crates/gateway/tests/routing.rs
+++ b/crates/gateway/tests/routing.rs
@@ -14,7 +14,7 @@
 use hooklug_gateway::sessions::load::LoadTable;
 use hooklug_gateway::sessions::owner_table::OwnerTable;
 use hooklug_gateway::sessions::placement::{self, Candidate};
-use hooklug_gateway::versions::{RolloutClock, preferred_versions, step_percentage};
+use hooklug_gateway::versions::{RolloutClock, preferred_versions, step_percentage, time_since};
 use hooklug_state::shard::SessionRecord;
 use hooklug_types::*;
 use rand::{Rng, RngExt, SeedableRng};
@@ -290,6 +290,19 @@
     assert_eq!(preferred_versions(&rolled_back, None, 0, |_| false), [id("v1")]);
 }
 
+#[test]
+fn a_listed_version_without_engines_does_not_pass_its_share_to_the_newest() {
+    let mut service = farm();
+    service
+        .versions
+        .push(hooklug_bundle::VersionEntry { version: id("v3"), state: VersionState::Sound });
+    // Version 2 was listed and never ran: its calls are version 1's, not version 3's.
+    let order = preferred_versions(&service, Some(Duration::ZERO), 99, |_| false);
+    assert_eq!(order, [id("v2"), id("v1"), id("v3")]);
+    let order = preferred_versions(&service, Some(Duration::ZERO), 0, |_| false);
+    assert_eq!(order, [id("v3"), id("v2"), id("v1")]);
+}
+
 #[test]
 fn steps_count_from_the_bundle_that_brought_the_version() {
     let (now, name) = (Instant::now(), id::<ServiceName>("farm"));
@@ -309,3 +322,10 @@
     late.installed([(&name, &v2)].into_iter(), Duration::from_millis(700), now);
     assert_eq!(late.age(&name, &v2, now), Some(Duration::from_millis(700)));
 }
+
+#[test]
+fn a_bundle_committed_before_the_clock_was_set_counts_from_now() {
+    let now = UnixMillis(1_700_000_000_000);
+    assert_eq!(time_since(UnixMillis::default(), now), Duration::ZERO);
+    assert_eq!(time_since(UnixMillis(now.0 - 700), now), Duration::from_millis(700));
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -17,10 +17,12 @@
 mod link;
 mod router;
 mod server;
+mod traffic;
 
-pub use client::{ItemStream, RpcClient};
+pub use client::{HELLO_PAUSE, ItemStream, RpcClient};
 pub use error::{Fault, RpcError};
 pub use faults::{LinkFault, LinkFaults};
 pub use identity::{BundleNews, LocalIdentity, Peer};
 pub use router::{ItemSink, Router};
 pub use server::RpcServer;
+pub use traffic::{Traffic, TrafficCounts};
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -9,9 +9,9 @@
 use tokio::io::AsyncRead;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::{AbortHandle, JoinError, JoinSet};
 use tokio_util::sync::CancellationToken;
-use tracing::debug;
+use tracing::{debug, error};
 
 use crate::frame::{ClientFrame, ServerBody, ServerFrame, encode, read};
 use crate::link::{Outgoing, WRITE_QUEUE_FRAMES, write_frames};
@@ -86,7 +86,13 @@
     let peer = tokio::time::timeout(HELLO_TIME, hello).await??;
     let (reading, writing) = stream.into_split();
     let (queue, frames) = mpsc::channel(WRITE_QUEUE_FRAMES);
-    let writer = tokio::spawn(write_frames(writing, frames, identity.faults.clone(), from.ip()));
+    let writer = tokio::spawn(write_frames(
+        writing,
+        frames,
+        identity.faults.clone(),
+        identity.traffic.clone(),
+        from.ip(),
+    ));
     let mut connection = Connection {
         peer,
         identity,
@@ -135,10 +141,13 @@
 impl Connection {
     async fn read_frames<R: AsyncRead + Unpin>(&mut self, mut reader: R) -> io::Result<()> {
         loop {
-            let frame = tokio::time::timeout(CLIENT_SILENCE, read(&mut reader)).await??;
+            let traffic = self.identity.traffic.clone();
+            let reading = read(&mut reader, &traffic);
+            let frame = tokio::time::timeout(CLIENT_SILENCE, reading).await??;
             while let Some(done) = self.tasks.try_join_next() {
-                if let Ok(id) = done {
-                    self.running.remove(&id);
+                match done {
+                    Ok(id) => drop(self.running.remove(&id)),
+                    Err(error) => self.failed(&error).await,
                 }
             }
             self.handle(frame).await;
@@ -165,6 +174,15 @@
         }
     }
 
+    /// A handler that panicked has sent no answer; one that was cancelled is not waited for any more.
+    async fn failed(&mut self, error: &JoinError) {
+        let found = self.running.iter().find(|(_, task)| task.id() == error.id());
+        let Some(id) = found.map(|(id, _)| *id) else { return };
+        self.running.remove(&id);
+        error!(%error, "a handler panicked");
+        self.fault(id, Fault::Failed("the handler panicked".to_owned())).await;
+    }
+
     async fn fault(&self, id: u64, fault: Fault) {
         self.answers.send(ServerBody::Fault { id, fault }).await;
     }
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -10,12 +10,15 @@
 #![forbid(unsafe_code)]
 
 mod attach;
+#[cfg(feature = "broken-rules")]
+mod broken_rules;
 mod clients;
 mod commit;
 mod effect;
 mod generation;
 mod history;
 mod message;
+mod phase;
 mod session;
 mod turn;
 
