--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use crate::oracle::evidence::{CallClaim, Evidence, Millis, TurnClaim};
+use crate::oracle::evidence::{CallClaim, Evidence, Millis, TurnClaim, TurnRecord};
 
 /// Percentiles of a time, in milliseconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
@@ -94,7 +94,7 @@
             turns_per_second: finished().count() as f64 / seconds,
             tokens_per_second: tokens as f64 / seconds,
             calls_per_second: answered().count() as f64 / seconds,
-            turns: count(turns().map(|turn| turn_word(&turn.claim))),
+            turns: count(turns().map(turn_word)),
             calls: count(calls().filter_map(|call| call.claims.first()).map(call_word)),
             cuts: turns().map(|turn| u64::from(turn.cuts)).sum(),
             first_token_ms: Percentiles::of(turns().filter_map(|turn| turn.first_token_ms)),
@@ -107,7 +107,15 @@
     }
 }
 
-fn turn_word(claim: &TurnClaim) -> String {
+fn turn_word(turn: &TurnRecord) -> String {
+    let code = turn.events.last().and_then(|event| event.data["code"].as_str());
+    match (&turn.claim, code) {
+        (TurnClaim::Ended(end), Some(code)) => format!("{end}: {code}"),
+        (claim, _) => claim_word(claim),
+    }
+}
+
+fn claim_word(claim: &TurnClaim) -> String {
     match claim {
         TurnClaim::Ended(end) => end.clone(),
         TurnClaim::Refused(code) => format!("refused: {code}"),
