--- a/crates/hooklug/tests/common/mod.rs
+++ b/crates/hooklug/tests/common/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::collections::BTreeMap;
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -146,24 +145,6 @@
         .await;
     }
 
-    /// The shards as a node shows them, by group.
-    pub async fn shards(&self, observer: usize) -> BTreeMap<String, Value> {
-        let answer = ask(self.http(observer), Method::GET, "/admin/v1/shards", "").await;
-        let Some((_, Value::Array(shards))) = answer else { return BTreeMap::new() };
-        shards
-            .into_iter()
-            .map(|shard| (shard["group"].as_str().unwrap_or_default().to_owned(), shard))
-            .collect()
-    }
-
-    /// Node id of a store, as a node's view shows it.
-    pub async fn node_id(&self, observer: usize, index: usize) -> Option<u64> {
-        let (_, members) = ask(self.http(observer), Method::GET, "/admin/v1/members", "").await?;
-        let rpc = self.processes[index].rpc.to_string();
-        let members = members.as_array()?.iter();
-        members.filter(|m| m["rpc"] == rpc).filter_map(|m| m["node"].as_u64()).next()
-    }
-
     /// Submits a bundle at a node until it answers other than "try again".
     pub async fn submit(&self, index: usize, bundle: &Value) -> (StatusCode, Value) {
         let body = json!({ "bundle": bundle }).to_string();
@@ -198,16 +179,6 @@
     listener.local_addr().expect("bound")
 }
 
-/// A bundle built on the version before; `slots` tells it from others.
-pub fn bundle(version: u64, slots: u64) -> Value {
-    json!({
-        "version": version,
-        "base": version - 1,
-        "services": {"notices": {"kind": "application", "slots": slots,
-            "versions": [{"version": "v1"}]}},
-    })
-}
-
 /// One request; `None` when no whole answer came.
 pub async fn ask(
     to: SocketAddr,
