--- a/crates/fleet/tests/at_most_once_calls.rs
+++ b/crates/fleet/tests/suite/at_most_once_calls.rs
@@ -4,16 +4,17 @@
 //! Catches a gateway that dispatches again after a lost or damaged answer, a second gateway that does
 //! not respect the first one's claim, and a claim that does not outlive its shard's leader.
 
-mod harness;
-
-use harness::{LIMIT, alarm, caller, fault, name, put_program, runs, shard_leader, slow, topology};
+use crate::support::{
+    PATIENCE, TestFleet, alarm, caller, data_topology, fault, name, put_program, runs,
+    shard_leader, slow, start,
+};
 use hooklug_emulator::{FaultKind, FaultRule, Faults};
 use hooklug_fleet::{Caller, Fleet, ProcessKind};
 
 const PROGRAM: &str = "frost";
 
-async fn start() -> (Fleet, Caller) {
-    let fleet = Fleet::start(topology(1, 2)).await.unwrap();
+async fn start_calls() -> (TestFleet, Caller) {
+    let fleet = start(data_topology(1, 2)).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, 100).await;
     (fleet, caller)
@@ -24,7 +25,7 @@
 }
 
 async fn wait_for_run(fleet: &Fleet, call: &str) {
-    harness::wait_for_run(fleet, &format!("{PROGRAM}/{call}")).await;
+    crate::support::wait_for_run(fleet, &format!("{PROGRAM}/{call}")).await;
 }
 
 async fn set_faults(fleet: &Fleet, rules: Vec<FaultRule>, no_lookup: bool) {
@@ -36,7 +37,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_runs_once_whatever_becomes_of_its_answer() {
-    let (fleet, caller) = start().await;
+    let (fleet, caller) = start_calls().await;
     use FaultKind::{Cross, CutShort, Garble, LoseAnswer, Stall};
     let kinds = [LoseAnswer, CutShort, Cross, Garble, Stall];
     // With a look-up the back end's word may settle a call; without one it has to stay unknown.
@@ -64,7 +65,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_runs_once_though_machines_fail_in_the_middle() {
-    let (fleet, caller) = start().await;
+    let (fleet, caller) = start_calls().await;
     fault(&fleet, ProcessKind::App, Some(slow(1_500))).await;
 
     // The leader of its shard freezes while it runs, and wakes after others have asked.
@@ -84,7 +85,7 @@
     resend(&caller, "gateway-killed").await;
     running.await.unwrap();
     fleet.restart(name("gateway:0")).await.unwrap();
-    fleet.wait_ready(name("gateway:0"), LIMIT).await.unwrap();
+    fleet.wait_ready(name("gateway:0"), PATIENCE).await.unwrap();
     resend(&caller, "gateway-killed").await;
 
     // The engine that runs it is killed; another one is there.
@@ -92,7 +93,7 @@
     wait_for_run(&fleet, "engine-killed").await;
     let key = format!("{PROGRAM}/engine-killed");
     let mut apps = fleet.names(ProcessKind::App).into_iter();
-    let runner = apps.find(|app| harness::runs_at(&fleet, *app, &key) > 0).unwrap();
+    let runner = apps.find(|app| crate::support::runs_at(&fleet, *app, &key) > 0).unwrap();
     fleet.kill(runner).unwrap();
     resend(&caller, "engine-killed").await;
     running.await.unwrap();
--- a/crates/fleet/tests/bundle_races.rs
+++ b/crates/fleet/tests/suite/bundle_races.rs
@@ -4,14 +4,12 @@
 //! Catches: two bundles accepted for one version; a resend refused because its version is taken or its base
 //! is no longer the newest; a decision that the answering node alone knew.
 
-mod support;
-
 use std::time::Duration;
 
+use crate::support::{PATIENCE, control_topology, name, read_current, running_nodes, start};
 use hooklug_bundle::Bundle;
 use hooklug_fleet::{Fleet, ProcessName, Submitted, Verdict};
 use hooklug_types::BundleVersion;
-use support::{PATIENCE, name, read_current, running_nodes, topology, turn_to_run};
 
 async fn submit(fleet: &Fleet, at: ProcessName, bundle: &Bundle) -> Verdict {
     fleet.submit_until_decided(at, bundle, PATIENCE).await.unwrap()
@@ -30,8 +28,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn one_of_two_racing_bundles_wins_and_its_resend_gets_the_same_answer_at_every_node() {
-    let _turn = turn_to_run().await;
-    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let fleet = start(control_topology(3)).await;
     let (left, right) = (name("gateway:0"), name("gateway:1"));
     for version in 2..=6 {
         let ours = fleet.marked_bundle(version, 20).unwrap();
@@ -52,8 +49,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_bundle_whose_answer_was_lost_is_accepted_again_at_another_node() {
-    let _turn = turn_to_run().await;
-    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let fleet = start(control_topology(3)).await;
     let (left, right) = (name("gateway:0"), name("gateway:1"));
     let mut version = 1;
     // The node dies at any moment of its work: the bundle may be committed or not.
--- a/crates/fleet/tests/bundle_spread.rs
+++ b/crates/fleet/tests/suite/bundle_spread.rs
@@ -3,17 +3,18 @@
 //! Catches: acknowledging before a quorum has the bundle; a notice of a new version that is lost with the
 //! core leader; a restarted node that serves with an older bundle; a node cut off that is not caught up.
 
-mod support;
-
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use crate::support::{
+    IN_FORCE_BOUND, PATIENCE, TestFleet, control_topology, name, pid, running_nodes, start,
+    wait_installed,
+};
 use futures::future::join_all;
 use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
 use hooklug_types::BundleVersion;
-use support::{IN_FORCE_BOUND, PATIENCE, name, pid, running_nodes, topology, wait_installed};
 use tokio::task::JoinHandle;
 
 /// Versions that nodes were seen at, each run of a process by itself.
@@ -23,7 +24,7 @@
 }
 
 impl Watch {
-    fn start(fleet: Arc<Fleet>) -> Self {
+    fn start(fleet: Arc<TestFleet>) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let watching = tokio::spawn(watch(fleet, stop.clone()));
         Self { stop, watching }
@@ -37,7 +38,7 @@
     }
 }
 
-async fn watch(fleet: Arc<Fleet>, stop: Arc<AtomicBool>) -> Vec<String> {
+async fn watch(fleet: Arc<TestFleet>, stop: Arc<AtomicBool>) -> Vec<String> {
     let mut newest = BTreeMap::<(ProcessName, u32), BundleVersion>::new();
     let mut steps_back = Vec::new();
     while !stop.load(Ordering::SeqCst) {
@@ -88,7 +89,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bundles_spread_while_the_core_leader_dies_and_nodes_restart() {
-    let fleet = Arc::new(Fleet::start(topology(3)).await.unwrap());
+    let fleet = Arc::new(start(control_topology(3)).await);
     let watch = Watch::start(fleet.clone());
     let mut version = 1;
     for restarted in ["gateway:1", "store:1", "engine:0"] {
--- a/crates/fleet/tests/core_failures.rs
+++ b/crates/fleet/tests/suite/core_failures.rs
@@ -4,18 +4,19 @@
 //! Catches: a data plane that waits for a core; a former leader whose writes are taken after it was cut off;
 //! nodes that stay dead or doubled in the view of the core that leads next.
 
-mod support;
-
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::support::load::Load;
+use crate::support::{
+    PATIENCE, control_topology, name, read_current, restart_all, running_nodes, start,
+    wait_installed,
+};
 use hooklug_fleet::http::{Ask, HttpClient};
 use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
 use http::Method;
 use serde::Deserialize;
-use support::load::Load;
-use support::{PATIENCE, name, read_current, restart_all, running_nodes, topology, wait_installed};
 
 /// How long a leader is cut off (brief: twenty seconds or more).
 const CUT_OFF: Duration = Duration::from_secs(21);
@@ -67,7 +68,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn all_cores_are_lost_and_then_the_leader_is_cut_off() {
-    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let fleet = start(control_topology(3)).await;
     let load = Load::start(&fleet, 6).await;
     let cores = fleet.names(ProcessKind::Core);
     cores.iter().for_each(|core| fleet.kill(*core).unwrap());
--- a/crates/fleet/tests/demo.rs
+++ b/crates/fleet/tests/suite/demo.rs
@@ -1,14 +1,11 @@
 //! The demo through real processes: undisturbed, and with any one process killed in the middle.
 
+use crate::support::share_of_the_machine;
 use hooklug_fleet::demo::run;
 use hooklug_fleet::{FleetError, Topology};
-use tokio::sync::Semaphore;
-
-/// Fleets that run at once, so that a small machine keeps up.
-static FLEETS: Semaphore = Semaphore::const_new(2);
 
 async fn demo(kill: Option<&str>) {
-    let _permit = FLEETS.acquire().await.unwrap();
+    let _share = share_of_the_machine().await;
     let kill = kill.map(|target| target.parse().unwrap());
     let ended = run(Topology::small(), kill, &|line| println!("{line}")).await;
     if let Err(error) = ended {
@@ -43,7 +40,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_process_that_is_not_there_fails_the_demo() {
-    let _permit = FLEETS.acquire().await.unwrap();
+    let _share = share_of_the_machine().await;
     let kill = Some("store:99".parse().unwrap());
     let ended = run(Topology::small(), kill, &|_| {}).await;
     let missing = "store:99".parse().unwrap();
--- a/crates/fleet/tests/durable_bundles.rs
+++ b/crates/fleet/tests/suite/durable_bundles.rs
@@ -3,15 +3,14 @@
 //! Catches: an acknowledgement before the sync of a quorum; a log or snapshot that is replayed in part; a
 //! repair that counts a replica as a voter before it has caught up; an emptied disk that votes as before.
 
-mod support;
-
+use crate::support::repair::{node_id, wait_repaired};
+use crate::support::{
+    PATIENCE, control_topology, name, read_current, restart_all, running_nodes, start,
+    wait_installed,
+};
 use hooklug_bundle::Bundle;
 use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
 use hooklug_types::BundleVersion;
-use support::repair::{node_id, wait_repaired};
-use support::{
-    PATIENCE, name, read_current, restart_all, running_nodes, topology, turn_to_run, wait_installed,
-};
 
 async fn accept(fleet: &Fleet, at: ProcessName, version: u64, marker: u32) -> Bundle {
     let bundle = fleet.marked_bundle(version, marker).unwrap();
@@ -28,10 +27,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn hundreds_of_changes_are_read_back_after_all_stores_and_then_all_nodes_lost_power() {
     const CHANGES: u64 = 200;
-    let _turn = turn_to_run().await;
-    let mut small = topology(3);
+    let mut small = control_topology(3);
     (small.cores, small.gateways, small.models[0].engines) = (1, 1, 1);
-    let fleet = Fleet::start(small).await.unwrap();
+    let fleet = start(small).await;
     let at = name("gateway:0");
     let mut newest = accept(&fleet, at, 2, 10).await;
     for version in 3..=CHANGES {
@@ -55,8 +53,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_loss_right_after_a_repair_or_replacement_loses_no_acknowledged_bundle() {
-    let _turn = turn_to_run().await;
-    let fleet = Fleet::start(topology(4)).await.unwrap();
+    let fleet = start(control_topology(4)).await;
     let at = name("gateway:0");
     for version in 2..=20 {
         accept(&fleet, at, version, 10).await;
@@ -85,8 +82,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_store_that_loses_its_disk_right_after_an_acknowledgement_loses_nothing() {
-    let _turn = turn_to_run().await;
-    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let fleet = start(control_topology(3)).await;
     let at = name("gateway:0");
     let mut version = 1;
     for store in fleet.names(ProcessKind::Store) {
--- a/crates/fleet/tests/engine_drain.rs
+++ b/crates/fleet/tests/suite/engine_drain.rs
@@ -5,13 +5,13 @@
 //! places sessions or sends calls by an old view, an engine that takes turns while it leaves, and one
 //! that waits for its sessions until it is killed.
 
-mod harness;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use harness::{LIMIT, alarm, caller, finish, name, open, owner, put_program, topology};
+use crate::support::{
+    PATIENCE, alarm, caller, data_topology, finish, name, open, owner, put_program, start,
+};
 use hooklug_emulator::LedgerEntry;
 use hooklug_fleet::caller::{SessionRef, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessKind, ProcessName};
@@ -54,7 +54,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopped_session_engine_gets_no_new_work_and_its_sessions_move() {
-    let fleet = Fleet::start(topology(2, 1)).await.unwrap();
+    let fleet = start(data_topology(2, 1)).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, 1_000_000).await;
     let session = open(&caller, PROGRAM, "kept").await;
@@ -98,7 +98,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_superseded_session_engine_gets_no_new_session_and_keeps_its_old_one() {
-    let fleet = Fleet::start(topology(1, 1)).await.unwrap();
+    let fleet = start(data_topology(1, 1)).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, 1_000_000).await;
     let kept = open(&caller, PROGRAM, "kept").await;
@@ -117,7 +117,7 @@
     fleet.submit_bundle(&bundle).await.unwrap();
     let known = UnixMillis::now();
     // An engine is ready once a bundle lists its version.
-    fleet.wait_ready(new, LIMIT).await.unwrap();
+    fleet.wait_ready(new, PATIENCE).await.unwrap();
     let ended = Arc::new(AtomicBool::new(false));
     let opening = tokio::spawn(new_sessions(caller.clone(), ended.clone()));
     tokio::time::sleep(OFFERED).await;
@@ -135,7 +135,7 @@
     }
     let begun = tokio::time::Instant::now();
     while fleet.is_running(old).unwrap() {
-        assert!(begun.elapsed() < LIMIT, "{old} still runs, without sessions");
+        assert!(begun.elapsed() < PATIENCE, "{old} still runs, without sessions");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     let status = fleet.status().into_iter().find(|status| status.name == old);
@@ -144,7 +144,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_application_engine_gets_no_new_calls() {
-    let fleet = Fleet::start(topology(1, 2)).await.unwrap();
+    let fleet = start(data_topology(1, 2)).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, 100).await;
     let leaving = name("app:0");
--- a/crates/fleet/tests/gapless_streams.rs
+++ b/crates/fleet/tests/suite/gapless_streams.rs
@@ -5,10 +5,9 @@
 //! Catches events released before their commit (they vanish with their engine), a taker that goes on with
 //! another generation's text, and a gateway that resumes at the wrong place.
 
-mod harness;
-
-use harness::{
-    LIMIT, caller, check_text, finish, name, open, owner, put_program, shard_leader, topology,
+use crate::support::{
+    PATIENCE, caller, check_text, data_topology, finish, name, open, owner, put_program,
+    shard_leader, start,
 };
 use hooklug_fleet::caller::{SessionRef, StreamEvent, Transcript, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessName};
@@ -70,7 +69,7 @@
     } else {
         fleet.restart(failed).await.unwrap();
     }
-    fleet.wait_ready(failed, LIMIT).await.unwrap();
+    fleet.wait_ready(failed, PATIENCE).await.unwrap();
     let whole = seen.end() == "finished" && seen.tokens() == TOKENS;
     (seen, whole)
 }
@@ -80,7 +79,7 @@
     let mut events: Vec<StreamEvent> = Vec::new();
     let begun = tokio::time::Instant::now();
     for gateway in 1.. {
-        assert!(begun.elapsed() < LIMIT, "the joined stream saw no end: {events:?}");
+        assert!(begun.elapsed() < PATIENCE, "the joined stream saw no end: {events:?}");
         let after = events.last().map_or(last, |event| Some(event.id));
         let Ok(mut stream) = caller.join(gateway, &session, after).await else {
             tokio::time::sleep(std::time::Duration::from_millis(100)).await;
@@ -106,7 +105,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_owner_fails_in_the_middle_of_a_turn() {
-    let fleet = Fleet::start(topology(3, 1)).await.unwrap();
+    let fleet = start(data_topology(3, 1)).await;
     for frozen in [false, true] {
         let session = session(&fleet, &format!("owner-{frozen}")).await;
         let owner = owner(&fleet, &caller(&fleet), &session).await;
@@ -114,14 +113,14 @@
         let (seen, whole) = disturbed_turn(&fleet, &session, failure).await;
         assert!(whole || seen.end() == "interrupted", "{}", seen.end());
         // A turn is sealed where its committed events end; it is not begun again elsewhere.
-        let generations = harness::generations(&fleet, &session, "t2");
+        let generations = crate::support::generations(&fleet, &session, "t2");
         assert_eq!(generations, 1, "the turn was generated {generations} times");
     }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_gateway_or_a_shards_leader_fails_in_the_middle_of_a_turn() {
-    let fleet = Fleet::start(topology(2, 1)).await.unwrap();
+    let fleet = start(data_topology(2, 1)).await;
     let of_gateway = session(&fleet, "gateway").await;
     let (seen, whole) = disturbed_turn(&fleet, &of_gateway, Failure::Kill(name("gateway:0"))).await;
     assert!(whole, "a gateway's end cost its turn: {}", seen.end());
--- a/crates/fleet/tests/genuine_answers.rs
+++ b/crates/fleet/tests/suite/genuine_answers.rs
@@ -3,12 +3,10 @@
 //! Catches a gateway or engine that trusts an answer cut short, one that belongs to another request, one
 //! that does not decode, or one of another service at a reused address.
 
-mod harness;
-
-use harness::{LIMIT, caller, check_text, fault, open, put_program};
+use crate::support::{PATIENCE, caller, check_text, fault, open, put_program, start};
 use hooklug_emulator::{FaultKind, FaultRule, Faults, LedgerEntry, Restart};
 use hooklug_fleet::caller::{CallAnswer, CallRequest, CallerError, TurnRequest};
-use hooklug_fleet::{Caller, Fleet, ProcessKind, Topology};
+use hooklug_fleet::{Caller, ProcessKind, Topology};
 use serde_json::json;
 
 const PROGRAM: &str = "frost";
@@ -16,7 +14,7 @@
 const STRANGER: &str = "stranger";
 
 fn topology() -> Topology {
-    let mut topology = harness::topology(2, 2);
+    let mut topology = crate::support::data_topology(2, 2);
     topology.applications = Topology::small().applications;
     topology
 }
@@ -31,7 +29,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_damaged_answer_of_an_application_is_never_shown() {
-    let fleet = Fleet::start(topology()).await.unwrap();
+    let fleet = start(topology()).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, 100).await;
     use FaultKind::{Cross, CutShort, Garble, LoseAnswer};
@@ -81,7 +79,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn another_service_at_a_reused_address_is_asked_nothing() {
-    let fleet = Fleet::start(topology()).await.unwrap();
+    let fleet = start(topology()).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, 1_000).await;
     for house in 0..10 {
@@ -128,14 +126,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_damaged_stream_of_a_model_server_never_ends_finished() {
-    let fleet = Fleet::start(topology()).await.unwrap();
+    let fleet = start(topology()).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, 10_000).await;
     use FaultKind::{Cross, CutShort, Garble, LoseAnswer};
     for kind in [LoseAnswer, CutShort, Cross, Garble] {
         let session = open(&caller, PROGRAM, &format!("s-{kind:?}").to_lowercase()).await;
         let whole = TurnRequest::new("whole", None, "[tokens 12]", 16);
-        let before = harness::finish(&caller, &session, &whole).await;
+        let before = crate::support::finish(&caller, &session, &whole).await;
         fault(&fleet, ProcessKind::Model, Some(FaultRule::always(kind))).await;
         let damaged = TurnRequest::new("damaged", Some("whole"), "[tokens 12]", 16);
         let shown = caller.run_turn(0, &session, &damaged).await.unwrap();
@@ -147,8 +145,8 @@
         if shown.tokens() > 0 {
             check_text(&fleet, &session, "damaged", &shown).await;
         }
-        fleet.wait_all_ready(LIMIT).await.unwrap();
+        fleet.wait_all_ready(PATIENCE).await.unwrap();
         let after = TurnRequest::new("after", Some("damaged"), "[tokens 12]", 16);
-        harness::finish(&caller, &session, &after).await;
+        crate::support::finish(&caller, &session, &after).await;
     }
 }
--- a/crates/fleet/tests/machines.rs
+++ b/crates/fleet/tests/suite/machines.rs
@@ -2,16 +2,14 @@
 
 use std::time::Duration;
 
+use crate::support::{MODEL, PATIENCE, TENANT, name, start};
 use hooklug_fleet::caller::{CallerError, SessionRef, TurnRequest};
-use hooklug_fleet::{Caller, Fleet, FleetError, ProcessKind, ProcessName, Topology};
+use hooklug_fleet::{Caller, Fleet, FleetError, ProcessKind, Topology};
 use hooklug_types::UnixMillis;
 use nix::errno::Errno;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
 
-const MODEL: &str = "advisor-7b";
-const READY_TIME: Duration = Duration::from_secs(60);
-
 /// A fleet with one of everything that the test needs not many of.
 fn topology() -> Topology {
     let mut topology = Topology::small();
@@ -22,12 +20,8 @@
     topology
 }
 
-fn name(text: &str) -> ProcessName {
-    text.parse().unwrap()
-}
-
 async fn session(fleet: &Fleet, program: &str) -> (Caller, SessionRef) {
-    let caller = Caller::new(fleet.gateways(), "serra-verde");
+    let caller = Caller::new(fleet.gateways(), TENANT);
     let end = UnixMillis::now().plus(Duration::from_secs(600));
     caller.put_program(0, program, 1_000, end.0).await.unwrap();
     let session = SessionRef::new(program, "s");
@@ -63,7 +57,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_is_left_behind_also_after_a_panic_and_of_frozen_processes() {
-    let fleet = Fleet::start(topology()).await.unwrap();
+    let fleet = start(topology()).await;
     let (ids, data) = (process_ids(&fleet), fleet.data().to_owned());
     assert_eq!(ids.len(), fleet.all_names().len());
     fleet.freeze(name("engine:0")).unwrap();
@@ -78,35 +72,35 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn sessions_go_on_while_stores_are_replaced_and_lose_their_disks() {
-    let fleet = Fleet::start(topology()).await.unwrap();
+    let fleet = start(topology()).await;
     let (caller, session) = session(&fleet, "p").await;
     run_turn(&caller, &session, "t1", None).await.unwrap();
     let before = fleet.http_address(name("store:1")).unwrap();
     fleet.replace(name("store:1")).await.unwrap();
     assert_ne!(before, fleet.http_address(name("store:1")).unwrap());
-    fleet.wait_ready(name("store:1"), READY_TIME).await.unwrap();
+    fleet.wait_ready(name("store:1"), PATIENCE).await.unwrap();
     run_turn(&caller, &session, "t2", Some("t1")).await.unwrap();
     fleet.lose_disk(name("store:1")).await.unwrap();
-    fleet.wait_ready(name("store:1"), READY_TIME).await.unwrap();
+    fleet.wait_ready(name("store:1"), PATIENCE).await.unwrap();
     run_turn(&caller, &session, "t3", Some("t2")).await.unwrap();
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_gateway_answers_again_when_woken() {
-    let fleet = Fleet::start(topology()).await.unwrap();
+    let fleet = start(topology()).await;
     let (caller, session) = session(&fleet, "p").await;
     fleet.freeze(name("gateway:0")).unwrap();
     assert_eq!(fleet.status().iter().filter(|p| p.state == "frozen").count(), 1);
-    let others = Caller::new(vec![fleet.gateway(1)], "serra-verde");
+    let others = Caller::new(vec![fleet.gateway(1)], TENANT);
     run_turn(&others, &session, "t1", None).await.unwrap();
     fleet.wake(name("gateway:0")).unwrap();
-    fleet.wait_ready(name("gateway:0"), READY_TIME).await.unwrap();
+    fleet.wait_ready(name("gateway:0"), PATIENCE).await.unwrap();
     run_turn(&caller, &session, "t2", Some("t1")).await.unwrap();
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_gateway_cut_off_is_unready_until_healed() {
-    let fleet = Fleet::start(topology()).await.unwrap();
+    let fleet = start(topology()).await;
     fleet.cut_off(name("gateway:0")).await.unwrap();
     let unready = fleet.wait_ready(name("gateway:0"), Duration::ZERO);
     let mut last = unready.await;
@@ -116,13 +110,13 @@
     }
     assert!(matches!(last, Err(FleetError::TimedOut { .. })), "{last:?}");
     fleet.heal().await.unwrap();
-    fleet.wait_ready(name("gateway:0"), READY_TIME).await.unwrap();
+    fleet.wait_ready(name("gateway:0"), PATIENCE).await.unwrap();
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn all_nodes_restart_in_turn_and_sessions_go_on() {
     use ProcessKind::{Core, Engine, Gateway, Store};
-    let fleet = Fleet::start(topology()).await.unwrap();
+    let fleet = start(topology()).await;
     let (caller, session) = session(&fleet, "p").await;
     run_turn(&caller, &session, "t1", None).await.unwrap();
     fleet.rolling_restart(&[Store, Core, Engine, Gateway]).await.unwrap();
@@ -131,7 +125,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_application_engine_can_be_added() {
-    let fleet = Fleet::start(topology()).await.unwrap();
+    let fleet = start(topology()).await;
     let group = fleet.topology().applications[0].clone();
     let added = fleet.add_application(&group).await.unwrap();
     assert_eq!(added, name("app:2"));
@@ -142,5 +136,5 @@
         let text = String::from_utf8_lossy(&answer.body).into_owned();
         if text.contains("app-2") { Ok(()) } else { Err(text) }
     };
-    fleet.wait_until("a gateway sees the new engine", READY_TIME, shown).await.unwrap();
+    fleet.wait_until("a gateway sees the new engine", PATIENCE, shown).await.unwrap();
 }
--- /dev/null
+++ b/crates/fleet/tests/suite/main.rs
@@ -0,0 +1,28 @@
+//! Tests of whole fleets: real processes, killed, frozen, cut off, replaced and restarted.
+//!
+//! One program, so that it is linked once and all its fleets share the machine; one file a promise or
+//! failure. `docs/TESTING.md` says which file shows which line of the users' list.
+
+#![deny(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod support;
+
+mod at_most_once_calls;
+mod bundle_races;
+mod bundle_spread;
+mod core_failures;
+mod demo;
+mod durable_bundles;
+mod engine_drain;
+mod gapless_streams;
+mod genuine_answers;
+mod machines;
+mod parsing;
+mod rolling_restart;
+mod single_owner;
+mod store_failures;
+mod token_budget;
+mod truthful_refusals;
+mod turn_lookup;
+mod version_harm;
--- a/crates/fleet/tests/rolling_restart.rs
+++ b/crates/fleet/tests/suite/rolling_restart.rs
@@ -3,18 +3,15 @@
 //! Catches: a machine that is ready before it can serve; a handover between turns that loses the session;
 //! a node that comes back with an older bundle; an answer or event lost with the process that held it; "no such turn" after a move; a call run anew.
 
-mod support;
-
+use crate::support::load::Load;
+use crate::support::{PATIENCE, control_topology, name, running_nodes, start, wait_installed};
 use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
 use hooklug_types::BundleVersion;
-use support::load::Load;
-use support::{PATIENCE, name, running_nodes, topology, turn_to_run, wait_installed};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn all_machines_restart_in_turn_under_load() {
     use ProcessKind::{Core, Engine, Gateway, Store};
-    let _turn = turn_to_run().await;
-    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let fleet = start(control_topology(3)).await;
     let load = Load::start(&fleet, 6).await;
     for kind in [Store, Core, Gateway, Engine] {
         fleet.rolling_restart(&[kind]).await.unwrap();
@@ -32,10 +29,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bundles_are_accepted_while_each_machine_is_killed_and_comes_back() {
-    let _turn = turn_to_run().await;
-    let mut small = topology(3);
+    let mut small = control_topology(3);
     (small.cores, small.models[0].engines) = (2, 1);
-    let fleet = Fleet::start(small).await.unwrap();
+    let fleet = start(small).await;
     let mut version = 1;
     for node in running_nodes(&fleet) {
         let at = if node == name("gateway:0") { name("gateway:1") } else { name("gateway:0") };
--- a/crates/fleet/tests/single_owner.rs
+++ b/crates/fleet/tests/suite/single_owner.rs
@@ -4,11 +4,11 @@
 //! Catches an owner that goes on by its own clock or cache after another has taken its session, a lease
 //! that is renewed after its expiry, and a core that acts on a view or leadership that is long gone.
 
-mod harness;
-
 use std::time::Duration;
 
-use harness::{LIMIT, caller, check_text, finish, open, owner, put_program, topology};
+use crate::support::{
+    PATIENCE, caller, check_text, data_topology, finish, open, owner, put_program, start,
+};
 use hooklug_fleet::caller::{SessionRef, SessionView, Transcript, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessName};
 
@@ -65,7 +65,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_silent_for_twenty_seconds_owns_and_releases_nothing_more() {
     for how in [Silence::Frozen, Silence::CutOff] {
-        let fleet = Fleet::start(topology(2, 1)).await.unwrap();
+        let fleet = start(data_topology(2, 1)).await;
         let caller = caller(&fleet);
         put_program(&caller, PROGRAM, 100_000).await;
         let silenced = silence(&fleet, &caller, "s", how).await;
@@ -99,7 +99,7 @@
                 "{how:?}: released though not committed: {event:?}"
             );
         }
-        fleet.wait_ready(silent, LIMIT).await.unwrap();
+        fleet.wait_ready(silent, PATIENCE).await.unwrap();
         let after: SessionView = caller.session(0, session).await.unwrap();
         assert_eq!(after, view, "{how:?}: the returned engine changed the session");
         assert_eq!(history(&caller, session).await, before);
@@ -112,9 +112,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_core_silent_for_twenty_seconds_changes_no_owner() {
-    let mut wanted = topology(2, 1);
+    let mut wanted = data_topology(2, 1);
     wanted.cores = 3;
-    let fleet = Fleet::start(wanted).await.unwrap();
+    let fleet = start(wanted).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, 100_000).await;
     let session = open(&caller, PROGRAM, "s").await;
@@ -132,12 +132,12 @@
     assert_ne!(leader, first, "a frozen core still leads");
     fleet.wake(first).unwrap();
     fleet.cut_off(leader).await.unwrap();
-    fleet.wait_ready(first, LIMIT).await.unwrap();
+    fleet.wait_ready(first, PATIENCE).await.unwrap();
     for _ in 0..3 {
         head = Some(turn(&caller, &session, head.take(), &mut number).await);
     }
     fleet.heal().await.unwrap();
-    fleet.wait_all_ready(LIMIT).await.unwrap();
+    fleet.wait_all_ready(PATIENCE).await.unwrap();
     turn(&caller, &session, head.take(), &mut number).await;
     let after = caller.session(1, &session).await.unwrap();
     assert_eq!((after.owner, after.epoch), (view.owner, view.epoch));
--- a/crates/fleet/tests/store_failures.rs
+++ b/crates/fleet/tests/suite/store_failures.rs
@@ -5,16 +5,14 @@
 //! wakes up and answers from a past state; a replacement that votes without the log; elections that never
 //! settle after one-way cuts; a call that may not be repeated run anew after a recovery.
 
-mod support;
-
 use std::time::Instant;
 
-use hooklug_fleet::{Fleet, ProcessKind, ProcessName};
-use support::load::Load;
-use support::repair::{node_id, wait_repaired};
-use support::{
-    PATIENCE, RETURN_BOUND, name, restart_all, topology, turn_to_run, whole_state_answers,
+use crate::support::load::Load;
+use crate::support::repair::{node_id, wait_repaired};
+use crate::support::{
+    PATIENCE, RETURN_BOUND, control_topology, name, restart_all, start, whole_state_answers,
 };
+use hooklug_fleet::{Fleet, ProcessKind, ProcessName};
 
 const SESSIONS: usize = 6;
 
@@ -34,8 +32,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn one_a_majority_and_all_stores_lose_power_under_load() {
-    let _turn = turn_to_run().await;
-    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let fleet = start(control_topology(3)).await;
     let load = Load::start(&fleet, SESSIONS).await;
     let stores = fleet.names(ProcessKind::Store);
     fleet.kill(stores[0]).unwrap();
@@ -54,8 +51,7 @@
 async fn a_store_freezes_and_wakes_and_links_fail_one_way() {
     /// How long the store is frozen (brief: twenty seconds).
     const FROZEN: std::time::Duration = std::time::Duration::from_secs(20);
-    let _turn = turn_to_run().await;
-    let fleet = Fleet::start(topology(3)).await.unwrap();
+    let fleet = start(control_topology(3)).await;
     let load = Load::start(&fleet, SESSIONS).await;
     let frozen = name("store:0");
     let until = Instant::now() + FROZEN;
@@ -88,8 +84,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn stores_are_replaced_at_new_and_at_the_same_addresses() {
-    let _turn = turn_to_run().await;
-    let fleet = Fleet::start(topology(4)).await.unwrap();
+    let fleet = start(control_topology(4)).await;
     let load = Load::start(&fleet, SESSIONS).await;
     let before = fleet.http_address(name("store:1")).unwrap();
     let lost = node_id(&fleet, name("store:1")).await.expect("in the view");
--- /dev/null
+++ b/crates/fleet/tests/suite/support/fleet.rs
@@ -0,0 +1,105 @@
+//! Fleets, as many at once as the machine carries.
+
+use std::ops::Deref;
+use std::sync::LazyLock;
+use std::time::Instant;
+
+use futures::future::try_join_all;
+use hooklug_fleet::{Fleet, FleetError, ProcessName, Topology};
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+/// Processors that a fleet of about fifteen processes needs, so that its timers run on time.
+const PROCESSORS_PER_FLEET: usize = 4;
+
+/// How many fleets run at once.
+static SHARES: LazyLock<usize> = LazyLock::new(|| {
+    let processors = std::thread::available_parallelism().map_or(1, usize::from);
+    (processors / PROCESSORS_PER_FLEET).max(1)
+});
+static MACHINE: LazyLock<Semaphore> = LazyLock::new(|| Semaphore::new(*SHARES));
+
+/// A running fleet that holds its share of the machine.
+#[derive(Debug)]
+pub struct TestFleet {
+    fleet: Fleet,
+    began: Instant,
+    // Last, so that the share is free once the processes have ended.
+    _share: SemaphorePermit<'static>,
+}
+
+impl Deref for TestFleet {
+    type Target = Fleet;
+
+    fn deref(&self) -> &Fleet {
+        &self.fleet
+    }
+}
+
+impl Drop for TestFleet {
+    /// Prints what the test took, without its wait for the machine.
+    fn drop(&mut self) {
+        let thread = std::thread::current();
+        println!("{} took {:.1?}", thread.name().unwrap_or("a test"), self.began.elapsed());
+    }
+}
+
+/// Waits until one more fleet may run.
+pub async fn share_of_the_machine() -> SemaphorePermit<'static> {
+    MACHINE.acquire().await.unwrap()
+}
+
+/// Starts a fleet once there is room for it.
+pub async fn start(topology: Topology) -> TestFleet {
+    launch(topology, share_of_the_machine().await).await
+}
+
+/// Starts a fleet beside which no other runs, for load that fills the machine.
+pub async fn start_alone(topology: Topology) -> TestFleet {
+    let all = u32::try_from(*SHARES).unwrap();
+    launch(topology, MACHINE.acquire_many(all).await.unwrap()).await
+}
+
+async fn launch(topology: Topology, share: SemaphorePermit<'static>) -> TestFleet {
+    let began = Instant::now();
+    TestFleet { fleet: Fleet::start(topology).await.unwrap(), began, _share: share }
+}
+
+/// For faults of stores and cores: three cores, two gateways, two engines, one application service of two.
+pub fn control_topology(stores: usize) -> Topology {
+    let mut topology = Topology::small();
+    topology.stores = stores;
+    topology.gateways = 2;
+    topology.models.truncate(1);
+    topology.models[0].engines = 2;
+    topology.applications.remove(0);
+    topology
+}
+
+/// For faults of back ends, engines and gateways: three stores, one core, two gateways, and one
+/// application service, whose calls may not be repeated.
+pub fn data_topology(engines: usize, applications: usize) -> Topology {
+    let mut topology = Topology::small();
+    topology.stores = 3;
+    topology.cores = 1;
+    topology.gateways = 2;
+    topology.models.truncate(1);
+    topology.models[0].engines = engines;
+    topology.applications.retain(|group| group.service.as_str() == "alarms");
+    topology.applications[0].engines = applications;
+    topology
+}
+
+/// All nodes that run.
+pub fn running_nodes(fleet: &Fleet) -> Vec<ProcessName> {
+    let nodes = fleet.all_names().into_iter().filter(|name| name.kind.is_node());
+    nodes.filter(|name| fleet.is_running(*name).unwrap()).collect()
+}
+
+pub fn pid(fleet: &Fleet, name: ProcessName) -> Option<u32> {
+    fleet.status().into_iter().find(|status| status.name == name)?.pid
+}
+
+/// Starts processes again, all at the same moment.
+pub async fn restart_all(fleet: &Fleet, names: &[ProcessName]) -> Result<(), FleetError> {
+    try_join_all(names.iter().map(|name| fleet.restart(*name))).await.map(drop)
+}
--- /dev/null
+++ b/crates/fleet/tests/suite/support/mod.rs
@@ -0,0 +1,35 @@
+//! What the tests share: fleets, requests, evidence, and a load that remembers what was acknowledged.
+
+mod evidence;
+mod fleet;
+pub mod load;
+pub mod repair;
+mod requests;
+mod state;
+
+use std::time::Duration;
+
+use hooklug_fleet::ProcessName;
+
+pub use evidence::{check_text, fault, generations, runs, runs_at, slow, wait_for_run};
+pub use fleet::{
+    TestFleet, control_topology, data_topology, pid, restart_all, running_nodes,
+    share_of_the_machine, start, start_alone,
+};
+pub use requests::{alarm, caller, finish, open, owner, put_program};
+pub use state::{read_current, shard_leader, wait_installed, whole_state_answers};
+
+/// Longest wait for a condition; generous, since it bounds no promise.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// Bound on the way back after machines return (brief: about 12 s).
+pub const RETURN_BOUND: Duration = Duration::from_secs(12);
+/// Bound on an acknowledged bundle's way into force (brief: about 2 s).
+pub const IN_FORCE_BOUND: Duration = Duration::from_secs(2);
+/// The tenant of all requests.
+pub const TENANT: &str = "serra-verde";
+/// The model that sessions ask for.
+pub const MODEL: &str = "advisor-7b";
+
+pub fn name(text: &str) -> ProcessName {
+    text.parse().unwrap()
+}
--- /dev/null
+++ b/crates/fleet/tests/suite/support/state.rs
@@ -0,0 +1,88 @@
+//! What the fleet's nodes show of its state.
+
+use std::time::Duration;
+
+use futures::future::try_join_all;
+use hooklug_fleet::caller::CallerError;
+use hooklug_fleet::http::{Ask, HttpClient};
+use hooklug_fleet::{Caller, Fleet, ProcessKind, ProcessName};
+use hooklug_types::{BundleVersion, UnixMillis, shard_of};
+use serde_json::Value;
+
+use super::{PATIENCE, TENANT};
+
+/// Waits until a node has at least this version in force.
+pub async fn wait_installed(fleet: &Fleet, name: ProcessName, version: u64) {
+    let what = format!("{name} has version {version} in force");
+    let look = || async move {
+        match fleet.installed_bundle(name).await {
+            Ok(installed) if installed >= BundleVersion(version) => Ok(()),
+            other => Err(format!("{other:?}")),
+        }
+    };
+    fleet.wait_until(&what, PATIENCE, look).await.unwrap();
+}
+
+/// The newest bundle, once a quorum answers.
+pub async fn read_current(fleet: &Fleet, at: ProcessName) -> hooklug_fleet::ReadBundle {
+    let look =
+        || async move { fleet.current_bundle(at).await.map(drop).map_err(|e| e.to_string()) };
+    fleet.wait_until("the newest bundle is read", PATIENCE, look).await.unwrap();
+    fleet.current_bundle(at).await.unwrap()
+}
+
+async fn admin(fleet: &Fleet, path: &str) -> Result<Value, String> {
+    let ask = Ask::new(http::Method::GET, path);
+    let answer = HttpClient::default().ask(fleet.gateway(0), &ask).await;
+    answer.and_then(|answer| answer.json()).map_err(|error| error.to_string())
+}
+
+/// The store that leads the shard of a program.
+pub async fn shard_leader(fleet: &Fleet, program: &str) -> ProcessName {
+    let group = shard_of(program).to_string();
+    let found = std::sync::Mutex::new(None);
+    let look = || async {
+        let shards = admin(fleet, "/admin/v1/shards").await?;
+        let members = admin(fleet, "/admin/v1/members").await?;
+        let shard = array(&shards).iter().find(|shard| shard["group"] == group.as_str());
+        let leader = shard.map(|shard| shard["leader"].clone()).unwrap_or_default();
+        let member = array(&members).iter().find(|member| member["node"] == leader);
+        let http = member.and_then(|member| member["http"].as_str());
+        let mut stores = fleet.names(ProcessKind::Store).into_iter();
+        let store =
+            stores.find(|s| Some(fleet.http_address(*s).unwrap().to_string().as_str()) == http);
+        *found.lock().unwrap() = store;
+        store.map(drop).ok_or_else(|| format!("group {group} in {shards}, {members}"))
+    };
+    fleet.wait_until("a shard has a leader", PATIENCE, look).await.unwrap();
+    found.into_inner().unwrap().unwrap()
+}
+
+fn array(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
+
+/// One new program in each shard; unique by `word`.
+fn programs_of_all_shards(word: &str) -> Vec<String> {
+    let mut found = std::collections::BTreeMap::new();
+    for number in 0.. {
+        let program = format!("{word}-{number}");
+        found.entry(shard_of(&program)).or_insert(program);
+        if found.len() as u64 == u64::from(hooklug_types::SHARD_COUNT) {
+            break;
+        }
+    }
+    found.into_values().collect()
+}
+
+/// Writes to every shard and reads the newest bundle: returns once all have answered.
+pub async fn whole_state_answers(fleet: &Fleet, word: &str) -> Result<(), CallerError> {
+    let caller = Caller::new(fleet.gateways(), TENANT);
+    let end = UnixMillis::now().plus(Duration::from_secs(600));
+    let programs = programs_of_all_shards(word);
+    let puts = programs.iter().map(|program| caller.put_program(0, program, 10, end.0));
+    try_join_all(puts).await?;
+    let gateway = fleet.names(ProcessKind::Gateway)[0];
+    read_current(fleet, gateway).await;
+    Ok(())
+}
--- a/crates/fleet/tests/token_budget.rs
+++ b/crates/fleet/tests/suite/token_budget.rs
@@ -4,12 +4,12 @@
 //! Catches a budget that is counted in memory, a reservation that is lost or settled twice in a takeover,
 //! and tokens that were streamed and are not booked.
 
-mod harness;
-
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
-use harness::{LIMIT, caller, check_text, open, owner, put_program, topology};
+use crate::support::{
+    PATIENCE, caller, check_text, data_topology, open, owner, put_program, start,
+};
 use hooklug_fleet::caller::{SessionRef, Transcript, TurnRequest};
 use hooklug_fleet::{Caller, Fleet};
 
@@ -55,12 +55,12 @@
         let now = total(streamed);
         if now >= tokens { Ok(()) } else { Err(format!("{now} of {tokens} tokens")) }
     };
-    fleet.wait_until("tokens are streamed", LIMIT, look).await.unwrap();
+    fleet.wait_until("tokens are streamed", PATIENCE, look).await.unwrap();
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_budget_is_exact_over_many_engines_their_ends_and_a_restart_of_everything() {
-    let fleet = Fleet::start(topology(3, 1)).await.unwrap();
+    let fleet = start(data_topology(3, 1)).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, BUDGET).await;
     let streamed = Streamed::default();
@@ -87,7 +87,7 @@
     for node in &nodes {
         fleet.restart(*node).await.unwrap();
     }
-    fleet.wait_all_ready(LIMIT).await.unwrap();
+    fleet.wait_all_ready(PATIENCE).await.unwrap();
     while let Some(ended) = sessions.join_next().await {
         ended.unwrap();
     }
--- a/crates/fleet/tests/truthful_refusals.rs
+++ b/crates/fleet/tests/suite/truthful_refusals.rs
@@ -4,12 +4,12 @@
 //! Catches a "not run" that rests on anything but a committed seal (a dispatch can race it), a seal or
 //! refusal that is forgotten over a restart, and a turn refused at one engine and run at another.
 
-mod harness;
-
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use harness::{LIMIT, alarm, caller, open, owner, put_program, runs, shard_leader, topology};
+use crate::support::{
+    PATIENCE, alarm, caller, data_topology, open, owner, put_program, runs, shard_leader, start,
+};
 use hooklug_emulator::LedgerEntry;
 use hooklug_fleet::caller::{CallAnswer, CallRequest, CallView, CallerError, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessKind};
@@ -44,7 +44,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_said_not_to_have_run_never_runs() {
-    let fleet = Fleet::start(topology(1, 2)).await.unwrap();
+    let fleet = start(data_topology(1, 2)).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, 100).await;
     let mut sealed = BTreeSet::new();
@@ -74,7 +74,7 @@
     let leader = shard_leader(&fleet, PROGRAM).await;
     fleet.restart(leader).await.unwrap();
     fleet.restart("gateway:0".parse().unwrap()).await.unwrap();
-    fleet.wait_all_ready(LIMIT).await.unwrap();
+    fleet.wait_all_ready(PATIENCE).await.unwrap();
     for call in &sealed {
         let request = alarm(call.trim_start_matches("call-").parse().unwrap());
         for gateway in 0..2 {
@@ -103,7 +103,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_turn_refused_for_its_budget_never_runs() {
-    let fleet = Fleet::start(topology(2, 1)).await.unwrap();
+    let fleet = start(data_topology(2, 1)).await;
     let caller = caller(&fleet);
     put_program(&caller, PROGRAM, 60).await;
     // Sessions on both engines race for the budget's last tokens.
--- a/crates/fleet/tests/turn_lookup.rs
+++ b/crates/fleet/tests/suite/turn_lookup.rs
@@ -4,12 +4,10 @@
 //! Catches a history that lives in an engine or gateway, an answer from a store that lags behind or has
 //! not caught up after its restart, and an absence claimed while the shard can't be reached.
 
-mod harness;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use harness::{LIMIT, caller, finish, open, put_program, topology};
+use crate::support::{PATIENCE, caller, data_topology, finish, open, put_program, start};
 use hooklug_fleet::caller::{SessionRef, Transcript, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, ProcessKind, ProcessName};
 
@@ -76,12 +74,12 @@
     for name in names {
         fleet.restart(*name).await.unwrap();
     }
-    fleet.wait_all_ready(LIMIT).await.unwrap();
+    fleet.wait_all_ready(PATIENCE).await.unwrap();
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_finished_turn_is_always_found() {
-    let fleet = Fleet::start(topology(2, 1)).await.unwrap();
+    let fleet = start(data_topology(2, 1)).await;
     let caller = caller(&fleet);
     let mut known = Vec::new();
     for program in PROGRAMS {
--- a/crates/fleet/tests/version_harm.rs
+++ b/crates/fleet/tests/suite/version_harm.rs
@@ -5,20 +5,21 @@
 //! before; one that compares a version under load with an idle one; gateways that go on sending to a version
 //! rolled back; an outage of all versions taken for the newest one's fault.
 
-mod support;
-
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use crate::support::load::Load;
+use crate::support::{
+    MODEL, PATIENCE, TENANT, TestFleet, control_topology, name, read_current, start_alone,
+    wait_installed,
+};
 use hooklug_bundle::Bundle;
 use hooklug_emulator::{FaultKind, FaultRule, Faults, LedgerEntry, Restart};
 use hooklug_fleet::caller::{CallRequest, SessionRef, TurnRequest};
 use hooklug_fleet::{Caller, Fleet, Harm, ModelGroup, ProcessKind, ProcessName, Tool, Verdict};
 use hooklug_types::{BundleVersion, ServiceVersion, UnixMillis};
 use serde_json::json;
-use support::load::Load;
-use support::{MODEL, PATIENCE, TENANT, name, read_current, topology, turn_to_run, wait_installed};
 use tokio::task::JoinHandle;
 
 /// Bound on a bad version's traffic after clear harm (brief: about 5 s).
@@ -100,7 +101,7 @@
 
 /// A fleet whose application service runs `v1` on two engines and a newer version on two.
 struct Release {
-    fleet: Fleet,
+    fleet: TestFleet,
     calls: Arc<Calls>,
     tasks: Vec<JoinHandle<()>>,
     version: u64,
@@ -109,7 +110,7 @@
 
 impl Release {
     async fn start() -> Self {
-        let mut topology = topology(3);
+        let mut topology = control_topology(3);
         topology.cores = 2;
         topology.models[0].engines = 1;
         let tool = |name: &str| Tool { name: name.to_owned(), may_repeat: true, urgent: false };
@@ -117,7 +118,7 @@
         let mut newer = topology.applications[0].clone();
         newer.version = ServiceVersion::new("v2").unwrap();
         topology.applications.push(newer);
-        let fleet = Fleet::start(topology).await.unwrap();
+        let fleet = start_alone(topology).await;
         let calls =
             Arc::new(Calls { busy: AtomicUsize::new(CALLERS), stop: AtomicBool::new(false) });
         let caller = Caller::new(fleet.gateways(), TENANT);
@@ -226,7 +227,6 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn harmful_versions_of_an_application_service_lose_their_traffic() {
-    let _turn = turn_to_run().await;
     let mut release = Release::start().await;
     let newer = release.newer_engines();
 
@@ -265,7 +265,6 @@
     const WATCHED: Duration = Duration::from_secs(10);
     /// Calls at each version while it suffers.
     const CALLS: usize = 600;
-    let _turn = turn_to_run().await;
     let mut release = Release::start().await;
     release.release(2).await;
     let all = release.fleet.names(ProcessKind::App);
@@ -309,10 +308,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_harmful_version_of_a_model_service_gets_no_more_sessions() {
-    let _turn = turn_to_run().await;
-    let mut topology = topology(3);
+    let mut topology = control_topology(3);
     topology.cores = 2;
-    let fleet = Fleet::start(topology).await.unwrap();
+    let fleet = start_alone(topology).await;
     let load = Load::start(&fleet, 4).await;
     let group = ModelGroup {
         version: ServiceVersion::new("v2").unwrap(),
