state: a frozen copy of a machine shares what it does not change

Ruled out: a plain clone (it copies all events), and one shared pointer a program (the first write to the longest program would copy 600,000 events). Change: programs, sessions, full chunks of 256 events, minutes of the expiry queue and the archive's records and sections are behind Arc; StateMachine::freeze copies pointers only, and the bytes are encoded where it is called. The two noted machines of a store are one generic type now.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -11,4 +11,4 @@
 pub mod meta;
 pub mod shard;
 
-pub use machine::{MachineError, StateMachine, decode, encode};
+pub use machine::{FrozenState, MachineError, StateMachine, decode, encode};
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -15,6 +15,10 @@
     },
 }
 
+/// A copy of a state that gives the state's snapshot when called, in any thread. Making it is cheap, as it shares
+/// what the machine does not change any more.
+pub type FrozenState = Box<dyn FnOnce() -> Vec<u8> + Send>;
+
 /// A deterministic state machine over encoded commands. No I/O, no clock, no randomness.
 pub trait StateMachine: Send + 'static {
     /// Applies one encoded command and returns the encoded reply.
@@ -32,6 +36,9 @@
     /// The whole state, encoded.
     fn snapshot(&self) -> Vec<u8>;
 
+    /// The state as it is now, to be encoded elsewhere: the bytes are those of [`StateMachine::snapshot`].
+    fn freeze(&self) -> FrozenState;
+
     /// Replaces the state by a snapshot.
     ///
     /// # Errors
--- a/crates/state/src/meta/archive.rs
+++ b/crates/state/src/meta/archive.rs
@@ -1,6 +1,7 @@
 //! The last bundles. Versions share sections of the same digest.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use hooklug_bundle::{Bundle, BundleHeader};
 use hooklug_types::{BundleVersion, Digest};
@@ -14,14 +15,14 @@
 /// A section's bytes and how many kept versions hold it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct SharedSection {
-    bytes: Vec<u8>,
+    bytes: Arc<Vec<u8>>,
     holders: u32,
 }
 
-/// Records of the last [`KEPT_VERSIONS`] bundles and the sections that they are made of.
+/// Records of the last [`KEPT_VERSIONS`] bundles and the sections that they are made of. A copy shares both.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(super) struct BundleArchive {
-    records: BTreeMap<BundleVersion, BundleRecord>,
+    records: BTreeMap<BundleVersion, Arc<BundleRecord>>,
     sections: BTreeMap<Digest, SharedSection>,
 }
 
@@ -32,10 +33,10 @@
             let shared = self
                 .sections
                 .entry(Digest::of(&bytes))
-                .or_insert(SharedSection { bytes, holders: 0 });
+                .or_insert_with(|| SharedSection { bytes: bytes.into(), holders: 0 });
             shared.holders += 1;
         }
-        self.records.insert(record.version, record);
+        self.records.insert(record.version, record.into());
         while self.records.len() > KEPT_VERSIONS {
             let Some((_, oldest)) = self.records.pop_first() else { break };
             oldest.sections.values().for_each(|digest| self.release(digest));
@@ -52,7 +53,7 @@
 
     /// The record of a version.
     pub(super) fn record(&self, version: BundleVersion) -> Option<&BundleRecord> {
-        self.records.get(&version)
+        self.records.get(&version).map(AsRef::as_ref)
     }
 
     /// A version's content.
@@ -70,16 +71,16 @@
     /// A version's record and canonical bytes.
     pub(super) fn bytes(&self, version: BundleVersion) -> Option<(BundleRecord, Vec<u8>)> {
         let bundle = self.bundle(version)?;
-        Some((self.records.get(&version)?.clone(), hooklug_bundle::canonical_bytes(&bundle)))
+        Some((self.record(version)?.clone(), hooklug_bundle::canonical_bytes(&bundle)))
     }
 
     /// A section's bytes.
     pub(super) fn section(&self, digest: &Digest) -> Option<Vec<u8>> {
-        self.sections.get(digest).map(|s| s.bytes.clone())
+        self.sections.get(digest).map(|s| s.bytes.to_vec())
     }
 
     /// The last records, newest first.
     pub(super) fn newest_records(&self, limit: u32) -> Vec<BundleRecord> {
-        self.records.values().rev().take(limit as usize).cloned().collect()
+        self.records.values().rev().take(limit as usize).map(|r| r.as_ref().clone()).collect()
     }
 }
--- a/crates/state/src/meta/machine.rs
+++ b/crates/state/src/meta/machine.rs
@@ -6,7 +6,7 @@
 use super::archive::BundleArchive;
 use super::command::{MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply};
 use super::record::{CoreLeader, MetaState};
-use crate::{MachineError, StateMachine, decode, encode};
+use crate::{FrozenState, MachineError, StateMachine, decode, encode};
 
 /// What a command comes to: a reply, or a refusal.
 pub(super) type Outcome = Result<MetaReply, MetaRefusal>;
@@ -134,6 +134,11 @@
         encode(&self.state)
     }
 
+    fn freeze(&self) -> FrozenState {
+        let state = self.state.clone();
+        Box::new(move || encode(&state))
+    }
+
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), MachineError> {
         self.state = decode("meta snapshot", snapshot)?;
         Ok(())
--- a/crates/state/src/shard/calls.rs
+++ b/crates/state/src/shard/calls.rs
@@ -104,7 +104,7 @@
     ) {
         let item = ExpiryItem::Call(program.clone(), call.clone());
         if let Some(former) = former {
-            self.state.expiry.remove(&(former, item.clone()));
+            self.state.expiry.remove(former, item.clone());
         }
         self.schedule(expires, item);
     }
--- a/crates/state/src/shard/events.rs
+++ b/crates/state/src/shard/events.rs
@@ -20,7 +20,7 @@
         first_seq: EventSeq,
         bodies: Vec<EventBody>,
     ) -> Outcome {
-        let session = self.program_mut(&key.program)?.session_mut(&key.session)?;
+        let session = self.session_mut(key)?;
         session.check_epoch(epoch)?;
         if session.has_all(first_seq, turn, &bodies) {
             return Ok(ShardReply::Appended { next_seq: session.record.next_seq });
@@ -37,17 +37,20 @@
         after: EventSeq,
         limit: u32,
     ) -> ShardAnswer {
-        let all = self.find_session(key).map(|s| s.log.after(after)).unwrap_or_default();
         let mut bytes = 0;
         let mut events: Vec<Event> = Vec::new();
-        for event in all.iter().take(limit as usize) {
+        let Some(session) = self.find_session(key) else {
+            return ShardAnswer::Events { events, more: false };
+        };
+        for event in session.log.after(after).take(limit as usize) {
             bytes += event.body.text_bytes();
             if bytes > ANSWER_BYTES && !events.is_empty() {
                 break;
             }
             events.push(event.clone());
         }
-        let more = events.len() < all.len();
+        let known = after.0.saturating_add(events.len() as u64);
+        let more = known < session.log.len() as u64;
         ShardAnswer::Events { events, more }
     }
 }
--- a/crates/state/src/shard/expiry.rs
+++ b/crates/state/src/shard/expiry.rs
@@ -1,11 +1,18 @@
 //! The group's clock and what it makes forgotten, a bounded number of items a step.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
 use hooklug_types::{CallId, ProgramId, SessionKey, TurnId, UnixMillis};
 use serde::{Deserialize, Serialize};
 
 use super::command::ShardReply;
 use super::machine::ShardMachine;
 
+/// Time whose items share one part of the queue, in milliseconds (ours): what a write after a frozen copy
+/// was taken may have to copy.
+const SLOT_MILLIS: u64 = 60_000;
+
 /// Items forgotten in one step of the clock at most (ours); the others wait for the next step.
 pub const ITEMS_PER_STEP: usize = 256;
 
@@ -22,40 +29,70 @@
     Program(ProgramId),
 }
 
+/// What is forgotten and when, in order. A copy shares its slots.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(super) struct ExpiryQueue {
+    slots: BTreeMap<u64, Arc<BTreeSet<(UnixMillis, ExpiryItem)>>>,
+}
+
+impl ExpiryQueue {
+    /// Adds an item that is due at `at`.
+    pub(super) fn insert(&mut self, at: UnixMillis, item: ExpiryItem) {
+        let slot = self.slots.entry(at.0 / SLOT_MILLIS).or_default();
+        Arc::make_mut(slot).insert((at, item));
+    }
+
+    /// Takes an item out again.
+    pub(super) fn remove(&mut self, at: UnixMillis, item: ExpiryItem) {
+        let number = at.0 / SLOT_MILLIS;
+        let Some(slot) = self.slots.get_mut(&number) else { return };
+        Arc::make_mut(slot).remove(&(at, item));
+        if slot.is_empty() {
+            self.slots.remove(&number);
+        }
+    }
+
+    /// Takes the first item that is due.
+    fn pop_due(&mut self, now: UnixMillis) -> Option<ExpiryItem> {
+        let mut slot = self.slots.first_entry()?;
+        slot.get().first().filter(|(at, _)| *at <= now)?;
+        let items = Arc::make_mut(slot.get_mut());
+        let due = items.pop_first().map(|(_, item)| item);
+        if items.is_empty() {
+            slot.remove();
+        }
+        due
+    }
+}
+
 impl ShardMachine {
     /// Moves the clock on, never back, and forgets what is due.
     pub(super) fn advance_clock(&mut self, now: UnixMillis) -> ShardReply {
         if now > self.state.clock {
             self.state.clock = now;
             for _ in 0..ITEMS_PER_STEP {
-                let Some(item) = self.pop_due() else { break };
+                let Some(item) = self.state.expiry.pop_due(now) else { break };
                 self.forget(item);
             }
         }
         ShardReply::Done
     }
 
-    fn pop_due(&mut self) -> Option<ExpiryItem> {
-        let due = self.state.expiry.first().is_some_and(|(at, _)| *at <= self.state.clock);
-        if due { self.state.expiry.pop_first().map(|(_, item)| item) } else { None }
-    }
-
     fn forget(&mut self, item: ExpiryItem) {
         match item {
             ExpiryItem::Turn(key, turn) => {
-                let program = self.state.programs.get_mut(&key.program);
-                if let Some(session) = program.and_then(|p| p.sessions.get_mut(&key.session)) {
+                if let Ok(session) = self.session_mut(&key) {
                     session.turns.remove(&turn);
                 }
             }
             ExpiryItem::Call(program, call) => {
-                if let Some(program) = self.state.programs.get_mut(&program) {
+                if let Ok(program) = self.program_mut(&program) {
                     program.calls.remove(&call);
                 }
             }
             ExpiryItem::Session(key) => {
-                let program = self.state.programs.get_mut(&key.program);
-                if let Some(session) = program.and_then(|p| p.sessions.remove(&key.session)) {
+                let Ok(program) = self.program_mut(&key.program) else { return };
+                if let Some(session) = program.sessions.remove(&key.session) {
                     self.state.epoch_floor = self.state.epoch_floor.max(session.record.epoch);
                 }
             }
--- a/crates/state/src/shard/machine.rs
+++ b/crates/state/src/shard/machine.rs
@@ -1,6 +1,7 @@
 //! The shard's state machine: the state, the dispatch of commands and reads, and snapshots.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use hooklug_types::{
@@ -11,11 +12,11 @@
 
 use super::command::{ShardCommand, ShardRefusal, ShardReply};
 use super::event_log::EventLog;
-use super::expiry::ExpiryItem;
+use super::expiry::{ExpiryItem, ExpiryQueue};
 use super::query::{
     CallRecord, LeaseRecord, ProgramRecord, SessionRecord, ShardAnswer, ShardQuery, TurnRecord,
 };
-use crate::{MachineError, StateMachine, decode, encode};
+use crate::{FrozenState, MachineError, StateMachine, decode, encode};
 
 /// What a command comes to: a reply, or a refusal.
 pub(super) type Outcome = Result<ShardReply, ShardRefusal>;
@@ -24,7 +25,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct ProgramEntry {
     pub record: ProgramRecord,
-    pub sessions: BTreeMap<SessionId, SessionEntry>,
+    pub sessions: BTreeMap<SessionId, Arc<SessionEntry>>,
     pub calls: BTreeMap<CallId, CallEntry>,
     /// When something of it last ended, by the group's clock; it is forgotten no sooner than the keep time later.
     pub last_ended: UnixMillis,
@@ -47,14 +48,15 @@
     pub expires: Option<UnixMillis>,
 }
 
-/// All of a shard's state; what a snapshot holds.
+/// All of a shard's state; what a snapshot holds. A copy shares programs, sessions, full chunks of events and
+/// parts of the expiry queue; the machine copies one of them when it first writes to it afterwards.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(super) struct ShardState {
     pub clock: UnixMillis,
-    pub programs: BTreeMap<ProgramId, ProgramEntry>,
+    pub programs: BTreeMap<ProgramId, Arc<ProgramEntry>>,
     /// Expired leases stay: expiry is for ever.
     pub leases: BTreeMap<EngineIncarnation, LeaseRecord>,
-    pub expiry: BTreeSet<(UnixMillis, ExpiryItem)>,
+    pub expiry: ExpiryQueue,
     /// Highest epoch of any forgotten session: one that is opened anew never repeats an epoch.
     pub epoch_floor: SessionEpoch,
 }
@@ -148,7 +150,7 @@
     }
 
     pub(super) fn find_session(&self, key: &SessionKey) -> Option<&SessionEntry> {
-        self.state.programs.get(&key.program)?.sessions.get(&key.session)
+        self.state.programs.get(&key.program)?.sessions.get(&key.session).map(AsRef::as_ref)
     }
 
     /// The program that a command names.
@@ -156,12 +158,20 @@
         &mut self,
         program: &ProgramId,
     ) -> Result<&mut ProgramEntry, ShardRefusal> {
-        self.state.programs.get_mut(program).ok_or(ShardRefusal::NoProgram)
+        self.state.programs.get_mut(program).map(Arc::make_mut).ok_or(ShardRefusal::NoProgram)
+    }
+
+    /// The session that a command names.
+    pub(super) fn session_mut(
+        &mut self,
+        key: &SessionKey,
+    ) -> Result<&mut SessionEntry, ShardRefusal> {
+        self.program_mut(&key.program)?.session_mut(&key.session)
     }
 
     /// Marks an item to be forgotten at `at`.
     pub(super) fn schedule(&mut self, at: UnixMillis, item: ExpiryItem) {
-        self.state.expiry.insert((at, item));
+        self.state.expiry.insert(at, item);
     }
 
     /// When something that ends now is forgotten.
@@ -176,7 +186,7 @@
         &mut self,
         session: &SessionId,
     ) -> Result<&mut SessionEntry, ShardRefusal> {
-        self.sessions.get_mut(session).ok_or(ShardRefusal::NoSession)
+        self.sessions.get_mut(session).map(Arc::make_mut).ok_or(ShardRefusal::NoSession)
     }
 }
 
@@ -195,6 +205,11 @@
         encode(&self.state)
     }
 
+    fn freeze(&self) -> FrozenState {
+        let state = self.state.clone();
+        Box::new(move || encode(&state))
+    }
+
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), MachineError> {
         self.state = decode("shard snapshot", snapshot)?;
         Ok(())
--- a/crates/state/src/shard/programs.rs
+++ b/crates/state/src/shard/programs.rs
@@ -36,7 +36,7 @@
             calls: BTreeMap::new(),
             last_ended: self.state.clock,
         };
-        self.state.programs.insert(put.program, entry);
+        self.state.programs.insert(put.program, entry.into());
         ShardReply::Program(record)
     }
 }
--- a/crates/state/src/shard/sessions.rs
+++ b/crates/state/src/shard/sessions.rs
@@ -17,10 +17,10 @@
     pub(super) fn open_session(&mut self, open: OpenSession) -> Outcome {
         let first_epoch = self.state.epoch_floor.next();
         let program = self.program_mut(&open.key.program)?;
-        let Some(session) = program.sessions.get_mut(&open.key.session) else {
+        let Ok(session) = program.session_mut(&open.key.session) else {
             let entry = SessionEntry::opened(open, first_epoch);
             let record = entry.record.clone();
-            program.sessions.insert(record.key.session.clone(), entry);
+            program.sessions.insert(record.key.session.clone(), entry.into());
             return Ok(ShardReply::Session(record));
         };
         if session.record.closed {
@@ -37,8 +37,7 @@
     /// Takes a session over; an open turn is sealed `interrupted`. That the former owner's lease has
     /// expired is the taker's word: the lease lives in another shard, where its expiry is committed.
     pub(super) fn take_session(&mut self, take: TakeSession) -> Outcome {
-        let program = self.program_mut(&take.key.program)?;
-        let session = program.session_mut(&take.key.session)?;
+        let session = self.session_mut(&take.key)?;
         let record = &session.record;
         let taken_already = record.epoch == take.expected_epoch.next()
             && record.owner.as_ref() == Some(&take.new_owner);
@@ -52,7 +51,7 @@
             return Err(record.stale());
         }
         self.seal_open_turn(&take.key)?;
-        let session = self.program_mut(&take.key.program)?.session_mut(&take.key.session)?;
+        let session = self.session_mut(&take.key)?;
         session.record.owner = Some(take.new_owner);
         session.record.version = take.version;
         session.record.epoch = session.record.epoch.next();
@@ -61,7 +60,7 @@
 
     /// Ends a session's open turn, if there is one, as `interrupted`.
     pub(super) fn seal_open_turn(&mut self, key: &SessionKey) -> Result<(), ShardRefusal> {
-        let session = self.program_mut(&key.program)?.session_mut(&key.session)?;
+        let session = self.session_mut(key)?;
         match session.record.open_turn.clone() {
             Some(turn) => self.end_turn(key, &turn, EndReason::Interrupted).map(drop),
             None => Ok(()),
@@ -70,7 +69,7 @@
 
     /// Gives a session up between turns.
     pub(super) fn hand_over(&mut self, key: &SessionKey, epoch: SessionEpoch) -> Outcome {
-        let session = self.program_mut(&key.program)?.session_mut(&key.session)?;
+        let session = self.session_mut(key)?;
         let record = &mut session.record;
         if record.closed {
             return Err(ShardRefusal::SessionClosed);
--- a/crates/state/src/shard/turns.rs
+++ b/crates/state/src/shard/turns.rs
@@ -1,11 +1,13 @@
 //! Turns: each follows the head, holds a reservation while it is open, and ends once.
 
+use std::sync::Arc;
+
 use hooklug_types::{EndReason, EventSeq, SessionKey, TokenCount, TurnId};
 
 use super::command::{BeginTurn, FinishTurn, ShardRefusal, ShardReply, TurnGrant};
 use super::event::EventBody;
 use super::expiry::ExpiryItem;
-use super::machine::{Outcome, SessionEntry, ShardMachine};
+use super::machine::{Outcome, ProgramEntry, SessionEntry, ShardMachine};
 use super::query::{TurnRecord, TurnState};
 
 impl ShardMachine {
@@ -13,19 +15,20 @@
     pub(super) fn begin_turn(&mut self, begin: BeginTurn) -> Outcome {
         let clock = self.state.clock;
         let program = self.program_mut(&begin.key.program)?;
-        let session =
-            program.sessions.get_mut(&begin.key.session).ok_or(ShardRefusal::NoSession)?;
+        let ProgramEntry { record: program_record, sessions, last_ended, .. } = program;
+        let session = sessions.get_mut(&begin.key.session).ok_or(ShardRefusal::NoSession)?;
+        let session = Arc::make_mut(session);
         session.check_epoch(begin.epoch)?;
         if let Some(existing) = session.turns.get(&begin.turn) {
             return existing.answer_resend(&begin);
         }
         session.check_may_begin(&begin)?;
-        match program.record.reserve(begin.max_tokens, clock) {
+        match program_record.reserve(begin.max_tokens, clock) {
             Ok(reserved) => Ok(ShardReply::Turn(session.start_turn(begin, reserved))),
             Err(refusal @ ShardRefusal::BudgetReserved) => Err(refusal),
             Err(refusal) => {
                 session.record_refused(&begin, refusal.clone());
-                program.last_ended = clock;
+                *last_ended = clock;
                 let item = ExpiryItem::Turn(begin.key, begin.turn);
                 self.schedule(self.keep_until(), item);
                 Err(refusal)
@@ -35,7 +38,7 @@
 
     /// Ends the open turn. Asked again, replies with the turn as it ended first.
     pub(super) fn finish_turn(&mut self, finish: &FinishTurn) -> Outcome {
-        let session = self.program_mut(&finish.key.program)?.session_mut(&finish.key.session)?;
+        let session = self.session_mut(&finish.key)?;
         session.check_epoch(finish.epoch)?;
         if session.record.open_turn.as_ref() == Some(&finish.turn) {
             let ended = self.end_turn(&finish.key, &finish.turn, finish.reason.clone())?;
@@ -59,7 +62,7 @@
         let clock = self.state.clock;
         let forgotten = self.keep_until();
         let program = self.program_mut(&key.program)?;
-        let session = program.sessions.get_mut(&key.session).ok_or(ShardRefusal::NoSession)?;
+        let session = program.session_mut(&key.session)?;
         let ended = session.end_turn(turn, reason)?;
         program.record.settle(ended.reserved, ended.tokens);
         program.last_ended = clock;
--- /dev/null
+++ b/crates/state/tests/frozen.rs
@@ -0,0 +1,76 @@
+//! Frozen copies of a shard, and the parts of it that they share.
+
+mod common;
+
+use common::*;
+use hooklug_state::shard::{EventLog, ShardCommand, ShardMachine};
+use hooklug_state::{StateMachine, decode, encode};
+use hooklug_types::EventSeq;
+use proptest::prelude::*;
+
+/// Events beyond two chunks of the log.
+const MANY_EVENTS: u64 = 600;
+
+fn filled() -> ShardMachine {
+    let mut shard = ShardMachine::new(KEEP);
+    shard.accepted(put(u64::MAX));
+    shard.accepted(open("s", "e1"));
+    shard.accepted(begin(1, "t1", None, MANY_EVENTS * 2));
+    shard.accepted(begin_call("a", "x"));
+    shard
+}
+
+/// Commands that write to every part of the state that a copy shares.
+fn writes(first_seq: u64) -> Vec<ShardCommand> {
+    vec![
+        append(1, Some("t1"), first_seq, vec![tokens(1); 300]),
+        finish(1, "t1"),
+        finish_call("a", answered("done")),
+        open("x", "e2"),
+        close(1),
+        at(END + KEEP_MS),
+        at(END + 3 * KEEP_MS),
+    ]
+}
+
+#[test]
+fn a_frozen_copy_is_the_state_as_it_was_whatever_is_written_afterwards() {
+    let mut shard = filled();
+    let mut kept = Vec::new();
+    for command in writes(2) {
+        kept.push((shard.snapshot(), shard.freeze()));
+        shard.apply_command(command);
+    }
+    for (snapshot, frozen) in kept {
+        assert!(frozen() == snapshot);
+    }
+}
+
+#[test]
+fn a_machine_restored_from_a_frozen_copy_goes_on_as_the_one_that_gave_it() {
+    let mut one = filled();
+    one.accepted(append(1, Some("t1"), 2, vec![tokens(1); MANY_EVENTS as usize]));
+    let mut two = ShardMachine::new(KEEP);
+    two.restore(&one.freeze()()).unwrap();
+    for command in writes(MANY_EVENTS + 2) {
+        assert_eq!(one.apply_command(command.clone()), two.apply_command(command));
+        assert_eq!(one.digest(), two.digest());
+    }
+}
+
+proptest! {
+    #[test]
+    fn a_log_in_chunks_reads_as_a_plain_list(count in 0_u64..MANY_EVENTS, after in 0_u64..700) {
+        let mut log = EventLog::default();
+        for number in 0..count {
+            prop_assert_eq!(log.push(None, tokens(number)), EventSeq(number + 1));
+        }
+        let log: EventLog = decode("log", &encode(&log)).unwrap();
+        let found: Vec<u64> = log.after(EventSeq(after)).map(|event| event.seq.0).collect();
+        prop_assert_eq!(found, (after + 1..=count).collect::<Vec<_>>());
+        prop_assert_eq!(log.next_seq(), EventSeq(count + 1));
+        let last = [tokens(count.saturating_sub(1))];
+        prop_assert_eq!(log.repeats(EventSeq(count), None, &last), count > 0);
+        prop_assert!(!log.repeats(EventSeq(count + 1), None, &last));
+    }
+}
--- a/crates/store/src/observed.rs
+++ b/crates/store/src/observed.rs
@@ -8,10 +8,11 @@
 
 use hooklug_state::meta::{MetaCommand, MetaMachine, MetaReply};
 use hooklug_state::shard::{ShardCommand, ShardMachine, ShardReply};
-use hooklug_state::{MachineError, StateMachine, decode, encode};
+use hooklug_state::{FrozenState, MachineError, StateMachine, decode, encode};
 use hooklug_types::{
     Digest, EngineIncarnation, FencingEpoch, GroupId, META_GROUP, Renewal, UnixMillis,
 };
+use serde::{Serialize, de::DeserializeOwned};
 
 /// A renewal and when it was applied here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -122,58 +123,82 @@
     pub(crate) fn machine(&self, group: GroupId, keep: Duration) -> Box<dyn StateMachine> {
         let notes = self.of(group).cloned().unwrap_or_default();
         if group == META_GROUP {
-            Box::new(ObservedMeta { machine: MetaMachine::new(), notes })
+            Box::new(Observed { machine: MetaMachine::new(), notes })
         } else {
-            Box::new(ObservedShard { machine: ShardMachine::new(keep), notes })
+            Box::new(Observed { machine: ShardMachine::new(keep), notes })
         }
     }
 }
 
-struct ObservedShard {
-    machine: ShardMachine,
-    notes: Arc<GroupNotes>,
+/// A state machine whose commands leave notes.
+trait NotedMachine: StateMachine {
+    type Command: DeserializeOwned;
+    type Reply: Serialize;
+    /// What a command is called when it does not decode.
+    const COMMAND: &str;
+
+    fn apply_command(&mut self, command: Self::Command) -> Self::Reply;
+    fn clock(&self) -> UnixMillis;
+    fn is_clock_step(command: &Self::Command) -> bool;
+    fn note(notes: &GroupNotes, reply: &Self::Reply);
 }
 
-impl StateMachine for ObservedShard {
-    fn apply(&mut self, command: &[u8]) -> Result<Vec<u8>, MachineError> {
-        let command: ShardCommand = decode("shard command", command)?;
-        let is_clock_step = matches!(command, ShardCommand::AdvanceClock { .. });
-        let reply = self.machine.apply_command(command);
-        self.notes.note_engine(&reply);
-        self.notes.note_step(self.machine.clock(), is_clock_step);
-        Ok(encode(&reply))
+impl NotedMachine for ShardMachine {
+    type Command = ShardCommand;
+    type Reply = ShardReply;
+    const COMMAND: &str = "shard command";
+
+    fn apply_command(&mut self, command: ShardCommand) -> ShardReply {
+        self.apply_command(command)
     }
 
-    fn query(&self, query: &[u8]) -> Result<Vec<u8>, MachineError> {
-        self.machine.query(query)
+    fn clock(&self) -> UnixMillis {
+        self.clock()
     }
 
-    fn snapshot(&self) -> Vec<u8> {
-        self.machine.snapshot()
+    fn is_clock_step(command: &ShardCommand) -> bool {
+        matches!(command, ShardCommand::AdvanceClock { .. })
     }
 
-    fn restore(&mut self, snapshot: &[u8]) -> Result<(), MachineError> {
-        self.machine.restore(snapshot)?;
-        self.notes.note_step(self.machine.clock(), true);
-        Ok(())
+    fn note(notes: &GroupNotes, reply: &ShardReply) {
+        notes.note_engine(reply);
     }
+}
 
-    fn digest(&self) -> Digest {
-        self.machine.digest()
+impl NotedMachine for MetaMachine {
+    type Command = MetaCommand;
+    type Reply = MetaReply;
+    const COMMAND: &str = "meta command";
+
+    fn apply_command(&mut self, command: MetaCommand) -> MetaReply {
+        self.apply_command(command)
+    }
+
+    fn clock(&self) -> UnixMillis {
+        self.clock()
+    }
+
+    fn is_clock_step(command: &MetaCommand) -> bool {
+        matches!(command, MetaCommand::AdvanceClock { .. })
+    }
+
+    fn note(notes: &GroupNotes, reply: &MetaReply) {
+        notes.note_core_leader(reply);
     }
 }
 
-struct ObservedMeta {
-    machine: MetaMachine,
+/// A state machine with the notes of its group.
+struct Observed<M> {
+    machine: M,
     notes: Arc<GroupNotes>,
 }
 
-impl StateMachine for ObservedMeta {
+impl<M: NotedMachine> StateMachine for Observed<M> {
     fn apply(&mut self, command: &[u8]) -> Result<Vec<u8>, MachineError> {
-        let command: MetaCommand = decode("meta command", command)?;
-        let is_clock_step = matches!(command, MetaCommand::AdvanceClock { .. });
+        let command = decode(M::COMMAND, command)?;
+        let is_clock_step = M::is_clock_step(&command);
         let reply = self.machine.apply_command(command);
-        self.notes.note_core_leader(&reply);
+        M::note(&self.notes, &reply);
         self.notes.note_step(self.machine.clock(), is_clock_step);
         Ok(encode(&reply))
     }
@@ -186,6 +211,10 @@
         self.machine.snapshot()
     }
 
+    fn freeze(&self) -> FrozenState {
+        self.machine.freeze()
+    }
+
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), MachineError> {
         self.machine.restore(snapshot)?;
         self.notes.note_step(self.machine.clock(), true);
