replication: commands that wait together share a log entry

Cause: each command had an entry, a record, a map node and a task item of its own, copied four times on its way. perf on commit_bench (load average 24) was flat: 58 % runtime workers, 17 % log writer, 14 % driver, 10 % appliers; task switches and allocation lead. Change: a leader gathers commands while a round is under way and joins them into entries of at most 64 KiB and 1,024 commands, each with its own reply; membership changes and empty entries stay apart. Entries share their bytes. Commands that were gathered but not appended when the leader loses its place are told so (not leader), joined ones in flight stay uncertain. The bench prints an rpc round trip, the single client's verdict, growth and processor time a commit. Tests: order, replies one for one, bounds, a lost place, damaged entries.

--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -1,5 +1,6 @@
 //! A leader's side: proposals, appends and their answers, heartbeats, commit, reads.
 
+use bytes::Bytes;
 use hooklug_types::NodeId;
 
 use crate::error::ProposeError;
@@ -18,9 +19,9 @@
     ///
     /// # Errors
     /// [`ProposeError`]; nothing was appended then.
-    pub fn propose(&mut self, command: Vec<u8>) -> Result<LogPosition, ProposeError> {
+    pub fn propose(&mut self, command: impl Into<Bytes>) -> Result<LogPosition, ProposeError> {
         self.check_can_propose()?;
-        Ok(self.append_own(EntryKind::Command(command)))
+        Ok(self.append_own(EntryKind::Command(command.into())))
     }
 
     /// Asks for a linearizable read. The answer comes in [`crate::Ready::reads`], or the context
--- a/crates/raft/src/message.rs
+++ b/crates/raft/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use bytes::Bytes;
 use hooklug_types::NodeId;
 use serde::{Deserialize, Serialize};
 
@@ -21,8 +22,9 @@
 pub enum EntryKind {
     /// A new leader's first entry.
     Noop,
-    /// A command of the state machine.
-    Command(Vec<u8>),
+    /// What the shell proposed; shared, since one entry goes to the log, to each replica and to the
+    /// state machine.
+    Command(Bytes),
     /// A membership change; at most one is under way.
     ConfChange(ConfChange),
 }
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -194,6 +194,21 @@
         self.log.compact(index)
     }
 
+    /// Drops the entries that a snapshot at an applied index covers, but for the last ones: as many of them
+    /// as both bounds allow stay for replicas that lag a little.
+    ///
+    /// # Errors
+    /// [`RaftError::NotApplied`] when the index is beyond the applied one.
+    pub fn compact_behind(
+        &mut self,
+        index: u64,
+        kept_entries: u64,
+        kept_bytes: usize,
+    ) -> Result<SnapshotMeta, RaftError> {
+        let start = self.log.start_of_last(index, kept_entries, kept_bytes);
+        self.log.compact(start)
+    }
+
     /// What a snapshot of the state machine covers now.
     #[must_use]
     pub fn snapshot_meta(&self) -> SnapshotMeta {
--- a/crates/raft/src/raft_log.rs
+++ b/crates/raft/src/raft_log.rs
@@ -270,6 +270,23 @@
         Ok(base)
     }
 
+    /// Index before the last entries up to `index`: as many as both bounds allow.
+    #[must_use]
+    pub fn start_of_last(&self, index: u64, max_entries: u64, max_bytes: usize) -> u64 {
+        let lowest = index.saturating_sub(max_entries);
+        let (mut start, mut bytes) = (index, 0);
+        while start > lowest
+            && let Some(entry) = self.entry(start)
+        {
+            bytes += entry_bytes(entry);
+            if bytes > max_bytes {
+                break;
+            }
+            start -= 1;
+        }
+        start
+    }
+
     /// What a snapshot at an index covers; for a compacted index that of the log's own base.
     #[must_use]
     pub fn meta_at(&self, index: u64) -> SnapshotMeta {
--- a/crates/raft/src/simulation/shell.rs
+++ b/crates/raft/src/simulation/shell.rs
@@ -157,6 +157,6 @@
 /// Whether an entry is a client's write proposed after a call number; never without one.
 fn is_call_after(entry: &Entry, call: Option<u64>) -> bool {
     let EntryKind::Command(command) = &entry.kind else { return false };
-    let number = command.as_slice().try_into().map(u64::from_le_bytes);
+    let number = command.as_ref().try_into().map(u64::from_le_bytes);
     matches!((number, call), (Ok(number), Some(call)) if number > call)
 }
--- a/crates/raft/tests/suite/common.rs
+++ b/crates/raft/tests/suite/common.rs
@@ -120,7 +120,7 @@
     pub fn commands(&self, id: u64) -> Vec<Vec<u8>> {
         let applied = self.applied.get(&id).into_iter().flatten();
         let command = |entry: &Entry| match &entry.kind {
-            EntryKind::Command(command) => Some(command.clone()),
+            EntryKind::Command(command) => Some(command.to_vec()),
             EntryKind::Noop | EntryKind::ConfChange(_) => None,
         };
         applied.filter_map(command).collect()
--- a/crates/raft/tests/suite/odd_messages.rs
+++ b/crates/raft/tests/suite/odd_messages.rs
@@ -19,7 +19,7 @@
     let entry = (small(), small()).prop_map(|(term, index)| Entry {
         term,
         index,
-        kind: EntryKind::Command(vec![1]),
+        kind: EntryKind::Command(vec![1].into()),
     });
     proptest::collection::vec(entry, 0..4)
 }
--- a/crates/raft/tests/suite/raft_log.rs
+++ b/crates/raft/tests/suite/raft_log.rs
@@ -1,7 +1,7 @@
 //! The log against a plain list that does the same in the simplest way.
 
 use crate::common::voters;
-use hooklug_raft::raft_log::RaftLog;
+use hooklug_raft::raft_log::{RaftLog, entry_bytes};
 use hooklug_raft::{ConfChange, Entry, EntryKind, SnapshotMeta};
 use hooklug_types::NodeId;
 use proptest::prelude::*;
@@ -185,3 +185,18 @@
         prop_assert_eq!(log.last_index(), 0);
     }
 }
+
+#[test]
+fn the_last_entries_that_stay_are_bounded_in_number_and_in_bytes() {
+    let base = SnapshotMeta { index: 0, term: 0, conf: voters(&[1]) };
+    let mut log = RaftLog::new(base, Vec::new()).expect("an empty log");
+    for _ in 0..10 {
+        log.append(1, EntryKind::Command(vec![0; 100].into()));
+    }
+    let one = entry_bytes(log.entry(log.last_index()).unwrap());
+    let last = log.last_index();
+    assert_eq!(log.start_of_last(last, 3, usize::MAX), last - 3);
+    assert_eq!(log.start_of_last(last, u64::MAX, 4 * one), last - 4);
+    assert_eq!(log.start_of_last(last, 3, one - 1), last, "not even one");
+    assert_eq!(log.start_of_last(last, u64::MAX, usize::MAX), last - 10, "no more than there are");
+}
--- a/crates/replication/src/applier.rs
+++ b/crates/replication/src/applier.rs
@@ -12,7 +12,7 @@
 
 use crate::compaction::SnapshotJob;
 use crate::input::Input;
-use crate::{ConfirmedRead, Proposal, ReadWaiter, ReplicaDigest, ReplicationError};
+use crate::{ConfirmedRead, Proposal, ReadWaiter, ReplicaDigest, ReplicationError, split};
 
 /// One task of an applier, for one group.
 pub(crate) enum ApplyTask {
@@ -28,7 +28,7 @@
     Answer { reads: Vec<ReadWaiter>, leading_since: Instant },
     /// Answers from the state as it is, however old.
     AnswerLocal { query: Vec<u8>, reply: oneshot::Sender<Result<Vec<u8>, ReplicationError>> },
-    /// Writes a snapshot of the state.
+    /// Has a snapshot of the state as it is written by the snapshot thread.
     Snapshot,
     /// Tells the digest of the state.
     Digest(oneshot::Sender<ReplicaDigest>),
@@ -93,8 +93,8 @@
                 drop(reply.send(applied.query(&query)));
             }
             ApplyTask::Snapshot => {
-                let (meta, data) = (applied.meta.clone(), applied.machine.snapshot());
-                let _ = self.snapshots.send(SnapshotJob::Write { group, meta, data });
+                let (meta, state) = (applied.meta.clone(), applied.machine.freeze());
+                let _ = self.snapshots.send(SnapshotJob::Write { group, meta, state });
             }
             ApplyTask::Digest(reply) => {
                 let (applied, digest) = (applied.meta.index, applied.machine.digest());
@@ -107,19 +107,22 @@
 
 impl Applied {
     fn apply(&mut self, proposal: Proposal) -> Result<(), MachineError> {
-        let Proposal { entry, reply } = proposal;
-        let result = match &entry.kind {
-            EntryKind::Command(command) => self.machine.apply(command)?,
+        let Proposal { entry, replies } = proposal;
+        let mut replies = replies.into_iter();
+        let mut answer = |result| replies.next().map(|reply| reply.send(Ok(result)));
+        match &entry.kind {
+            EntryKind::Command(joined) => {
+                for command in split(joined) {
+                    answer(self.machine.apply(command?)?);
+                }
+            }
             EntryKind::ConfChange(change) => {
                 self.meta.conf = self.meta.conf.with(*change);
-                Vec::new()
+                answer(Vec::new());
             }
-            EntryKind::Noop => Vec::new(),
-        };
-        (self.meta.index, self.meta.term) = (entry.index, entry.term);
-        if let Some(reply) = reply {
-            drop(reply.send(Ok(result)));
+            EntryKind::Noop => {}
         }
+        (self.meta.index, self.meta.term) = (entry.index, entry.term);
         Ok(())
     }
 
--- a/crates/replication/src/compaction.rs
+++ b/crates/replication/src/compaction.rs
@@ -1,9 +1,10 @@
-//! The thread that writes and removes snapshot files, so that neither consensus nor applying waits
+//! The thread that encodes, writes and removes snapshots, so that neither consensus nor applying waits
 //! for them.
 
 use std::sync::mpsc::{Receiver, Sender};
 
 use hooklug_raft::SnapshotMeta;
+use hooklug_state::FrozenState;
 use hooklug_types::GroupId;
 use hooklug_wal::SnapshotStore;
 use tracing::warn;
@@ -13,7 +14,7 @@
 /// One task of the snapshot thread.
 pub(crate) enum SnapshotJob {
     /// Writes a snapshot of the own state.
-    Write { group: GroupId, meta: SnapshotMeta, data: Vec<u8> },
+    Write { group: GroupId, meta: SnapshotMeta, state: FrozenState },
     /// Removes what covers less than an index; the log names a newer one.
     RemoveBefore { group: GroupId, index: u64 },
 }
@@ -22,7 +23,8 @@
 pub(crate) fn run(store: &SnapshotStore, jobs: &Receiver<SnapshotJob>, driver: &Sender<Input>) {
     while let Ok(job) = jobs.recv() {
         match job {
-            SnapshotJob::Write { group, meta, data } => {
+            SnapshotJob::Write { group, meta, state } => {
+                let data = state();
                 let input = match store.write(group, meta.index, &data) {
                     Ok(()) => Input::SnapshotWritten { group, meta, bytes: data.len() as u64 },
                     Err(error) => Input::Failed { reason: error.to_string() },
--- a/crates/replication/src/driver.rs
+++ b/crates/replication/src/driver.rs
@@ -119,7 +119,7 @@
                 }
             }
             Input::Propose { group, command, reply } => match self.replica(group) {
-                Ok(replica) => replica.propose(command, reply),
+                Ok(replica) => replica.propose(&command, reply),
                 Err(error) => drop(reply.send(Err(error))),
             },
             Input::ChangeMembers { group, change, reply } => match self.replica(group) {
--- a/crates/replication/src/input.rs
+++ b/crates/replication/src/input.rs
@@ -6,10 +6,7 @@
 use hooklug_wal::WalError;
 use tokio::sync::oneshot;
 
-use crate::{ReadWaiter, ReplicationError};
-
-/// Where the answer to a proposal goes.
-pub(crate) type Reply = oneshot::Sender<Result<Vec<u8>, ReplicationError>>;
+use crate::{ReadWaiter, ReplicationError, Reply};
 
 /// One input of the driver.
 pub(crate) enum Input {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -11,16 +11,24 @@
 use hooklug_types::{GroupId, NodeId};
 use hooklug_wal::Record;
 
-use crate::input::Reply;
-use crate::{Proposal, ReadWaiter, ReplicationError, Round};
+use crate::joined::{Gathered, JoinedEntry};
+use crate::{Proposal, ReadWaiter, ReplicationError, Reply, Round, split};
 
 /// Bytes of commands after which a group takes a snapshot, however few they are (ours).
 const SNAPSHOT_LOG_BYTES: u64 = 32 << 20;
 
+/// Bytes of entries that stay in memory behind a snapshot at most (ours).
+const TRAILING_LOG_BYTES: usize = 8 << 20;
+/// Commands that may wait for their results at one leader (ours).
+const MAX_WAITING_COMMANDS: usize = 65_536;
+/// Bytes of commands that may wait for the sync under way (ours); a single command may be longer.
+const MAX_GATHERED_BYTES: usize = 64 << 20;
+
+/// An entry of this leader that is not committed yet.
 #[derive(Debug)]
-struct PendingProposal {
+struct PendingEntry {
     term: u64,
-    reply: Reply,
+    replies: Vec<Reply>,
 }
 
 /// One replica of one group.
@@ -30,7 +38,12 @@
     node: RawNode,
     /// The newest hard state that was handed out.
     hard_state: HardState,
-    proposals: BTreeMap<u64, PendingProposal>,
+    /// Commands that came since the last round began; they are not in the log.
+    gathered: Gathered,
+    /// Entries whose results are waited for, by index.
+    pending: BTreeMap<u64, PendingEntry>,
+    /// Results that are waited for, of both.
+    waiting: usize,
     /// Reads that wait for their round, by context.
     unconfirmed: BTreeMap<u64, Vec<ReadWaiter>>,
     /// Reads that wait for entries up to an index.
@@ -47,6 +60,8 @@
     snapshot_bytes: u64,
     /// Bytes of commands handed to the state machine since the snapshot.
     log_bytes: u64,
+    /// Commands, and entries without any, handed to the state machine since the snapshot.
+    log_commands: u64,
     leading_since: Option<Instant>,
     /// Messages that wait for the sync under way; `None` when none is.
     after_sync: Option<Vec<Message>>,
@@ -65,7 +80,9 @@
             group,
             node,
             hard_state,
-            proposals: BTreeMap::new(),
+            gathered: Gathered::default(),
+            pending: BTreeMap::new(),
+            waiting: 0,
             unconfirmed: BTreeMap::new(),
             confirmed: Vec::new(),
             arrived: Vec::new(),
@@ -75,6 +92,7 @@
             snapshotting: false,
             snapshot_bytes: 0,
             log_bytes: 0,
+            log_commands: 0,
             leading_since: None,
             after_sync: None,
         }
@@ -103,37 +121,70 @@
         self.node.report_snapshot(to, sent);
     }
 
-    /// A command; its result or an error goes to `reply`.
-    pub fn propose(&mut self, command: Vec<u8>, reply: Reply) {
-        let position = self.node.propose(command);
-        self.wait_for(position, reply);
+    /// A command; its result or an error goes to `reply`. Commands that come while a round is under way
+    /// share the entries of the next one.
+    pub fn propose(&mut self, command: &[u8], reply: Reply) {
+        if self.node.role() != Role::Leader {
+            drop(reply.send(Err(self.not_leader())));
+        } else if self.is_full(command) {
+            drop(reply.send(Err(ReplicationError::Busy("too many commands wait".to_owned()))));
+        } else {
+            self.waiting += 1;
+            self.gathered.push(command, reply);
+        }
+    }
+
+    fn is_full(&self, command: &[u8]) -> bool {
+        let bytes = self.gathered.bytes() + command.len();
+        let has_no_bytes_left = !self.gathered.is_empty() && bytes > MAX_GATHERED_BYTES;
+        self.waiting >= MAX_WAITING_COMMANDS || has_no_bytes_left
     }
 
     /// A membership change; `reply` gets empty bytes once it is committed.
     pub fn change_members(&mut self, change: ConfChange, reply: Reply) {
+        self.append_gathered();
+        self.waiting += 1;
         let position = self.node.propose_conf_change(change);
-        self.wait_for(position, reply);
+        self.wait_for(position, vec![reply]);
     }
 
-    fn wait_for(&mut self, position: Result<LogPosition, ProposeError>, reply: Reply) {
+    /// Puts what was gathered into the log, in order.
+    fn append_gathered(&mut self) {
+        while let Some(JoinedEntry { bytes, replies }) = self.gathered.pop() {
+            let position = self.node.propose(bytes);
+            self.wait_for(position, replies);
+        }
+    }
+
+    fn wait_for(&mut self, position: Result<LogPosition, ProposeError>, replies: Vec<Reply>) {
         match position {
             Ok(LogPosition { term, index }) => {
-                let pending = PendingProposal { term, reply };
-                if let Some(lost) = self.proposals.insert(index, pending) {
-                    drop(lost.reply.send(Err(ReplicationError::Uncertain)));
+                if let Some(lost) = self.pending.insert(index, PendingEntry { term, replies }) {
+                    self.fail(lost.replies, &ReplicationError::Uncertain);
                 }
             }
-            Err(error) => drop(reply.send(Err(error.into()))),
+            Err(error) => self.fail(replies, &error.into()),
+        }
+    }
+
+    /// Answers those who wait for one entry with an error.
+    fn fail(&mut self, replies: Vec<Reply>, error: &ReplicationError) {
+        self.waiting -= replies.len();
+        for reply in replies {
+            drop(reply.send(Err(error.clone())));
         }
     }
 
+    fn not_leader(&self) -> ReplicationError {
+        ReplicationError::NotLeader { leader: self.node.leader() }
+    }
+
     /// A linearizable read; all reads of one cycle share a round.
     pub fn read(&mut self, read: ReadWaiter) {
         if self.node.role() == Role::Leader {
             self.arrived.push(read);
         } else {
-            let leader = self.node.leader();
-            drop(read.reply.send(Err(ReplicationError::NotLeader { leader })));
+            drop(read.reply.send(Err(self.not_leader())));
         }
     }
 
@@ -153,7 +204,11 @@
     /// The next round of work, if there is any and none is under way.
     pub fn round(&mut self, now: Instant) -> Option<Round> {
         self.start_reads();
-        if self.after_sync.is_some() || !self.node.has_ready() {
+        if self.after_sync.is_some() {
+            return None;
+        }
+        self.append_gathered();
+        if !self.node.has_ready() {
             return None;
         }
         let ready = self.node.ready();
@@ -180,11 +235,12 @@
         if let Some(snapshot) = &ready.snapshot {
             self.handed_over = snapshot.meta.index;
             self.snapshot = Some(snapshot.meta.clone());
+            (self.log_bytes, self.log_commands) = (0, 0);
         }
         let committed = ready.committed.into_iter().map(|entry| self.commit(entry)).collect();
         for context in ready.reads_lost {
             let reads = self.unconfirmed.remove(&context).unwrap_or_default();
-            fail_reads(reads, &ReplicationError::NotLeader { leader: self.node.leader() });
+            fail_reads(reads, &self.not_leader());
         }
         for read in ready.reads {
             let waiters = self.unconfirmed.remove(&read.context).unwrap_or_default();
@@ -221,18 +277,25 @@
     fn commit(&mut self, entry: Entry) -> Proposal {
         self.handed_over = entry.index;
         match &entry.kind {
-            EntryKind::Command(command) => self.log_bytes += command.len() as u64,
-            EntryKind::ConfChange(change) => drop(self.node.apply_conf_change(*change)),
-            EntryKind::Noop => {}
+            EntryKind::Command(joined) => {
+                self.log_bytes += joined.len() as u64;
+                self.log_commands += split(joined).count() as u64;
+            }
+            EntryKind::ConfChange(change) => {
+                self.node.apply_conf_change(*change);
+                self.log_commands += 1;
+            }
+            EntryKind::Noop => self.log_commands += 1,
         }
-        let Some(pending) = self.proposals.remove(&entry.index) else {
-            return Proposal { entry, reply: None };
+        let Some(PendingEntry { term, replies }) = self.pending.remove(&entry.index) else {
+            return Proposal { entry, replies: Vec::new() };
         };
-        if pending.term != entry.term {
-            drop(pending.reply.send(Err(ReplicationError::Uncertain)));
-            return Proposal { entry, reply: None };
+        if term != entry.term {
+            self.fail(replies, &ReplicationError::Uncertain);
+            return Proposal { entry, replies: Vec::new() };
         }
-        Proposal { entry, reply: Some(pending.reply) }
+        self.waiting -= replies.len();
+        Proposal { entry, replies }
     }
 
     fn due_reads(&mut self) -> Vec<ReadWaiter> {
@@ -257,32 +320,41 @@
         }
         self.leading_since = leads.then_some(now);
         if !leads {
+            // What is not in the log can be sent to the next leader at once.
+            let error = self.not_leader();
+            self.fail_gathered(&error);
             self.fail_waiting(&ReplicationError::Uncertain);
         }
     }
 
-    /// Answers all proposals and new reads with an error.
+    fn fail_gathered(&mut self, error: &ReplicationError) {
+        while let Some(entry) = self.gathered.pop() {
+            self.fail(entry.replies, error);
+        }
+    }
+
+    /// Answers all commands, membership changes and new reads with an error.
     pub fn fail_waiting(&mut self, error: &ReplicationError) {
-        for (_, pending) in std::mem::take(&mut self.proposals) {
-            drop(pending.reply.send(Err(error.clone())));
+        self.fail_gathered(error);
+        for (_, pending) in std::mem::take(&mut self.pending) {
+            self.fail(pending.replies, error);
         }
         fail_reads(std::mem::take(&mut self.arrived), error);
     }
 
-    /// Whether enough was applied since the last snapshot to take another: so many entries, or more bytes
+    /// Whether enough was applied since the last snapshot to take another: so many commands, or more bytes
     /// than both a fixed amount and the last snapshot, so that a large state is not written too often.
     #[must_use]
-    pub fn wants_snapshot(&self, snapshot_entries: u64) -> bool {
-        let covered = self.snapshot.as_ref().map_or(0, |meta| meta.index);
-        let entries = self.handed_over.saturating_sub(covered);
+    pub fn wants_snapshot(&self, snapshot_commands: u64) -> bool {
         let is_large = self.log_bytes >= SNAPSHOT_LOG_BYTES.max(self.snapshot_bytes);
-        !self.snapshotting && (entries >= snapshot_entries || (is_large && entries > 0))
+        let is_long = self.log_commands >= snapshot_commands;
+        !self.snapshotting && self.log_commands > 0 && (is_long || is_large)
     }
 
     /// Notes that a snapshot of the state was asked for.
     pub fn begin_snapshot(&mut self) {
         self.snapshotting = true;
-        self.log_bytes = 0;
+        (self.log_bytes, self.log_commands) = (0, 0);
     }
 
     /// Notes that a snapshot of the state is durable and drops the entries that it covers, but for
@@ -299,7 +371,7 @@
             return None;
         }
         // Applied when the round that held the entries is advanced; until then it stays whole.
-        let _ = self.node.compact(meta.index.saturating_sub(trailing));
+        let _ = self.node.compact_behind(meta.index, trailing, TRAILING_LOG_BYTES);
         self.snapshot = Some(meta.clone());
         Some(Record::Snapshot(meta))
     }
--- a/crates/replication/src/round.rs
+++ b/crates/replication/src/round.rs
@@ -9,13 +9,16 @@
 
 use crate::{ConfirmedRead, ReplicationError};
 
-/// A committed entry and who waits for its result.
+/// Where the answer to a command or a membership change goes.
+pub type Reply = oneshot::Sender<Result<Vec<u8>, ReplicationError>>;
+
+/// A committed entry and who waits for its results.
 #[derive(Debug)]
 pub struct Proposal {
     /// The entry.
     pub entry: Entry,
-    /// Gets the state machine's reply.
-    pub reply: Option<oneshot::Sender<Result<Vec<u8>, ReplicationError>>>,
+    /// One for each command of the entry, in order; none when nobody waits here.
+    pub replies: Vec<Reply>,
 }
 
 /// A read and who waits for its answer.
--- /dev/null
+++ b/crates/replication/tests/joined.rs
@@ -0,0 +1,204 @@
+//! Commands that share an entry: their order, their replies, their bounds, and a leader that loses its place.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use hooklug_raft::{
+    ConfChange, ConfState, Config, Entry, EntryKind, HardState, Message, MessageBody, RawNode,
+    Restored, SnapshotMeta,
+};
+use hooklug_replication::{
+    MAX_JOINED_BYTES, MAX_JOINED_COMMANDS, Proposal, Replica, ReplicationError, Round, split,
+};
+use hooklug_types::{GroupId, NodeId};
+use proptest::prelude::*;
+use tokio::sync::oneshot::{self, error::TryRecvError};
+
+type Answer = oneshot::Receiver<Result<Vec<u8>, ReplicationError>>;
+
+const OWN: NodeId = NodeId(1);
+const OTHER: NodeId = NodeId(2);
+
+/// A replica that leads a group of these voters.
+fn leader(voters: &[NodeId]) -> Replica {
+    let config = Config {
+        id: OWN,
+        election_ticks: 10,
+        heartbeat_ticks: 2,
+        max_append_bytes: 1 << 20,
+        max_inflight: 16,
+        seed: 7,
+    };
+    let conf = ConfState { voters: voters.iter().copied().collect(), learners: [].into() };
+    let meta = SnapshotMeta { index: 1, term: 1, conf };
+    let hard_state = HardState { term: 1, vote: None, commit: 1 };
+    let restored = Restored { hard_state, snapshot: meta.clone(), entries: Vec::new() };
+    let node = RawNode::new(config, restored).unwrap();
+    let mut replica = Replica::new(GroupId(1), node, hard_state, Some(meta));
+    replica.campaign();
+    settle(&mut replica);
+    let votes =
+        [MessageBody::PreVoteReply { granted: true }, MessageBody::VoteReply { granted: true }];
+    for body in votes {
+        if !replica.leads() {
+            from_other(&mut replica, 2, body);
+            settle(&mut replica);
+        }
+    }
+    assert!(replica.leads());
+    replica
+}
+
+fn from_other(replica: &mut Replica, term: u64, body: MessageBody) {
+    replica.step(Message { from: OTHER, to: OWN, term, body }, Instant::now());
+}
+
+/// Does all rounds at once, as if each sync succeeded.
+fn settle(replica: &mut Replica) -> Vec<Round> {
+    let mut rounds = Vec::new();
+    while let Some(round) = replica.round(Instant::now()) {
+        if round.sync {
+            replica.persisted(Instant::now());
+        }
+        rounds.push(round);
+    }
+    rounds
+}
+
+fn propose(replica: &mut Replica, command: &[u8]) -> Answer {
+    let (reply, answer) = oneshot::channel();
+    replica.propose(command, reply);
+    answer
+}
+
+fn commands_in(entry: &Entry) -> Vec<Vec<u8>> {
+    let EntryKind::Command(joined) = &entry.kind else { return Vec::new() };
+    split(joined).map(|command| command.expect("whole commands").to_vec()).collect()
+}
+
+/// Proposals of commands, as an applier gets them.
+fn commands_committed(rounds: Vec<Round>) -> Vec<Proposal> {
+    let committed = rounds.into_iter().flat_map(|round| round.committed);
+    committed.filter(|proposal| matches!(proposal.entry.kind, EntryKind::Command(_))).collect()
+}
+
+#[test]
+fn commands_of_one_cycle_share_an_entry_and_each_gets_its_own_reply() {
+    let mut replica = leader(&[OWN]);
+    let commands: Vec<Vec<u8>> = (0..20_u8).map(|number| vec![number; 3]).collect();
+    let answers: Vec<Answer> = commands.iter().map(|c| propose(&mut replica, c)).collect();
+    let committed = commands_committed(settle(&mut replica));
+    assert_eq!(committed.len(), 1, "one entry");
+    for Proposal { entry, replies } in committed {
+        let commands = commands_in(&entry);
+        assert_eq!(commands.len(), replies.len());
+        commands.into_iter().zip(replies).for_each(|(command, reply)| {
+            reply.send(Ok(command)).unwrap();
+        });
+    }
+    for (command, mut answer) in commands.into_iter().zip(answers) {
+        assert_eq!(answer.try_recv().unwrap(), Ok(command));
+    }
+}
+
+#[test]
+fn commands_that_come_during_a_sync_share_the_next_entry() {
+    let mut replica = leader(&[OWN]);
+    let _first = propose(&mut replica, b"first");
+    let round = replica.round(Instant::now()).expect("an entry to persist");
+    assert!(round.sync);
+    let _rest = [propose(&mut replica, b"second"), propose(&mut replica, b"third")];
+    assert!(replica.round(Instant::now()).is_none());
+    replica.persisted(Instant::now());
+    let committed = commands_committed(settle(&mut replica));
+    let entries: Vec<_> = committed.iter().map(|proposal| commands_in(&proposal.entry)).collect();
+    assert_eq!(entries, [vec![b"first".to_vec()], vec![b"second".to_vec(), b"third".to_vec()]]);
+}
+
+#[test]
+fn an_entry_is_bounded_in_bytes_and_in_commands() {
+    let mut replica = leader(&[OWN]);
+    let large = vec![1; MAX_JOINED_BYTES / 3];
+    let too_large = vec![2; MAX_JOINED_BYTES * 2];
+    let mut sent: Vec<Vec<u8>> = vec![large; 7];
+    sent.insert(3, too_large.clone());
+    sent.extend(vec![vec![3]; MAX_JOINED_COMMANDS * 2]);
+    let _answers: Vec<Answer> = sent.iter().map(|command| propose(&mut replica, command)).collect();
+    let committed = commands_committed(settle(&mut replica));
+    for proposal in &committed {
+        let EntryKind::Command(joined) = &proposal.entry.kind else { unreachable!() };
+        let commands = commands_in(&proposal.entry);
+        assert!(joined.len() <= MAX_JOINED_BYTES || commands == [too_large.clone()]);
+        assert!(commands.len() <= MAX_JOINED_COMMANDS);
+        assert_eq!(commands.len(), proposal.replies.len());
+    }
+    let applied: Vec<_> = committed.iter().flat_map(|p| commands_in(&p.entry)).collect();
+    assert_eq!(applied, sent, "in the order of their coming");
+}
+
+#[test]
+fn a_membership_change_has_an_entry_of_its_own_between_the_commands() {
+    let mut replica = leader(&[OWN]);
+    let _before = propose(&mut replica, b"before");
+    let (reply, _changed) = oneshot::channel();
+    replica.change_members(ConfChange::AddLearner(OTHER), reply);
+    let _after = propose(&mut replica, b"after");
+    let committed: Vec<_> = settle(&mut replica).into_iter().flat_map(|r| r.committed).collect();
+    let kinds: Vec<_> = committed.iter().map(|proposal| commands_in(&proposal.entry)).collect();
+    assert_eq!(kinds, [vec![b"before".to_vec()], vec![], vec![b"after".to_vec()]]);
+    assert!(matches!(committed[1].entry.kind, EntryKind::ConfChange(_)));
+    assert!(committed.iter().all(|proposal| proposal.replies.len() == 1));
+}
+
+#[test]
+fn a_leader_that_loses_its_place_calls_a_joined_entry_uncertain_and_the_gathered_not_appended() {
+    let mut replica = leader(&[OWN, OTHER, NodeId(3)]);
+    let mut in_flight = [propose(&mut replica, b"one"), propose(&mut replica, b"two")];
+    let round = replica.round(Instant::now()).expect("an entry to persist");
+    assert!(round.sync);
+    let mut gathered = propose(&mut replica, b"three");
+    for answer in in_flight.iter_mut().chain([&mut gathered]) {
+        assert_eq!(answer.try_recv(), Err(TryRecvError::Empty), "not answered while it leads");
+    }
+    let term = replica.term() + 1;
+    from_other(&mut replica, term, MessageBody::Heartbeat { commit: 1, read_round: 0 });
+    for mut answer in in_flight {
+        assert_eq!(answer.try_recv().unwrap(), Err(ReplicationError::Uncertain));
+    }
+    let moved = ReplicationError::NotLeader { leader: Some(OTHER) };
+    assert_eq!(gathered.try_recv().unwrap(), Err(moved));
+    replica.persisted(Instant::now());
+    let waiting = settle(&mut replica).into_iter().flat_map(|round| round.committed);
+    assert!(waiting.into_iter().all(|proposal| proposal.replies.is_empty()));
+}
+
+#[test]
+fn waiting_commands_are_bounded_and_answers_make_room() {
+    let mut replica = leader(&[OWN]);
+    let mut answers: Vec<Answer> = Vec::new();
+    let refused = loop {
+        let mut answer = propose(&mut replica, b"command");
+        match answer.try_recv() {
+            Err(TryRecvError::Empty) => answers.push(answer),
+            other => break other,
+        }
+        assert!(answers.len() <= 1 << 20, "some bound");
+    };
+    assert!(matches!(refused.unwrap(), Err(ReplicationError::Busy(_))));
+    let replies: usize =
+        commands_committed(settle(&mut replica)).iter().map(|p| p.replies.len()).sum();
+    assert_eq!(replies, answers.len());
+    assert_eq!(propose(&mut replica, b"command").try_recv(), Err(TryRecvError::Empty));
+}
+
+proptest! {
+    /// Damage never panics: whole commands come first, then one error at most.
+    #[test]
+    fn splitting_any_bytes_ends(bytes in proptest::collection::vec(any::<u8>(), 0..64)) {
+        let bytes = Bytes::from(bytes);
+        let parts: Vec<_> = split(&bytes).collect();
+        let errors = parts.iter().filter(|part| part.is_err()).count();
+        prop_assert!(errors <= 1);
+        prop_assert!(errors == 0 || parts.last().is_some_and(Result::is_err));
+    }
+}
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -6,7 +6,7 @@
     ConfChange, ConfState, Config, Entry, EntryKind, HardState, Message, MessageBody, RawNode,
     Restored, SnapshotMeta,
 };
-use hooklug_replication::{ReadWaiter, Replica, ReplicationError, Round};
+use hooklug_replication::{ReadWaiter, Replica, ReplicationError, Round, split};
 use hooklug_types::{GroupId, NodeId};
 use hooklug_wal::Record;
 use tokio::sync::oneshot;
@@ -44,13 +44,20 @@
     (rounds, sent)
 }
 
-fn command_of(rounds: &[Round]) -> Vec<Vec<u8>> {
+fn commands_in(entry: &Entry) -> Vec<Vec<u8>> {
+    let EntryKind::Command(joined) = &entry.kind else { return Vec::new() };
+    split(joined).map(|command| command.expect("whole commands").to_vec()).collect()
+}
+
+fn commands_of(rounds: &[Round]) -> Vec<Vec<u8>> {
     let committed = rounds.iter().flat_map(|round| &round.committed);
-    let commands = committed.filter_map(|proposal| match &proposal.entry.kind {
-        EntryKind::Command(command) => Some(command.clone()),
-        EntryKind::Noop | EntryKind::ConfChange(_) => None,
-    });
-    commands.collect()
+    committed.flat_map(|proposal| commands_in(&proposal.entry)).collect()
+}
+
+/// An entry's bytes as another leader would have made them of one command.
+fn joined(command: &[u8]) -> bytes::Bytes {
+    let length = u32::try_from(command.len()).unwrap();
+    [&length.to_le_bytes(), command].concat().into()
 }
 
 fn leader_alone() -> Replica {
@@ -65,23 +72,23 @@
 fn a_command_is_handed_over_only_after_its_sync() {
     let mut replica = leader_alone();
     let (reply, _result) = oneshot::channel();
-    replica.propose(b"command".to_vec(), reply);
+    replica.propose(b"command", reply);
     let round = replica.round(Instant::now()).expect("entries to persist");
-    assert!(round.sync && command_of(std::slice::from_ref(&round)).is_empty());
+    assert!(round.sync && commands_of(std::slice::from_ref(&round)).is_empty());
     assert!(round.records.iter().any(|record| matches!(record, Record::Append(_))));
     assert!(replica.round(Instant::now()).is_none(), "one sync at a time");
     replica.persisted(Instant::now());
     let (rounds, _) = settle(&mut replica);
-    assert_eq!(command_of(&rounds), vec![b"command".to_vec()]);
+    assert_eq!(commands_of(&rounds), vec![b"command".to_vec()]);
     let proposals = rounds.into_iter().flat_map(|round| round.committed);
-    assert!(proposals.into_iter().any(|proposal| proposal.reply.is_some()));
+    assert!(proposals.into_iter().any(|proposal| !proposal.replies.is_empty()));
 }
 
 #[test]
 fn a_read_waits_for_the_entries_before_it() {
     let mut replica = leader_alone();
     let (reply, _result) = oneshot::channel();
-    replica.propose(b"command".to_vec(), reply);
+    replica.propose(b"command", reply);
     let (reply, _answer) = oneshot::channel();
     replica.read(ReadWaiter { query: b"query".to_vec(), reply });
     let (rounds, _) = settle(&mut replica);
@@ -97,7 +104,7 @@
     replica.step(message, Instant::now());
     let expected = ReplicationError::NotLeader { leader: Some(NodeId(2)) };
     let (reply, mut result) = oneshot::channel();
-    replica.propose(b"command".to_vec(), reply);
+    replica.propose(b"command", reply);
     assert_eq!(result.try_recv().unwrap(), Err(expected.clone()));
     let (reply, mut answer) = oneshot::channel();
     replica.read(ReadWaiter { query: Vec::new(), reply });
@@ -124,7 +131,7 @@
     }
     assert!(replica.leads());
     let (reply, result) = oneshot::channel();
-    replica.propose(b"lost".to_vec(), reply);
+    replica.propose(b"lost", reply);
     settle(&mut replica);
     (replica, result)
 }
@@ -134,14 +141,13 @@
     let (mut replica, mut result) = leader_with_a_lonely_command();
     assert!(result.try_recv().is_err(), "not answered while it leads");
     let term = replica.term() + 1;
-    let entry =
-        |index, command: &[u8]| Entry { term, index, kind: EntryKind::Command(command.to_vec()) };
-    let entries = vec![entry(2, b"won"), entry(3, b"won too")];
+    let entry = |index, command| Entry { term, index, kind: EntryKind::Command(joined(command)) };
+    let entries = vec![entry(2, b"won".as_slice()), entry(3, b"won too")];
     let body = MessageBody::Append { prev_index: 1, prev_term: 1, entries, commit: 3 };
     replica.step(Message { from: NodeId(2), to: OWN, term, body }, Instant::now());
     assert_eq!(result.try_recv().unwrap(), Err(ReplicationError::Uncertain));
     let (rounds, _) = settle(&mut replica);
-    assert_eq!(command_of(&rounds), vec![b"won".to_vec(), b"won too".to_vec()]);
+    assert_eq!(commands_of(&rounds), vec![b"won".to_vec(), b"won too".to_vec()]);
 }
 
 #[test]
@@ -154,7 +160,7 @@
     assert!(replica.status().conf.learners.contains(&NodeId(2)));
     assert!(result.try_recv().is_err(), "answered when applied");
     let waiting = rounds.iter().flat_map(|round| &round.committed);
-    assert!(waiting.into_iter().any(|proposal| proposal.reply.is_some()));
+    assert!(waiting.into_iter().any(|proposal| !proposal.replies.is_empty()));
 }
 
 #[test]
@@ -162,7 +168,7 @@
     let mut replica = leader_alone();
     assert!(!replica.wants_snapshot(100));
     let (reply, _result) = oneshot::channel();
-    replica.propose(vec![0; 33 << 20], reply);
+    replica.propose(&vec![0; 33 << 20], reply);
     settle(&mut replica);
     assert!(replica.wants_snapshot(100), "33 MiB in one entry");
     replica.begin_snapshot();
--- a/crates/store/examples/commit_bench.rs
+++ b/crates/store/examples/commit_bench.rs
@@ -1,11 +1,12 @@
 //! Measures commits of a three-store cluster on this machine against a plain append-and-sync loop on
 //! the same disk.
 //!
-//! `cargo run --release -p hooklug-store --example commit_bench`
+//! `cargo run --release -p hooklug-store --example commit_bench [-- commits]`
 //!
-//! Prints, from one run: the loop's rate; commits a second and latencies of 1 and 16 groups with 1 to
-//! 256 clients, and their ratio to the loop; the time from a leader's stop to the next commit; and the
-//! time to replay 100,000 commands.
+//! Prints, from one run: the loop's rate; the time of an rpc round trip; commits a second and latencies
+//! of 1 and 16 groups with 1 to 256 clients, their ratio to the loop, and how one client compares with a
+//! sync and a round trip; the time from a leader's stop to the next commit; and the time to replay
+//! 100,000 commands. With `commits` the last two are left out.
 
 #[path = "../tests/support/mod.rs"]
 mod support;
@@ -16,10 +17,13 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
+use hooklug_protocol::store::GroupStatus;
+use hooklug_rpc::{Router, RpcServer};
 use hooklug_settings::StoreSettings;
 use hooklug_store::{StateAccess, StoreClient};
 use hooklug_types::{GroupId, SHARD_COUNT, shard_of};
-use support::{TestCluster, put, soon};
+use support::{TestCluster, free_address, put, rpc_client, soon};
+use tokio_util::sync::CancellationToken;
 
 /// Time of one measurement.
 const MEASURE_TIME: Duration = Duration::from_secs(2);
@@ -35,20 +39,60 @@
     let loop_rate = append_and_sync_rate();
     println!("append-and-sync loop: {loop_rate:.0}/s, {:.0} us each", 1e6 / loop_rate);
     let mut cluster = TestCluster::formed(3, StoreSettings::default()).await;
-    println!("groups clients commits/s ratio p50_us p99_us");
+    let round_trip = round_trip().await;
+    println!("rpc round trip: p50 {} us", round_trip.as_micros());
+    let reference = Duration::from_secs_f64(1.0 / loop_rate) + round_trip;
+    println!("groups clients commits/s ratio growth p50_us p99_us core_us");
     for groups in [1, SHARD_COUNT as usize] {
-        for clients in CLIENTS {
-            let measured = measure(&cluster, groups, clients).await;
-            let (rate, latencies) = (measured.rate, measured.latencies);
-            let ratio = rate / loop_rate;
-            let (p50, p99) = (latencies.value_at_quantile(0.5), latencies.value_at_quantile(0.99));
-            println!("{groups:6} {clients:7} {rate:9.0} {ratio:5.2} {p50:6} {p99:6}");
-        }
+        measure_groups(&cluster, groups, loop_rate, reference).await;
+    }
+    if std::env::args().any(|argument| argument == "commits") {
+        return;
     }
     leader_stops(&mut cluster).await;
     replay(&mut cluster).await;
 }
 
+/// Prints the rates of all numbers of clients, and the latency of one client in units of one sync and a
+/// round trip. The growth is that of the rate since one client.
+async fn measure_groups(cluster: &TestCluster, groups: usize, loop_rate: f64, reference: Duration) {
+    let (mut single_rate, mut single_p50) = (0.0, 0);
+    for clients in CLIENTS {
+        let Measured { rate, latencies, core_micros } = measure(cluster, groups, clients).await;
+        let (p50, p99) = (latencies.value_at_quantile(0.5), latencies.value_at_quantile(0.99));
+        if clients == 1 {
+            (single_rate, single_p50) = (rate, p50);
+        }
+        let (ratio, growth) = (rate / loop_rate, rate / single_rate);
+        println!(
+            "{groups:6} {clients:7} {rate:9.0} {ratio:5.2} {growth:6.1} {p50:6} {p99:6} {core_micros:7.0}"
+        );
+    }
+    let times = single_p50 as f64 / reference.as_micros() as f64;
+    println!("{groups:6} one client: p50 is {times:.2} times a sync and a round trip");
+}
+
+/// Median time of a small request to a server that answers it at once.
+async fn round_trip() -> Duration {
+    let listener = RpcServer::bind(free_address().await).await.expect("an address");
+    let to = listener.local_addr().expect("an address");
+    let client = rpc_client();
+    let router = Router::new().route(|_, _: GroupStatus| async { Vec::new() });
+    let (server, stop) =
+        (RpcServer::new(listener, client.identity().clone(), router), CancellationToken::new());
+    let server = tokio::spawn(server.run(stop.clone()));
+    let mut times = Histogram::<u64>::new(3).expect("three digits");
+    let end = Instant::now() + MEASURE_TIME;
+    while Instant::now() < end {
+        let started = Instant::now();
+        client.call(to, &GroupStatus, soon()).await.expect("an answer");
+        times.record(started.elapsed().as_micros() as u64).expect("in bounds");
+    }
+    stop.cancel();
+    server.await.expect("the server");
+    Duration::from_micros(times.value_at_quantile(0.5))
+}
+
 /// Appends of a command's size, each synced, one after another.
 fn append_and_sync_rate() -> f64 {
     let folder = tempfile::tempdir().expect("a folder");
@@ -66,6 +110,19 @@
 struct Measured {
     rate: f64,
     latencies: Histogram<u64>,
+    /// Processor time of the whole process (three stores and the clients) for each commit.
+    core_micros: f64,
+}
+
+/// Processor time that this process has used, in microseconds.
+fn core_micros() -> f64 {
+    /// Microseconds of one clock tick of the system's accounts.
+    const TICK_MICROS: f64 = 10_000.0;
+    let stat = std::fs::read_to_string("/proc/self/stat").expect("the process's accounts");
+    // The name in parentheses may hold spaces; user and system time are fields 14 and 15.
+    let fields = stat.rsplit(')').next().expect("fields").split_whitespace();
+    let ticks = fields.skip(11).take(2).map(|field| field.parse::<f64>().expect("ticks"));
+    ticks.sum::<f64>() * TICK_MICROS
 }
 
 /// Clients that each send one command after another.
@@ -75,7 +132,7 @@
     let client = cluster.client();
     let end = Instant::now() + MEASURE_TIME;
     let names = Arc::new(names(groups));
-    let started = Instant::now();
+    let (started, core_before) = (Instant::now(), core_micros());
     let tasks: Vec<_> = (0..clients)
         .map(|number| tokio::spawn(one_client(client.clone(), names.clone(), number, run, end)))
         .collect();
@@ -84,7 +141,8 @@
         latencies.add(task.await.expect("a client")).expect("same bounds");
     }
     let rate = latencies.len() as f64 / started.elapsed().as_secs_f64();
-    Measured { rate, latencies }
+    let core_micros = (core_micros() - core_before) / latencies.len() as f64;
+    Measured { rate, latencies, core_micros }
 }
 
 /// A name of each group, so that commands spread evenly.
--- a/crates/wal/tests/support/mod.rs
+++ b/crates/wal/tests/support/mod.rs
@@ -14,7 +14,7 @@
 };
 
 pub fn entry(index: u64, term: u64) -> Entry {
-    Entry { term, index, kind: EntryKind::Command(format!("{term}.{index}").into_bytes()) }
+    Entry { term, index, kind: EntryKind::Command(format!("{term}.{index}").into_bytes().into()) }
 }
 
 pub fn append(group: u32, indexes: std::ops::RangeInclusive<u64>, term: u64) -> GroupRecord {
