store: a driver that panics ends the process, other threads fail the store

Change: Store::run gives an error when the driver ends without being told to, and the process ends with it; a panic of the other threads of the groups stops all acknowledgements as a failed disk does, so that others lead.

--- a/crates/hooklug/src/node/role.rs
+++ b/crates/hooklug/src/node/role.rs
@@ -59,7 +59,7 @@
         match self {
             Self::Gateway(gateway) => gateway.run().await,
             Self::Core(core) => core.run().await,
-            Self::Store(store) => store.run(stop).await,
+            Self::Store(store) => store.run(stop).await?,
             Self::Engine(engine) => match engine.run().await {
                 Ok(()) => {}
                 Err(error @ EngineError::LeaseExpired(_)) => {
--- a/crates/replication/src/handle.rs
+++ b/crates/replication/src/handle.rs
@@ -225,6 +225,11 @@
     /// Stops all replicas at once, and waits until the log's files are let go.
     pub async fn stop(&self) {
         self.tell(Input::Stop);
+        self.ended().await;
+    }
+
+    /// Waits until the driver has ended: it was told to stop, or it panicked. Nothing is answered then.
+    pub async fn ended(&self) {
         let mut ended = self.ended.clone();
         while ended.changed().await.is_ok() {}
     }
--- a/crates/replication/src/start.rs
+++ b/crates/replication/src/start.rs
@@ -1,6 +1,7 @@
 //! Opening the log and starting the threads.
 
 use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::mpsc::{Sender, channel};
 
@@ -54,7 +55,7 @@
         let (snapshot_jobs, jobs) = channel();
         let appliers = start_appliers(&snapshot_jobs, &driver)?;
         let (store, back) = (snapshots.clone(), driver.clone());
-        spawn("snapshots", move || compaction::run(&store, &jobs, &back))?;
+        spawn_watched("snapshots", &driver, move || compaction::run(&store, &jobs, &back))?;
         let (failure, failed) = watch::channel(None);
         let (ended, watch_end) = watch::channel(());
         let groups = Arc::default();
@@ -104,12 +105,26 @@
     let start = |number: usize| {
         let applier = Applier::new(snapshots.clone(), driver.clone());
         let (tasks, queue) = channel();
-        spawn(&format!("applier-{number}"), move || applier.run(&queue))?;
+        spawn_watched(&format!("applier-{number}"), driver, move || applier.run(&queue))?;
         Ok(tasks)
     };
     (0..APPLIERS).map(start).collect()
 }
 
+/// Starts a thread whose panic stops all acknowledgements: its groups could not go on.
+fn spawn_watched(
+    name: &str,
+    driver: &Sender<crate::input::Input>,
+    run: impl FnOnce() + Send + 'static,
+) -> Result<(), OpenError> {
+    let (driver, reason) = (driver.clone(), format!("the thread {name} panicked"));
+    spawn(name, move || {
+        if catch_unwind(AssertUnwindSafe(run)).is_err() {
+            let _ = driver.send(crate::input::Input::Failed { reason });
+        }
+    })
+}
+
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), OpenError> {
     std::thread::Builder::new().name(name.to_owned()).spawn(run)?;
     Ok(())
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -6,7 +6,7 @@
 use hooklug_types::NodeId;
 use hooklug_wal::WalError;
 
-/// Why a store cannot run. None of these is mended by starting again.
+/// Why a store cannot run. All but [`StoreError::DriverEnded`] come again when it is started again.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
     /// A store needs a data folder.
@@ -37,6 +37,10 @@
     /// The disk refused an operation.
     #[error(transparent)]
     Disk(#[from] WalError),
+    /// The thread that runs the groups ended without being told to: it panicked. What was acknowledged is
+    /// on the disk.
+    #[error("the thread that runs the groups has ended")]
+    DriverEnded,
     /// The groups could not be opened.
     #[error(transparent)]
     Groups(#[from] OpenError),
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -109,7 +109,10 @@
     }
 
     /// Serves until stopped; then hands its leaderships over and closes its files.
-    pub async fn run(self, stop: CancellationToken) {
+    ///
+    /// # Errors
+    /// [`StoreError::DriverEnded`]: the process must end, since nothing would be answered any more.
+    pub async fn run(self, stop: CancellationToken) -> Result<(), StoreError> {
         let shared = self.shared;
         let mut tasks = JoinSet::new();
         tasks.spawn(gossip::run(shared.clone()));
@@ -118,13 +121,17 @@
         tasks.spawn(clock_task::run(shared.clone()));
         tasks.spawn(balance::run(shared.clone()));
         tasks.spawn(cleanup::run(shared.clone()));
-        stop.cancelled().await;
+        let outcome = tokio::select! {
+            () = stop.cancelled() => Ok(()),
+            () = shared.replicator.ended() => Err(StoreError::DriverEnded),
+        };
         tasks.shutdown().await;
-        if shared.replicator.failure().is_none() {
+        if outcome.is_ok() && shared.replicator.failure().is_none() {
             balance::hand_over_all(&shared).await;
         }
         shared.replicator.stop().await;
         shared.folder.unlock();
+        outcome
     }
 }
 
--- a/crates/store/tests/disks.rs
+++ b/crates/store/tests/disks.rs
@@ -10,10 +10,11 @@
 use disk::TestDisk;
 use hooklug_protocol::store::{Execute, StoreFault};
 use hooklug_rpc::{LocalIdentity, RpcClient};
+use hooklug_settings::StoreSettings;
 use hooklug_state::encode;
 use hooklug_store::{StateAccess, Store, StoreError, load_node_id};
 use hooklug_types::{NodeId, shard_of};
-use support::{TestCluster, fast_options, has_program, put, put_program, soon, until};
+use support::{PATIENCE, TestCluster, fast_options, has_program, put, put_program, soon, until};
 
 async fn cluster_on(disks: &[TestDisk]) -> TestCluster {
     let mut cluster = TestCluster::new(disks.len(), fast_options()).await;
@@ -85,6 +86,41 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_store_whose_driver_panics_ends_with_an_error() {
+    let disk = TestDisk::default();
+    disk.panic_in("raft-driver");
+    let mut cluster = TestCluster::new(3, fast_options()).await;
+    cluster.stores[0].files = Arc::new(disk);
+    for number in 0..3 {
+        cluster.start(number).await;
+    }
+    let running = cluster.stores[0].running.take().expect("the store runs");
+    let ended = tokio::time::timeout(PATIENCE, running.store).await.expect("it ends by itself");
+    assert!(matches!(ended.unwrap(), Err(StoreError::DriverEnded)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_store_whose_snapshot_thread_panics_acknowledges_nothing_and_the_others_go_on() {
+    let options = StoreSettings { snapshot_entries: 20, ..fast_options() };
+    let mut cluster = TestCluster::new(3, options).await;
+    let disk = TestDisk::default();
+    cluster.stores[0].files = Arc::new(disk.clone());
+    for number in 0..3 {
+        cluster.start(number).await;
+    }
+    cluster.until_formed().await;
+    disk.panic_in("snapshots");
+    let client = cluster.client();
+    let mut number = 0;
+    while cluster.handle(0).failure().is_none() {
+        put_program(&client, &format!("program-{number}")).await;
+        number += 1;
+    }
+    put_program(&client, "afterwards").await;
+    assert!(has_program(&client, "program-0").await);
+}
+
 fn open_folder(cluster: &TestCluster, number: usize, node: NodeId) -> Result<Store, StoreError> {
     let address = cluster.address_of(number, node);
     let identity = LocalIdentity::new(address, support::SECRET);
--- a/crates/store/tests/support/disk.rs
+++ b/crates/store/tests/support/disk.rs
@@ -14,6 +14,7 @@
     /// Bytes of each file that are synced.
     synced: Mutex<BTreeMap<PathBuf, u64>>,
     fails: AtomicBool,
+    panics_in: Mutex<Option<&'static str>>,
 }
 
 /// Files of one machine. Clones share the disk.
@@ -38,6 +39,11 @@
         self.disk.fails.store(true, Ordering::SeqCst);
     }
 
+    /// Makes a thread panic when it creates its next file.
+    pub fn panic_in(&self, thread: &'static str) {
+        *self.disk.panics_in.lock().unwrap() = Some(thread);
+    }
+
     fn open(&self, inner: Box<dyn LogFile>, path: &Path, length: u64) -> Box<dyn LogFile> {
         self.disk.synced.lock().unwrap().insert(path.to_owned(), length);
         let (disk, path) = (self.disk.clone(), path.to_owned());
@@ -83,6 +89,9 @@
     }
 
     fn create(&self, path: &Path) -> io::Result<Box<dyn LogFile>> {
+        let panics_in = *self.disk.panics_in.lock().unwrap();
+        let is_here = panics_in.is_some() && std::thread::current().name() == panics_in;
+        assert!(!is_here, "a fault of the test");
         Ok(self.open(OsFiles.create(path)?, path, 0))
     }
 
--- a/crates/store/tests/support/mod.rs
+++ b/crates/store/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use hooklug_rpc::{LinkFault, LocalIdentity, RpcClient, RpcServer};
 use hooklug_settings::{Secret, Settings, StoreSettings};
 use hooklug_state::shard::{PutProgram, ShardCommand, ShardReply};
-use hooklug_store::{StateAccess, Store, StoreClient, StoreHandle, load_node_id};
+use hooklug_store::{StateAccess, Store, StoreClient, StoreError, StoreHandle, load_node_id};
 use hooklug_types::{
     GroupId, Incarnation, NodeId, NodeRole, ProgramId, RegionName, TenantId, TokenCount,
     UnixMillis, ZoneName, shard_of,
@@ -33,7 +33,7 @@
     pub identity: LocalIdentity,
     stop: CancellationToken,
     server: JoinHandle<()>,
-    store: JoinHandle<()>,
+    pub store: JoinHandle<Result<(), StoreError>>,
 }
 
 pub struct TestStore {
@@ -164,7 +164,7 @@
     pub async fn stop(&mut self, number: usize) {
         let running = self.stores[number].running.take().expect("the store runs");
         running.stop.cancel();
-        running.store.await.unwrap();
+        running.store.await.unwrap().unwrap();
         running.server.await.unwrap();
     }
 
