session tests: split the checked world by concern

Change: engines.rs (loops, model runs, lease), network.rs (what is on its way), world.rs (the rest). No check changed.

--- a/crates/session/tests/model_check/actions.rs
+++ b/crates/session/tests/model_check/actions.rs
@@ -4,7 +4,9 @@
 use hooklug_types::EngineIncarnation;
 
 use crate::caller::Caller;
-use crate::world::{EngineModel, Wire, World};
+use crate::engines::EngineModel;
+use crate::network::Wire;
+use crate::world::World;
 
 /// Something that happens.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/session/tests/model_check/effects.rs
+++ b/crates/session/tests/model_check/effects.rs
@@ -4,8 +4,10 @@
 use hooklug_state::shard::{Event, EventBody, ShardAnswer, ShardCommand, ShardQuery, ShardRefusal};
 use hooklug_types::{EventSeq, SessionId};
 
+use crate::engines::Generation;
+use crate::network::Wire;
 use crate::scenario::Step;
-use crate::world::{Checked, Generation, Wire, World, key, turn_id};
+use crate::world::{Checked, World, key, turn_id};
 
 impl World {
     pub fn carry_out(
--- a/crates/session/tests/model_check/main.rs
+++ b/crates/session/tests/model_check/main.rs
@@ -11,7 +11,9 @@
 mod caller;
 mod checks;
 mod effects;
+mod engines;
 mod explore;
+mod network;
 mod scenario;
 mod world;
 
