engine: loops stand still for a second when the lease runs out

Cause: two renewals (0.9 s each) fit into a lease, and the third is sent at the very instant at which the lease ends. A leader of the lease's shard that is away for 2.9 s, as on a busy machine while stores are replaced, made the engine drop all its loops though no quorum was ever gone and nobody had asked for the lease; open turns then ended interrupted. This fits the unexplained end of a turn in crates/fleet/tests/machines.rs; that run itself was not seen again, so it is the likely cause, not a proven one. Ruled out by reading: appends are sent again until they are answered or refused, so COMMIT_TIME gives up no commit; the store client leaves a silent store after 0.7 s and does not follow hints to it for 1 s. Change: while the lease has run out a loop handles nothing, for at most LAPSE_TIME (1 s); an accepted renewal shows that the lease had not expired, so nobody took the session and the loop goes on. New requests are refused at once, as before. Given up after that second as before.

--- a/crates/engine/src/lease.rs
+++ b/crates/engine/src/lease.rs
@@ -29,6 +29,10 @@
 /// Longest wait for one renewal's answer (ours).
 const RENEW_TIME: Duration = Duration::from_millis(900);
 
+/// How long after the end of a lease its loops stand still, for a late renewal, before they are given up (ours:
+/// one renewal more). An accepted renewal shows that the lease had not expired, so nobody took a session.
+pub const LAPSE_TIME: Duration = Duration::from_secs(1);
+
 /// How a lease stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaseState {
@@ -36,6 +40,8 @@
     Unborn,
     /// Held until then, by this process's monotonic clock.
     Until(Instant),
+    /// It ran out, and no renewal came within [`LAPSE_TIME`]: all sessions are given up. It may be renewed yet.
+    Lapsed,
     /// Expired by the shard, for ever: this incarnation may own nothing any more.
     Expired,
 }
@@ -52,7 +58,7 @@
     pub fn until_or(self, fallback: Instant) -> Instant {
         match self {
             Self::Until(until) => until,
-            Self::Unborn | Self::Expired => fallback,
+            Self::Unborn | Self::Lapsed | Self::Expired => fallback,
         }
     }
 }
@@ -76,6 +82,24 @@
         self.state().is_held(Instant::now())
     }
 
+    /// The present instant and until when the lease is certainly held, as seen from it. Waits while the lease has
+    /// run out and may be renewed yet, so that a loop that acts only on this neither acts without the lease nor
+    /// ends before its time.
+    pub async fn decided(&self) -> (Instant, Instant) {
+        loop {
+            let (state, now) = (self.state(), Instant::now());
+            let LeaseState::Until(until) = state else { return (now, state.until_or(now)) };
+            if now < until {
+                return (now, until);
+            }
+            let mut changes = self.watch();
+            if changes.wait_for(|later| *later != state).await.is_err() {
+                // The engine has stopped: there will be no renewal.
+                return (now, now);
+            }
+        }
+    }
+
     /// Follows changes.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<LeaseState> {
@@ -104,26 +128,23 @@
         LeaseView { state: self.lease.subscribe() }
     }
 
-    /// Renews until stopped, or until the lease has expired for ever. `lost` is called each time that
-    /// the lease runs out, at once.
+    /// Renews until stopped, or until the lease has expired for ever. `lost` is called each time that the lease has
+    /// run out and was not renewed within [`LAPSE_TIME`].
     pub async fn run(self, stop: CancellationToken, lost: impl Fn()) {
-        let mut told = true;
         loop {
             let sent = Instant::now();
             tokio::select! {
                 () = stop.cancelled() => return,
                 renewed = self.renew(sent) => match renewed {
-                    Some(true) => { told = false; self.lease.send_replace(LeaseState::Until(sent + LEASE_TIME)); }
+                    Some(true) => { self.lease.send_replace(LeaseState::Until(sent + LEASE_TIME)); }
                     Some(false) => break,
                     None => {}
                 },
-                () = self.run_out(told) => {}
-            }
-            let held = self.lease.borrow().is_held(Instant::now());
-            if !held && !told {
-                warn!(holder = %self.holder, "lease has run out");
-                told = true;
-                lost();
+                () = self.lapse() => {
+                    warn!(holder = %self.holder, "lease has run out");
+                    self.lease.send_replace(LeaseState::Lapsed);
+                    lost();
+                }
             }
             let renewed = *self.lease.borrow() == LeaseState::Until(sent + LEASE_TIME);
             let next = if renewed { sent + RENEW_EVERY } else { Instant::now() + RETRY_PAUSE };
@@ -152,12 +173,14 @@
         }
     }
 
-    /// Waits until the lease runs out; for ever when that has been told already.
-    async fn run_out(&self, told: bool) {
+    /// Waits until the lease has run out and the time for a late renewal is over.
+    async fn lapse(&self) {
         let state = *self.lease.borrow();
         match state {
-            LeaseState::Until(until) if !told => sleep_until(until).await,
-            _ => std::future::pending().await,
+            LeaseState::Until(until) => sleep_until(until + LAPSE_TIME).await,
+            LeaseState::Unborn | LeaseState::Lapsed | LeaseState::Expired => {
+                std::future::pending::<()>().await;
+            }
         }
     }
 }
--- a/crates/engine/src/session_task.rs
+++ b/crates/engine/src/session_task.rs
@@ -121,20 +121,23 @@
                 () = sleep_until_some(wake) => Some(Envelope::Message(Message::Tick)),
             };
             let Some(envelope) = envelope else { break };
-            self.take(envelope);
+            // Nothing is handled, and so nothing released, while the lease has run out and may be renewed yet.
+            let (now, lease_until) = self.shared.lease.decided().await;
+            self.take(envelope, moment(now, lease_until));
         }
         self.shared.table.remove(&self.key, &self.mailbox);
         // Those who came too late are refused; nobody can put more in.
         envelopes.close();
         while let Some(envelope) = envelopes.recv().await {
-            self.take(envelope);
+            let now = tokio::time::Instant::now();
+            self.take(envelope, moment(now, now));
         }
         for (_, ticket) in self.tickets.drain() {
             self.shared.slots.release(ticket);
         }
     }
 
-    fn take(&mut self, envelope: Envelope) {
+    fn take(&mut self, envelope: Envelope, moment: Moment) {
         let message = match envelope {
             Envelope::Message(message) => message,
             Envelope::Client { client, sink, message } => {
@@ -154,18 +157,12 @@
         {
             self.generations.remove(generation);
         }
-        let effects = self.session.handle(message, self.moment());
+        let effects = self.session.handle(message, moment);
         for effect in effects {
             self.carry_out(effect);
         }
     }
 
-    fn moment(&self) -> Moment {
-        let now = tokio::time::Instant::now();
-        let lease_until = self.shared.lease.state().until_or(now).into_std();
-        Moment { now: now.into_std(), lease_until }
-    }
-
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Commit { commit, command } => {
@@ -246,6 +243,10 @@
     }
 }
 
+fn moment(now: tokio::time::Instant, lease_until: tokio::time::Instant) -> Moment {
+    Moment { now: now.into_std(), lease_until: lease_until.into_std() }
+}
+
 fn is_last(event: &ModelEvent) -> bool {
     matches!(event, ModelEvent::End(_) | ModelEvent::Failed(_) | ModelEvent::Cut)
 }
--- a/crates/engine/tests/ownership.rs
+++ b/crates/engine/tests/ownership.rs
@@ -9,7 +9,7 @@
 use hooklug_protocol::engine::EngineRefusal;
 use hooklug_state::shard::{Event, EventBody, ShardAnswer, ShardQuery, ShardRefusal};
 use hooklug_store::StateAccess;
-use hooklug_types::{EndReason, FailureCode, ProgramId, TokenCount, UnixMillis, shard_of};
+use hooklug_types::{EndReason, FailureCode, ProgramId, Renewal, TokenCount, UnixMillis, shard_of};
 use support::model_server::ModelServer;
 use support::stalled::StalledState;
 use support::*;
@@ -26,6 +26,16 @@
     counts.sum()
 }
 
+/// The number of the engine's last renewal, as the shard has it.
+async fn renewal(world: &World, engine: &RunningEngine) -> Renewal {
+    let group = shard_of(engine.engine.engine.as_str());
+    let query = ShardQuery::Lease(engine.engine.clone());
+    match world.state.query_shard(group, &query, soon()).await.unwrap() {
+        ShardAnswer::Lease(Some(lease)) => lease.renewal,
+        other => panic!("{other:?}"),
+    }
+}
+
 #[tokio::test]
 async fn a_killed_engines_session_is_taken_and_its_turn_sealed() {
     let (world, model) = (World::new(), ModelServer::start().await);
@@ -105,6 +115,37 @@
     eventually("the model stopped", async || model.aborted() == ["t1"]).await;
 }
 
+#[tokio::test]
+async fn a_turn_goes_on_when_its_engines_lease_ran_out_and_is_renewed_late() {
+    let (world, model) = (World::new(), ModelServer::start().await);
+    let link = StalledState::new(world.state.clone());
+    let bundle = bundle(1, &[("v1", VersionState::Sound)]);
+    let state: Arc<dyn StateAccess> = Arc::new(link.clone());
+    let mut engine = world.engine_with(&model, named("e1"), state, bundle).await;
+    engine.ready().await;
+    let place = world.session(&engine, "p1").await;
+    let mut stream = world.stream(&engine, &run_turn(&place, "t1", None, "gated 9")).await;
+    model.let_through("t1", 3);
+    let mut seen = read_events(&mut stream, 4).await;
+
+    // As when a shard's leader is lost: two renewals fail, and the third is sent when the lease has run out.
+    link.stall(true);
+    eventually("a renewal is lost", async || link.stalled_renewals() == 1).await;
+    let last = renewal(&world, &engine).await;
+    eventually("another one is lost", async || link.stalled_renewals() == 2).await;
+    link.delay(std::time::Duration::from_millis(50));
+    link.stall(false);
+    let third = async || renewal(&world, &engine).await == Renewal(last.0 + 3);
+    eventually("the third arrives, after the two that were late", third).await;
+    model.let_through("t1", 100);
+    let rest = read_turn(&mut stream).await;
+    assert_eq!(rest.refusal, None);
+    assert_eq!(rest.end(), Some(&EndReason::Finished));
+    seen.extend(rest.events);
+    assert_eq!(tokens_of(&seen), 9);
+    assert_eq!(world.history(&place.key).await, seen);
+}
+
 #[tokio::test]
 async fn lost_answers_neither_lose_nor_repeat_an_event() {
     let (world, model) = (World::new(), ModelServer::start().await);
