gateway: answer resends without room, keep records sound when a bundle changes what may be repeated

Cause: (a) a call that may not be repeated looked for room before its record, so that a resend of a call with an outcome was shed under overload or an open circuit. (b) Calls that may be repeated leave no record. A bundle that loosened a tool let a sealed or dispatched call run (again); one that tightened a tool let a call that had run without record be sealed as not run. (c) Some refusals that claim nothing named no time to come back, or one without jitter.

Ruled out: reading the record before each call (a round trip a call); refusing such bundles (operators must be able to tighten at once).

Change: the record is read only by a call that finds no room at once, while it waits and before it is turned away, for 1 s at most. Gateways learn from the bundles kept by the meta group which tools could and could not be repeated: a tool that ever could not stays so, and one that ever could is not sealed without a record. One constructor for errors that claim nothing sets the time to come back with jitter; the tests' client checks it on every such answer.

--- a/crates/bundle/src/canonical.rs
+++ b/crates/bundle/src/canonical.rs
@@ -11,7 +11,8 @@
 use crate::{Bundle, Tenant};
 
 const SERVICES: &str = "services";
-const ROUTES: &str = "routes";
+/// Name of the section that holds the routes.
+pub const ROUTES_SECTION: &str = "routes";
 const WINDOWS: &str = "windows";
 const TENANTS_PREFIX: &str = "tenants/";
 
@@ -84,7 +85,7 @@
 pub fn sections(bundle: &Bundle) -> BTreeMap<String, Vec<u8>> {
     let mut sections = BTreeMap::from([
         (SERVICES.to_owned(), to_json(&bundle.services)),
-        (ROUTES.to_owned(), to_json(&bundle.routes)),
+        (ROUTES_SECTION.to_owned(), to_json(&bundle.routes)),
         (WINDOWS.to_owned(), to_json(&bundle.windows)),
     ]);
     let mut chunks: BTreeMap<String, BTreeMap<&TenantId, &Tenant>> = BTreeMap::new();
@@ -114,7 +115,7 @@
         let bytes = section.as_ref();
         match name.as_str() {
             SERVICES => bundle.services = from_json(name, bytes)?,
-            ROUTES => bundle.routes = from_json(name, bytes)?,
+            ROUTES_SECTION => bundle.routes = from_json(name, bytes)?,
             WINDOWS => bundle.windows = from_json(name, bytes)?,
             chunk if chunk.starts_with(TENANTS_PREFIX) => {
                 let tenants: BTreeMap<TenantId, Tenant> = from_json(name, bytes)?;
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -15,8 +15,8 @@
 mod validate;
 
 pub use canonical::{
-    BundleHeader, DecodeError, canonical_bytes, decode, digest, from_sections, section_digests,
-    sections, tenant_section,
+    BundleHeader, DecodeError, ROUTES_SECTION, canonical_bytes, decode, digest, from_sections,
+    section_digests, sections, tenant_section,
 };
 pub use diff::{BundleChange, diff};
 
--- a/crates/gateway/src/api/admission.rs
+++ b/crates/gateway/src/api/admission.rs
@@ -12,7 +12,7 @@
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::auth::{Caller, authorize};
-use super::problem::{Claim, Code, Problem};
+use super::problem::{Code, Problem};
 use super::refusals::RETRY_STORE;
 use crate::limits::tenants::TenantPermit;
 use crate::shared::Shared;
@@ -84,5 +84,5 @@
 
 /// `429 tenant_limited`.
 pub(crate) fn tenant_limited(what: &str, after: std::time::Duration) -> Problem {
-    Problem::new(Code::TenantLimited, what).claiming(Claim::TryAgain).after(after)
+    Problem::claims_nothing(Code::TenantLimited, what, after)
 }
--- a/crates/gateway/src/api/calls.rs
+++ b/crates/gateway/src/api/calls.rs
@@ -17,10 +17,12 @@
 
 use super::admission::Admitted;
 use super::body::{Fields, path_id};
-use super::problem::{Claim, Code, Problem};
+use super::problem::{Code, Problem};
+use super::refusals::RETRY_STORE;
 use super::{refusals, views};
 use crate::backend::answer::Answer;
 use crate::calls::once::{Settled, unknown};
+use crate::calls::repeat_history::Repeatability;
 use crate::calls::{CallRequest, content_digest};
 use crate::shards::ShardError;
 use crate::shared::Shared;
@@ -111,7 +113,12 @@
         urgent: route.urgent,
         deadline: begun + allowed,
     };
-    if route.may_repeat && body.repeat != Some(false) {
+    let history = &shared.calls.history;
+    if route.may_repeat
+        && body.repeat != Some(false)
+        && history.of(&admitted.bundle, &request.tool, route).await
+            == Some(Repeatability::Repeatable)
+    {
         return Ok(answered(&shared.calls.repeatable(&request).await?));
     }
     shared.check_store_reach()?;
@@ -137,8 +144,7 @@
         }
         Settled::Unknown => Err(unknown("the call may have run; its answer was lost")),
         Settled::NotRun => {
-            Err(Problem::new(Code::CallSealed, "the call was sealed: it did not run")
-                .claiming(Claim::NotRun))
+            Err(Problem::not_run(Code::CallSealed, "the call was sealed: it did not run"))
         }
     }
 }
@@ -168,18 +174,34 @@
     fields.finish()?;
     let (program, call) = own_call(&shared, &admitted, &params).await?;
     let (_, route) = tool_route(&admitted.bundle.bundle, &tool)?;
-    if route.may_repeat {
-        let detail = "calls of this tool may be repeated and are not recorded: none can be sealed";
-        return Err(Problem::field(Code::CallRepeatable, "tool", detail));
-    }
     let digest = content_digest(&tool, &arguments);
-    let command = ShardCommand::SealCall { program: program.clone(), call, digest };
-    let record =
-        sealed(shared.shards.execute(&program, &command, Shared::state_deadline()).await?)?;
+    let record = match shared.calls.history.of(&admitted.bundle, &tool, route).await {
+        None => return Err(Problem::try_again("the bundle's history is not known", RETRY_STORE)),
+        Some(Repeatability::Repeatable) => return Err(not_recorded()),
+        Some(Repeatability::OnceOfLate) => {
+            let read = shared.shards.call(&program, &call, Shared::state_deadline()).await?;
+            let record = read.ok_or_else(not_recorded)?;
+            if record.digest != digest {
+                return Err(refusals::ledger(&ShardRefusal::CallDiffers));
+            }
+            record
+        }
+        Some(Repeatability::Once) => {
+            let command = ShardCommand::SealCall { program: program.clone(), call, digest };
+            sealed(shared.shards.execute(&program, &command, Shared::state_deadline()).await?)?
+        }
+    };
     let record = shared.calls.refreshed(&program, record).await;
     Ok(axum::Json(views::call(&record)).into_response())
 }
 
+/// Of a call that left no record, "not run" cannot be said.
+fn not_recorded() -> Problem {
+    let detail = "calls of this tool may be repeated, or might under an earlier bundle, and are not \
+                  recorded: none can be sealed";
+    Problem::field(Code::CallRepeatable, "tool", detail)
+}
+
 fn sealed(reply: ShardReply) -> Result<CallRecord, Problem> {
     match reply {
         ShardReply::Call(record) => Ok(record),
--- a/crates/gateway/src/api/problem.rs
+++ b/crates/gateway/src/api/problem.rs
@@ -4,8 +4,12 @@
 
 use axum::response::{IntoResponse, Response};
 use http::{HeaderValue, StatusCode, header};
+use rand::RngExt;
 use serde::Serialize;
 
+/// Largest part of the time to come back that is added to it by chance (ours).
+const RETRY_SPREAD: f64 = 0.5;
+
 /// A stable error code.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -172,21 +176,27 @@
     /// `503 try_again`: claims nothing.
     #[must_use]
     pub fn try_again(detail: impl Into<String>, after: Duration) -> Self {
-        Self::new(Code::TryAgain, detail).claiming(Claim::TryAgain).after(after)
+        Self::claims_nothing(Code::TryAgain, detail, after)
+    }
+
+    /// An error that claims nothing of the work: it may be sent again after the time named. That is at
+    /// least `after` and at most half as long again, so that callers do not all come back at once.
+    #[must_use]
+    pub fn claims_nothing(code: Code, detail: impl Into<String>, after: Duration) -> Self {
+        let after = after + after.mul_f64(rand::rng().random_range(0.0..=RETRY_SPREAD));
+        Self { claim: Some(Claim::TryAgain), retry_after: Some(after), ..Self::new(code, detail) }
     }
 
-    /// Adds a claim.
+    /// An error of work that may have run.
     #[must_use]
-    pub fn claiming(mut self, claim: Claim) -> Self {
-        self.claim = Some(claim);
-        self
+    pub fn unknown(code: Code, detail: impl Into<String>) -> Self {
+        Self { claim: Some(Claim::Unknown), ..Self::new(code, detail) }
     }
 
-    /// Adds when to come back.
+    /// An error of work that is sealed.
     #[must_use]
-    pub fn after(mut self, after: Duration) -> Self {
-        self.retry_after = Some(after);
-        self
+    pub fn not_run(code: Code, detail: impl Into<String>) -> Self {
+        Self { claim: Some(Claim::NotRun), ..Self::new(code, detail) }
     }
 
     /// The JSON body.
--- a/crates/gateway/src/api/refusals.rs
+++ b/crates/gateway/src/api/refusals.rs
@@ -6,7 +6,7 @@
 use hooklug_state::shard::ShardRefusal;
 use hooklug_types::TurnId;
 
-use super::problem::{Claim, Code, Problem};
+use super::problem::{Code, Problem};
 
 /// When to come back after a refusal that passes by itself (ours).
 pub const RETRY_SOON: Duration = Duration::from_millis(250);
@@ -32,7 +32,7 @@
         ShardRefusal::BudgetSpent => Problem::new(Code::BudgetSpent, detail),
         ShardRefusal::ProgramEnded => Problem::new(Code::ProgramEnded, detail),
         ShardRefusal::BudgetReserved => {
-            Problem::new(Code::BudgetReserved, detail).claiming(Claim::TryAgain).after(RETRY_SOON)
+            Problem::claims_nothing(Code::BudgetReserved, detail, RETRY_SOON)
         }
         ShardRefusal::CallDiffers => Problem::new(Code::CallDiffers, detail),
         ShardRefusal::NoCall => Problem::new(Code::NoCall, detail),
@@ -60,11 +60,12 @@
     let detail = refusal.to_string();
     match refusal {
         EngineRefusal::Ledger(refusal) => ledger(refusal),
-        EngineRefusal::Overloaded { retry_after_ms } => Problem::new(Code::Overloaded, detail)
-            .claiming(Claim::TryAgain)
-            .after(Duration::from_millis(*retry_after_ms)),
+        EngineRefusal::Overloaded { retry_after_ms } => {
+            let after = Duration::from_millis(*retry_after_ms);
+            Problem::claims_nothing(Code::Overloaded, detail, after)
+        }
         EngineRefusal::DeadlineExceeded => {
-            Problem::new(Code::DeadlineExceeded, detail).claiming(Claim::TryAgain)
+            Problem::claims_nothing(Code::DeadlineExceeded, detail, RETRY_SOON)
         }
         EngineRefusal::StoreUnavailable => Problem::try_again(detail, RETRY_STORE),
         EngineRefusal::NotOwner { .. }
--- a/crates/gateway/src/calls/mod.rs
+++ b/crates/gateway/src/calls/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod once;
 pub mod record;
+pub mod repeat_history;
 pub mod repeatable;
 pub mod retry_budget;
 pub mod room;
@@ -22,6 +23,7 @@
 use crate::backend::table::Backends;
 use crate::evidence::Evidence;
 use crate::shards::Shards;
+use repeat_history::RepeatHistory;
 use retry_budget::RetryBudget;
 
 /// Everything that calls need.
@@ -33,6 +35,8 @@
     pub(crate) node: hooklug_control::NodeHandle,
     pub(crate) retries: RetryBudget,
     pub(crate) mode: GatewayMode,
+    /// Which tools' calls left no record under earlier bundles.
+    pub(crate) history: RepeatHistory,
     /// Calls that go on when their caller has gone.
     pub(crate) running: TaskTracker,
 }
--- a/crates/gateway/src/calls/once.rs
+++ b/crates/gateway/src/calls/once.rs
@@ -11,7 +11,7 @@
 
 use super::record::{ClaimError, Claimed};
 use super::{CallRequest, Calls, draw_attempt};
-use crate::api::problem::{Claim, Code, Problem};
+use crate::api::problem::{Code, Problem};
 use crate::api::refusals;
 use crate::backend::Target;
 use crate::backend::answer::Answer;
@@ -34,6 +34,17 @@
 /// Least time that an engine gets for a call whose claim was granted late (ours).
 const LEAST_DISPATCH_TIME: Duration = Duration::from_secs(2);
 
+/// Time for the record of a call that has no room (ours): what is shed is told so soon.
+const RECORD_LOOK_TIME: Duration = Duration::from_secs(1);
+
+/// What a call meets before its claim.
+enum Entered {
+    /// Room at an engine.
+    Room(Outstanding),
+    /// It was begun or sealed before.
+    Recorded(Box<CallRecord>),
+}
+
 /// How a call stands, for its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Settled {
@@ -81,15 +92,15 @@
         match timeout_at(deadline, running).await {
             Ok(Ok(settled)) => settled,
             Ok(Err(_)) => Err(unknown("the gateway failed while the call ran")),
-            Err(_) => Err(Problem::new(Code::DeadlineExceeded, "no recorded answer in time")
-                .claiming(Claim::Unknown)),
+            Err(_) => Err(Problem::unknown(Code::DeadlineExceeded, "no recorded answer in time")),
         }
     }
 
     async fn claim_and_run(self: Arc<Self>, request: CallRequest) -> Result<Settled, Problem> {
-        self.check_circuit(&request)?;
-        // Room first: a call that is shed must not leave a claim behind.
-        let room = self.room(&request, &[]).await?;
+        let room = match self.enter(&request).await? {
+            Entered::Room(room) => room,
+            Entered::Recorded(record) => return self.await_other(&request, *record).await,
+        };
         let attempt = draw_attempt();
         let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
         loop {
@@ -114,6 +125,40 @@
         }
     }
 
+    /// Room comes before the claim: a call that is shed must not leave one behind. A call that has to
+    /// wait, or is turned away, may be a resend that needs no engine: its record decides then. One
+    /// that finds room at once is not looked up, as its claim tells the same.
+    async fn enter(&self, request: &CallRequest) -> Result<Entered, Problem> {
+        let entering = async {
+            self.check_circuit(request)?;
+            self.room(request, &[]).await
+        };
+        let looking = self.recorded(request);
+        tokio::pin!(entering, looking);
+        tokio::select! {
+            // Room is looked for first, so that no look-up begins while there is some.
+            biased;
+            entered = &mut entering => match entered {
+                Ok(room) => Ok(Entered::Room(room)),
+                Err(reason) => match looking.await {
+                    Some(record) => Ok(Entered::Recorded(record)),
+                    None => Err(reason.into()),
+                },
+            },
+            recorded = &mut looking => match recorded {
+                Some(record) => Ok(Entered::Recorded(record)),
+                None => Ok(Entered::Room(entering.await?)),
+            },
+        }
+    }
+
+    /// The call's record, if its shard tells one soon.
+    async fn recorded(&self, request: &CallRequest) -> Option<Box<CallRecord>> {
+        let until = request.deadline.min(Instant::now() + RECORD_LOOK_TIME);
+        let read = self.shards.call(&request.program, &request.call, until).await;
+        read.ok().flatten().map(Box::new)
+    }
+
     /// The claim may be committed yet, and would then hold the call for ever: it is carried through,
     /// so that a resend finds an outcome.
     async fn follow_up(self: Arc<Self>, mut request: CallRequest, attempt: CallAttempt) {
@@ -246,5 +291,5 @@
 
 /// `502 call_unknown`.
 pub(crate) fn unknown(detail: &str) -> Problem {
-    Problem::new(Code::CallUnknown, detail).claiming(Claim::Unknown)
+    Problem::unknown(Code::CallUnknown, detail)
 }
--- /dev/null
+++ b/crates/gateway/src/calls/repeat_history.rs
@@ -0,0 +1,200 @@
+//! Which tools' calls could and could not be repeated under earlier bundles.
+//!
+//! Only calls that may not be repeated leave records. Where a bundle changes that for a tool, its calls
+//! lie on both sides: one that was claimed or sealed before must not run again, and one that ran without a
+//! record must not be called "not run". So a tool that was ever not repeatable stays so, and a tool that
+//! ever was is sealed by no one. The meta group keeps the last bundles, which is where a gateway that
+//! starts learns what it has not seen itself.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_bundle::{ROUTES_SECTION, Route, RouteMatch};
+use hooklug_control::InstalledBundle;
+use hooklug_state::meta::{BundleRecord, KEPT_VERSIONS, MetaAnswer, MetaQuery};
+use hooklug_store::StateAccess;
+use hooklug_types::{BundleVersion, Digest, RouteName};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+use tracing::warn;
+
+use crate::backoff::Backoff;
+
+/// Time for one read of the meta group (ours).
+const READ_TIME: Duration = Duration::from_secs(5);
+
+/// Longest time for which a call waits until the history of a new bundle is read (ours).
+const LEARN_TIME: Duration = Duration::from_secs(1);
+
+/// Records asked for when a bundle follows one whose history is known (ours).
+const FEW_RECORDS: u32 = 16;
+
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+/// What the bundles up to one version say of tools.
+#[derive(Debug, Default)]
+struct Learnt {
+    /// All bundles up to here are looked at; `None` before the first.
+    up_to: Option<BundleVersion>,
+    /// Sections of routes that were looked at.
+    sections: HashSet<Digest>,
+    /// Tools whose calls could not be repeated under one of them.
+    once: HashSet<String>,
+    /// Tools whose calls could.
+    repeatable: HashSet<String>,
+}
+
+impl Learnt {
+    fn covers(&self, version: BundleVersion) -> bool {
+        self.up_to.is_some_and(|up_to| up_to >= version)
+    }
+
+    fn add<'a>(&mut self, routes: impl Iterator<Item = &'a Route>) {
+        for route in routes {
+            let RouteMatch::Tool { tool } = &route.matches else { continue };
+            let tools = if route.may_repeat { &mut self.repeatable } else { &mut self.once };
+            tools.insert(tool.clone());
+        }
+    }
+}
+
+/// How a tool's calls are treated, and whether its records tell all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeatability {
+    /// They may be repeated, and always could.
+    Repeatable,
+    /// They may not, and never could.
+    Once,
+    /// They may not; under another bundle they could, and left no record.
+    OnceOfLate,
+}
+
+/// What this gateway knows of its bundles' history.
+#[derive(Debug, Default)]
+pub struct RepeatHistory {
+    learnt: watch::Sender<Learnt>,
+}
+
+impl RepeatHistory {
+    /// How calls of a route's tool are treated under a bundle; `None` while its history is not known.
+    pub async fn of(
+        &self,
+        bundle: &InstalledBundle,
+        tool: &str,
+        route: &Route,
+    ) -> Option<Repeatability> {
+        let version = bundle.record.version;
+        if !self.learnt.borrow().covers(version) {
+            let mut changes = self.learnt.subscribe();
+            let learning = changes.wait_for(|learnt| learnt.covers(version));
+            timeout(LEARN_TIME, learning).await.ok()?.ok()?;
+        }
+        let learnt = self.learnt.borrow();
+        Some(if route.may_repeat && !learnt.once.contains(tool) {
+            Repeatability::Repeatable
+        } else if learnt.repeatable.contains(tool) {
+            Repeatability::OnceOfLate
+        } else {
+            Repeatability::Once
+        })
+    }
+
+    /// Learns of each bundle that comes into force, until there are no more.
+    pub async fn follow(
+        &self,
+        state: &dyn StateAccess,
+        mut bundles: watch::Receiver<Option<Arc<InstalledBundle>>>,
+    ) {
+        loop {
+            let installed = bundles.borrow_and_update().clone();
+            if let Some(installed) = installed {
+                self.learn_until_known(state, &installed).await;
+            }
+            if bundles.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn learn_until_known(&self, state: &dyn StateAccess, installed: &InstalledBundle) {
+        let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        while let Err(error) = self.learn(state, installed).await {
+            warn!(%error, "the history of bundles is not known yet");
+            sleep(backoff.next_wait()).await;
+        }
+    }
+
+    async fn learn(
+        &self,
+        state: &dyn StateAccess,
+        installed: &InstalledBundle,
+    ) -> Result<(), HistoryError> {
+        let from = self.learnt.borrow().up_to;
+        let records = read_records(state, from).await?;
+        let newest = records.first().map(|record| record.version);
+        let mut found = Vec::new();
+        for digest in records.iter().filter_map(|record| record.sections.get(ROUTES_SECTION)) {
+            if !self.learnt.borrow().sections.contains(digest) {
+                found.push((*digest, read_routes(state, *digest).await?));
+            }
+        }
+        self.learnt.send_modify(|learnt| {
+            learnt.add(installed.bundle.routes.values());
+            for (digest, routes) in found {
+                learnt.add(routes.values());
+                learnt.sections.insert(digest);
+            }
+            learnt.up_to = learnt.up_to.max(newest).max(Some(installed.record.version));
+        });
+        Ok(())
+    }
+}
+
+/// Why the history is not known.
+#[derive(Debug, thiserror::Error)]
+enum HistoryError {
+    #[error(transparent)]
+    Unavailable(#[from] hooklug_store::Unavailable),
+    #[error("a section of routes does not decode: {0}")]
+    Malformed(#[from] serde_json::Error),
+    #[error("the meta group's answer does not fit the question")]
+    Unexpected,
+}
+
+/// Records of the bundles after a version, newest first; all that are kept when there is none.
+async fn read_records(
+    state: &dyn StateAccess,
+    after: Option<BundleVersion>,
+) -> Result<Vec<BundleRecord>, HistoryError> {
+    let all = u32::try_from(KEPT_VERSIONS).unwrap_or(u32::MAX);
+    if let Some(after) = after {
+        let few = history(state, FEW_RECORDS).await?;
+        if few.len() < FEW_RECORDS as usize || few.iter().any(|record| record.version <= after) {
+            return Ok(few);
+        }
+    }
+    history(state, all).await
+}
+
+async fn history(state: &dyn StateAccess, limit: u32) -> Result<Vec<BundleRecord>, HistoryError> {
+    let deadline = Instant::now() + READ_TIME;
+    match state.query_meta(&MetaQuery::History(limit), deadline).await? {
+        MetaAnswer::History(records) => Ok(records),
+        _ => Err(HistoryError::Unexpected),
+    }
+}
+
+/// The routes of a section; none when it is not kept any more.
+async fn read_routes(
+    state: &dyn StateAccess,
+    digest: Digest,
+) -> Result<BTreeMap<RouteName, Route>, HistoryError> {
+    let deadline = Instant::now() + READ_TIME;
+    match state.query_meta(&MetaQuery::Section(digest), deadline).await? {
+        MetaAnswer::Section(Some(bytes)) => Ok(serde_json::from_slice(&bytes)?),
+        MetaAnswer::Section(None) => Ok(BTreeMap::new()),
+        _ => Err(HistoryError::Unexpected),
+    }
+}
--- a/crates/gateway/src/calls/repeatable.rs
+++ b/crates/gateway/src/calls/repeatable.rs
@@ -5,11 +5,11 @@
 use tokio::time::{Instant, sleep};
 
 use super::{CallRequest, Calls, draw_attempt};
-use crate::api::problem::{Claim, Code, Problem};
+use crate::api::problem::{Code, Problem};
 use crate::api::refusals::RETRY_SOON;
 use crate::backend::answer::{Answer, Refusal};
 use crate::backend::exchange::ExchangeError;
-use crate::backoff::{Backoff, jittered};
+use crate::backoff::Backoff;
 
 const FIRST_WAIT: Duration = Duration::from_millis(10);
 const LONGEST_WAIT: Duration = Duration::from_millis(250);
@@ -74,13 +74,12 @@
 fn failed(error: &ExchangeError, deadline: Instant) -> Problem {
     if Instant::now() >= deadline {
         let detail = format!("no answer in time: {error}");
-        return Problem::new(Code::DeadlineExceeded, detail).claiming(Claim::TryAgain);
+        return Problem::claims_nothing(Code::DeadlineExceeded, detail, RETRY_SOON);
     }
-    let after = jittered(RETRY_SOON * 2, &mut rand::rng());
     match error {
         ExchangeError::Refused(Refusal::Overloaded) => {
-            Problem::new(Code::Overloaded, error.to_string()).claiming(Claim::TryAgain).after(after)
+            Problem::claims_nothing(Code::Overloaded, error.to_string(), RETRY_SOON)
         }
-        _ => Problem::try_again(error.to_string(), after),
+        _ => Problem::try_again(error.to_string(), RETRY_SOON),
     }
 }
--- a/crates/gateway/src/calls/room.rs
+++ b/crates/gateway/src/calls/room.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::{CallRequest, Calls};
-use crate::api::problem::{Claim, Code, Problem};
+use crate::api::problem::{Code, Problem};
 use crate::api::refusals::RETRY_SOON;
 use crate::backend::answer::Answer;
 use crate::backend::exchange::{Dispatch, ExchangeError};
@@ -14,7 +14,6 @@
 use crate::backend::stats::CallEnd;
 use crate::backend::table::{Found, Outstanding, Wanted};
 use crate::backend::{EngineRun, Target};
-use crate::backoff::jittered;
 
 /// Why a call gets no engine. Nothing was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -36,17 +35,11 @@
 impl From<NoRoom> for Problem {
     fn from(reason: NoRoom) -> Self {
         let detail = reason.to_string();
-        // Jitter above the time named, so that callers do not all come back at once.
-        let spread = |after: Duration| after + jittered(after / 2, &mut rand::rng());
         match reason {
-            NoRoom::NoEngine => Problem::try_again(detail, spread(RETRY_SOON)),
-            NoRoom::CircuitOpen(after) => Problem::try_again(detail, spread(after.max(RETRY_SOON))),
-            NoRoom::TimedOut => {
-                Problem::new(Code::DeadlineExceeded, detail).claiming(Claim::TryAgain)
-            }
-            NoRoom::Shed(after) => Problem::new(Code::Overloaded, detail)
-                .claiming(Claim::TryAgain)
-                .after(spread(after)),
+            NoRoom::NoEngine => Problem::try_again(detail, RETRY_SOON),
+            NoRoom::CircuitOpen(after) => Problem::try_again(detail, after.max(RETRY_SOON)),
+            NoRoom::TimedOut => Problem::claims_nothing(Code::DeadlineExceeded, detail, RETRY_SOON),
+            NoRoom::Shed(after) => Problem::claims_nothing(Code::Overloaded, detail, after),
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -45,11 +45,17 @@
         let stop = self.shared.ctx.stop.clone();
         tokio::select! {
             () = self.upkeep() => {}
+            () = self.follow_history() => {}
             () = stop.cancelled() => {}
         }
         self.wind_down().await;
     }
 
+    async fn follow_history(&self) {
+        let ctx = &self.shared.ctx;
+        self.shared.calls.history.follow(&*ctx.state, ctx.node.bundle.clone()).await;
+    }
+
     async fn upkeep(&self) {
         let shared = &self.shared;
         let mut view = shared.ctx.node.view.clone();
--- a/crates/gateway/src/limits/tenants.rs
+++ b/crates/gateway/src/limits/tenants.rs
@@ -11,7 +11,6 @@
 use super::token_bucket::TokenBucket;
 use crate::api::admission::tenant_limited;
 use crate::api::problem::Problem;
-use crate::backoff::jittered;
 
 /// When to come back after the concurrency limit (ours): about the length of a call.
 const RETRY_CONCURRENCY: Duration = Duration::from_millis(500);
@@ -51,12 +50,10 @@
             running: 0,
         });
         if state.running >= limits.concurrency {
-            let after = jittered(RETRY_CONCURRENCY, &mut rand::rng());
-            return Err(tenant_limited("too many requests at once", after));
+            return Err(tenant_limited("too many requests at once", RETRY_CONCURRENCY));
         }
         if let Err(wait) = state.bucket.take(limits.requests_per_second, now) {
-            let spread = jittered(wait.max(LEAST_RETRY), &mut rand::rng());
-            return Err(tenant_limited("too many requests a second", wait + spread));
+            return Err(tenant_limited("too many requests a second", wait.max(LEAST_RETRY)));
         }
         state.running += 1;
         Ok(TenantPermit { tenants: self.clone(), tenant: tenant.clone() })
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::backend::pool::Pool;
 use crate::backend::table::Backends;
 use crate::calls::Calls;
+use crate::calls::repeat_history::RepeatHistory;
 use crate::calls::retry_budget::RetryBudget;
 use crate::evidence::Evidence;
 use crate::limits::tenants::Tenants;
@@ -72,6 +73,7 @@
             node: ctx.node.clone(),
             retries: RetryBudget::new(ctx.settings.gateway.retry_share),
             mode: ctx.settings.gateway.mode,
+            history: RepeatHistory::default(),
             running: running.clone(),
         });
         Self {
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hooklug_control::judge::JudgedVersion;
+use hooklug_gateway::api::problem::Problem;
 use hooklug_gateway::backend::answer::{Head, InvalidAnswer, Refusal, judge_body, judge_head};
 use hooklug_gateway::limits::adaptive::{AdaptiveLimit, Sign};
 use hooklug_gateway::limits::baseline::Baseline;
@@ -224,6 +225,16 @@
     assert!(losses.lately(now + Duration::from_secs(11)).is_empty());
 }
 
+#[test]
+fn callers_are_not_asked_back_all_at_once() {
+    let least = Duration::from_millis(400);
+    let times: std::collections::BTreeSet<Duration> = (0..100)
+        .filter_map(|_| Problem::try_again("later", least).retry_after)
+        .inspect(|after| assert!(*after >= least && *after <= least.mul_f64(1.5), "{after:?}"))
+        .collect();
+    assert!(times.len() > 10, "{times:?}");
+}
+
 fn headers(list: &[(&'static str, &str)]) -> http::HeaderMap {
     let mut headers = http::HeaderMap::new();
     for (name, value) in list {
--- a/crates/gateway/tests/support/app_engine.rs
+++ b/crates/gateway/tests/support/app_engine.rs
@@ -52,6 +52,10 @@
     pub ran: BTreeMap<String, u32>,
     /// Calls received, run or not.
     pub received: u32,
+    /// Calls whose caller closed the connection before the answer.
+    pub left: u32,
+    /// Deadlines in milliseconds, as the calls' headers told them.
+    pub deadlines: Vec<u64>,
     /// Answers to look-ups tell what ran.
     pub look_up: bool,
     /// Identity that is told in place of its own.
@@ -145,6 +149,18 @@
         }
     }
 
+    /// Waits until the caller of a slow call has closed its connection.
+    pub async fn wait_left(&self) {
+        while self.script.lock().expect("no panic under the lock").left == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// Time that each call said it had left, in milliseconds.
+    pub fn deadlines(&self) -> Vec<u64> {
+        self.script.lock().expect("no panic under the lock").deadlines.clone()
+    }
+
     pub fn received(&self) -> u32 {
         self.script.lock().expect("no panic under the lock").received
     }
@@ -211,7 +227,10 @@
 
     fn run(&self, received: &Received) {
         let call = received.headers.get("x-hooklug-call").cloned().unwrap_or_default();
+        let deadline =
+            received.headers.get("x-hooklug-deadline-ms").and_then(|ms| ms.parse::<u64>().ok());
         let mut script = self.script.lock().expect("no panic under the lock");
+        script.deadlines.extend(deadline);
         *script.ran.entry(call).or_default() += 1;
     }
 
@@ -260,7 +279,14 @@
             }
             Behaviour::ServerError => write(stream, 500, &own, "{}").await?,
             Behaviour::Slow(time) => {
-                tokio::time::sleep(time).await;
+                tokio::select! {
+                    () = tokio::time::sleep(time) => {}
+                    // Nothing follows a request before its answer: a read ends only with the connection.
+                    _ = stream.read_u8() => {
+                        self.script.lock().expect("no panic under the lock").left += 1;
+                        return Ok(false);
+                    }
+                }
                 write(stream, 200, &own, BODY).await?;
             }
             Behaviour::Answer | Behaviour::Refuse(_) | Behaviour::CloseBefore => {
--- a/crates/gateway/tests/support/http.rs
+++ b/crates/gateway/tests/support/http.rs
@@ -23,6 +23,14 @@
         self.json["code"].as_str().unwrap_or_default()
     }
 
+    /// What claims nothing of the work has to tell when to come back.
+    fn check_time_to_come_back(&self) {
+        if self.json["outcome"] == "try_again" {
+            assert!(self.json["retry_after_ms"].as_u64() > Some(0), "{self:?}");
+            assert!(self.header("retry-after").parse::<u64>().unwrap() > 0, "{self:?}");
+        }
+    }
+
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).map_or("", |value| value.to_str().unwrap_or_default())
     }
@@ -65,7 +73,9 @@
     } else {
         serde_json::from_slice(&bytes).unwrap_or_else(|_| panic!("not JSON: {bytes:?}"))
     };
-    Answer { status: head.status.as_u16(), headers: head.headers, json }
+    let answer = Answer { status: head.status.as_u16(), headers: head.headers, json };
+    answer.check_time_to_come_back();
+    answer
 }
 
 pub fn with_json(builder: http::request::Builder, body: &Value) -> Request<Full<Bytes>> {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod app_engine;
+pub mod calls;
 pub mod fake_engine;
 pub mod http;
 
@@ -23,7 +24,7 @@
 use hooklug_settings::{
     CoreSettings, GatewayMode, GatewaySettings, OperatorSettings, Secret, Settings, StoreSettings,
 };
-use hooklug_state::meta::{BundleOrigin, BundleRecord};
+use hooklug_state::meta::{BundleOrigin, BundleRecord, MetaCommand, MetaReply, SubmitBundle};
 use hooklug_state::shard::{
     BeginCall, ShardAnswer, ShardCommand, ShardQuery, ShardReply, TurnRecord,
 };
@@ -208,6 +209,26 @@
         world
     }
 
+    /// Adds a gateway that starts with the present bundle and view.
+    pub async fn add_gateway(&mut self) {
+        let gateway = self.start_gateway(900 + self.gateways.len() as u64, GatewayMode::Full).await;
+        self.gateways.push(gateway);
+    }
+
+    /// Commits a bundle in the meta group, as operators do.
+    pub async fn commit_bundle(&self, bundle: &Bundle) {
+        let form = MetaCommand::Form { cluster: 1, stores: Vec::new(), placements: Vec::new() };
+        assert_eq!(self.state.execute_meta(&form, soon()).await, Ok(MetaReply::Done));
+        let command = MetaCommand::SubmitBundle(SubmitBundle {
+            version: bundle.version,
+            base: bundle.base,
+            bytes: hooklug_bundle::canonical_bytes(bundle),
+            signed_by: Vec::new(),
+        });
+        let reply = self.state.execute_meta(&command, soon()).await;
+        assert!(matches!(reply, Ok(MetaReply::Bundle(_))), "{reply:?}");
+    }
+
     async fn start_gateway(&self, node: u64, mode: GatewayMode) -> TestGateway {
         let (handle, feeds) = NodeHandle::new();
         feeds.reach.send_replace(Reach { core: true, store: true, newest_bundle: true });
