--- a/crates/gateway/tests/calls_repeatable.rs
+++ b/crates/gateway/tests/calls_repeatable.rs
@@ -8,8 +8,9 @@
 use hooklug_types::{BundleVersion, RouteName};
 use serde_json::json;
 use support::app_engine::{AppEngine, Behaviour};
+use support::bundles::tool_route;
 use support::calls::{alarm, call, read, runs, sensor, world_with};
-use support::{World, bundle, http, id, tool_route};
+use support::{World, bundle, http, id};
 
 #[tokio::test]
 async fn a_call_that_may_be_repeated_is_tried_elsewhere() {
--- /dev/null
+++ b/crates/gateway/tests/support/sessions.rs
@@ -0,0 +1,31 @@
+//! One session as tests open it, its turns, and what its streams show.
+
+use serde_json::json;
+
+use super::World;
+use super::fake_engine::FakeEngine;
+use super::http::SseEvent;
+
+pub const SESSION: &str = "p1/sessions/s1";
+
+pub async fn open_world() -> (World, FakeEngine) {
+    let mut world = World::new().await;
+    let engine = FakeEngine::start("e1", "v2", 1, &world.state).await;
+    world.list(&engine, "z1");
+    world.put_program("p1").await;
+    let opened = world.open_session("p1", "s1").await;
+    assert_eq!((opened.status, &opened.json["owner"]), (200, &json!("e1")), "{opened:?}");
+    (world, engine)
+}
+
+pub fn turn(name: &str, after: Option<&str>, tokens: u64) -> serde_json::Value {
+    json!({"turn": name, "after": after, "input": "vent?", "max_tokens": tokens})
+}
+
+pub fn ids(events: &[SseEvent]) -> Vec<u64> {
+    events.iter().map(|e| e.id).collect()
+}
+
+pub fn names(events: &[SseEvent]) -> Vec<&str> {
+    events.iter().map(|e| e.event.as_str()).collect()
+}
