gateway: one extractor for handlers, engines' figures by service, a refused call is no answer

Cause: the same six lines of extraction stood in twelve handlers. table.rs held the figures of engines and routes as well as the room of calls, and each look for an engine walked the whole view and cloned each engine's target (five shared counters each) under the lock.

Change: ApiRequest and Fields are extractors; a path that is no text is now bad_id as problem+json too. figures.rs keeps engines by service, built once a view. The digest of a call is made only where it is recorded.

--- a/crates/gateway/src/api/calls.rs
+++ b/crates/gateway/src/api/calls.rs
@@ -1,24 +1,19 @@
 //! `/v1/programs/{program}/calls/{call}`.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use axum::Extension;
-use axum::body::Body;
-use axum::extract::{RawPathParams, State};
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
 use hooklug_bundle::{Bundle, Route};
 use hooklug_state::shard::{CallRecord, ShardCommand, ShardRefusal, ShardReply};
-use hooklug_types::{CallId, ProgramId, RouteName};
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use hooklug_types::RouteName;
+use http::{HeaderName, HeaderValue, StatusCode, header};
 use serde_json::Value;
-use tokio::time::Instant;
 
-use super::admission::Admitted;
-use super::body::{Fields, path_id};
+use super::body::Fields;
 use super::problem::{Code, Problem};
 use super::refusals::RETRY_STORE;
+use super::request::ApiRequest;
 use super::{refusals, views};
 use crate::backend::answer::Answer;
 use crate::calls::once::{Settled, unknown};
@@ -77,27 +72,10 @@
     })
 }
 
-async fn own_call(
-    shared: &Shared,
-    admitted: &Admitted,
-    params: &RawPathParams,
-) -> Result<(ProgramId, CallId), Problem> {
-    let program: ProgramId = path_id(params, "program")?;
-    let call: CallId = path_id(params, "call")?;
-    shared.own_program(&admitted.caller, &program).await?;
-    Ok((program, call))
-}
-
-pub(crate) async fn put(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-    headers: HeaderMap,
-    body: Body,
-) -> Result<Response, Problem> {
-    let begun = Instant::now();
-    let body = parse(Fields::read(&headers, body, shared.body_limit()).await?)?;
-    let (program, call) = own_call(&shared, &admitted, &params).await?;
+pub(crate) async fn put(asked: ApiRequest, fields: Fields) -> Result<Response, Problem> {
+    let ApiRequest { shared, admitted, begun, .. } = &asked;
+    let body = parse(fields)?;
+    let (program, call) = asked.own_call().await?;
     let (route_name, route) = tool_route(&admitted.bundle.bundle, &body.tool)?;
     let most = route.deadline_ms;
     let allowed = Duration::from_millis(body.deadline_ms.map_or(most, |ms| ms.min(most)));
@@ -105,13 +83,12 @@
         program,
         call,
         tenant: admitted.caller.tenant.clone(),
-        digest: content_digest(&body.tool, &body.arguments),
         arguments: Bytes::from(body.arguments.to_string()),
         tool: body.tool,
         route: route_name.clone(),
         service: route.service.clone(),
         urgent: route.urgent,
-        deadline: begun + allowed,
+        deadline: *begun + allowed,
     };
     let history = &shared.calls.history;
     if route.may_repeat
@@ -149,12 +126,9 @@
     }
 }
 
-pub(crate) async fn get(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-) -> Result<Response, Problem> {
-    let (program, call) = own_call(&shared, &admitted, &params).await?;
+pub(crate) async fn get(asked: ApiRequest) -> Result<Response, Problem> {
+    let shared = &asked.shared;
+    let (program, call) = asked.own_call().await?;
     let deadline = Shared::state_deadline();
     let record = shared.shards.call(&program, &call, deadline).await?;
     let record = record.ok_or_else(|| Problem::new(Code::NoCall, "no such call is recorded"))?;
@@ -162,17 +136,11 @@
     Ok(axum::Json(views::call(&record)).into_response())
 }
 
-pub(crate) async fn seal(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-    headers: HeaderMap,
-    body: Body,
-) -> Result<Response, Problem> {
-    let mut fields = Fields::read(&headers, body, shared.body_limit()).await?;
+pub(crate) async fn seal(asked: ApiRequest, mut fields: Fields) -> Result<Response, Problem> {
+    let ApiRequest { shared, admitted, .. } = &asked;
     let (tool, arguments) = tool_and_arguments(&mut fields)?;
     fields.finish()?;
-    let (program, call) = own_call(&shared, &admitted, &params).await?;
+    let (program, call) = asked.own_call().await?;
     let (_, route) = tool_route(&admitted.bundle.bundle, &tool)?;
     let digest = content_digest(&tool, &arguments);
     let record = match shared.calls.history.of(&admitted.bundle, &tool, route).await {
--- a/crates/gateway/src/api/mod.rs
+++ b/crates/gateway/src/api/mod.rs
@@ -7,6 +7,7 @@
 pub mod problem;
 pub mod programs;
 pub mod refusals;
+mod request;
 pub mod sessions;
 pub mod sse;
 pub mod turns;
--- a/crates/gateway/src/api/sessions.rs
+++ b/crates/gateway/src/api/sessions.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use axum::Extension;
 use axum::body::Body;
-use axum::extract::{RawPathParams, State};
 use axum::response::{IntoResponse, Response};
 use hooklug_protocol::engine::{CloseSession, ToolResult};
 use hooklug_state::shard::{Event, SessionRecord};
@@ -14,8 +12,9 @@
 use tokio::time::Instant;
 
 use super::admission::Admitted;
-use super::body::{Fields, path_id};
+use super::body::Fields;
 use super::problem::{Code, Problem};
+use super::request::ApiRequest;
 use super::{sse, views};
 use crate::client_stream::client_stream;
 use crate::sessions::engines::EngineError;
@@ -27,35 +26,17 @@
 /// Longest call id of a tool result, in bytes (ours).
 const MAX_CALL_NAME_BYTES: usize = 256;
 
-/// The session that a path names, if it belongs to a program of the caller.
-pub(super) async fn own_session(
-    shared: &Shared,
-    admitted: &Admitted,
-    params: &RawPathParams,
-) -> Result<SessionKey, Problem> {
-    let program = path_id(params, "program")?;
-    let session = path_id(params, "session")?;
-    shared.own_program(&admitted.caller, &program).await?;
-    Ok(SessionKey { program, session })
-}
-
 pub(super) async fn read(shared: &Shared, key: &SessionKey) -> Result<SessionRecord, Problem> {
     let record = shared.shards.session(key, Shared::state_deadline()).await?;
     record.ok_or_else(|| Problem::new(Code::NoSession, "no such session"))
 }
 
-pub(crate) async fn put(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-    headers: HeaderMap,
-    body: Body,
-) -> Result<Response, Problem> {
-    let mut fields = Fields::read(&headers, body, shared.body_limit()).await?;
+pub(crate) async fn put(asked: ApiRequest, mut fields: Fields) -> Result<Response, Problem> {
+    let ApiRequest { shared, admitted, .. } = &asked;
     let model: ModelName = fields.id("model")?;
     let prefix: Option<PrefixId> = fields.optional_id("prefix")?;
     fields.finish()?;
-    let key = own_session(&shared, &admitted, &params).await?;
+    let key = asked.own_session().await?;
     let (_, route) = admitted.bundle.bundle.session_route(&model).ok_or_else(|| {
         Problem::field(Code::NoRoute, "model", format!("no route serves model {model}"))
     })?;
@@ -64,22 +45,16 @@
     Ok(axum::Json(views::session(&record)).into_response())
 }
 
-pub(crate) async fn get(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-) -> Result<Response, Problem> {
-    let key = own_session(&shared, &admitted, &params).await?;
-    let record = read(&shared, &key).await?;
+pub(crate) async fn get(asked: ApiRequest) -> Result<Response, Problem> {
+    let shared = &asked.shared;
+    let key = asked.own_session().await?;
+    let record = read(shared, &key).await?;
     Ok(axum::Json(views::session(&record)).into_response())
 }
 
-pub(crate) async fn delete(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-) -> Result<Response, Problem> {
-    let key = own_session(&shared, &admitted, &params).await?;
+pub(crate) async fn delete(asked: ApiRequest) -> Result<Response, Problem> {
+    let shared = &asked.shared;
+    let key = asked.own_session().await?;
     let deadline = Shared::session_deadline();
     let closed = shared.owners.send(&key, deadline, |entry| {
         let place = entry.place(&key);
@@ -92,8 +67,8 @@
     });
     let record = match closed.await {
         Ok((_, record)) => record,
-        Err(MessageError::Owner(OwnerError::Closed(_))) => read(&shared, &key).await?,
-        Err(error) => reread_closed(&shared, &key, error).await?,
+        Err(MessageError::Owner(OwnerError::Closed(_))) => read(shared, &key).await?,
+        Err(error) => reread_closed(shared, &key, error).await?,
     };
     shared.owners.forget(&key);
     Ok(axum::Json(views::session(&record)).into_response())
@@ -114,13 +89,10 @@
 }
 
 pub(crate) async fn tool_result(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-    headers: HeaderMap,
-    body: Body,
+    asked: ApiRequest,
+    mut fields: Fields,
 ) -> Result<Response, Problem> {
-    let mut fields = Fields::read(&headers, body, shared.body_limit()).await?;
+    let shared = &asked.shared;
     let call: String = fields.required("call")?;
     let result: Value = fields.any("result")?;
     fields.finish()?;
@@ -128,7 +100,7 @@
         let detail = format!("must have 1 to {MAX_CALL_NAME_BYTES} bytes");
         return Err(Problem::field(Code::BadId, "call", detail));
     }
-    let key = own_session(&shared, &admitted, &params).await?;
+    let key = asked.own_session().await?;
     let deadline = Shared::session_deadline();
     let result = result.to_string();
     let sent = shared.owners.send(&key, deadline, |entry| {
@@ -141,16 +113,12 @@
     Ok(axum::Json(json!({"seq": seq.0})).into_response())
 }
 
-pub(crate) async fn events(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-    headers: HeaderMap,
-) -> Result<Response, Problem> {
-    let key = own_session(&shared, &admitted, &params).await?;
+pub(crate) async fn events(asked: ApiRequest, headers: HeaderMap) -> Result<Response, Problem> {
+    let ApiRequest { shared, admitted, .. } = &asked;
+    let key = asked.own_session().await?;
     match last_event_id(&headers)? {
-        Some(last) => resume(&shared, &admitted, key, last).await,
-        None => join(&shared, &admitted, key).await,
+        Some(last) => resume(shared, admitted, key, last).await,
+        None => join(shared, admitted, key).await,
     }
 }
 
--- a/crates/gateway/src/api/turns.rs
+++ b/crates/gateway/src/api/turns.rs
@@ -1,24 +1,19 @@
 //! `/v1/programs/{program}/sessions/{session}/turns`.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use axum::Extension;
-use axum::body::Body;
-use axum::extract::{RawPathParams, State};
 use axum::response::{IntoResponse, Response};
 use hooklug_bundle::{Bundle, Route, RouteMatch};
 use hooklug_protocol::engine::AbortTurn;
 use hooklug_state::shard::{TurnRecord, TurnState};
 use hooklug_types::{EventSeq, RouteName, ServiceName, SessionKey, TokenCount, TurnId};
 use http::{HeaderMap, StatusCode};
-use tokio::time::Instant;
 use tracing::{Instrument, info_span};
 
-use super::admission::Admitted;
-use super::body::{Fields, path_id};
+use super::body::Fields;
 use super::problem::{Code, Problem};
-use super::sessions::{check_last, event_stream, last_event_id, own_session, read, refused_code};
+use super::request::ApiRequest;
+use super::sessions::{check_last, event_stream, last_event_id, read, refused_code};
 use super::{refusals, views};
 use crate::client_stream::client_stream;
 use crate::sessions::follower::Follower;
@@ -54,23 +49,20 @@
 }
 
 pub(crate) async fn post(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
+    asked: ApiRequest,
     headers: HeaderMap,
-    body: Body,
+    fields: Fields,
 ) -> Result<Response, Problem> {
-    let begun = Instant::now();
-    let fields = Fields::read(&headers, body, shared.body_limit()).await?;
+    let ApiRequest { shared, admitted, begun, .. } = &asked;
     let TurnBody { turn, after, input, max_tokens } = parse(fields)?;
     let last_seen = last_event_id(&headers)?.unwrap_or_default();
     shared.check_store_reach()?;
-    let key = own_session(&shared, &admitted, &params).await?;
+    let key = asked.own_session().await?;
     let group = shared.own_program(&admitted.caller, &key.program).await?.group;
     let entry = shared.owners.resolve(&key, None, Shared::session_deadline()).await?;
     let (route_name, route) = session_route(&admitted.bundle.bundle, &entry.service)
         .ok_or_else(|| Problem::new(Code::NoRoute, format!("no route to {}", entry.service)))?;
-    let deadline = begun + Duration::from_millis(route.deadline_ms);
+    let deadline = *begun + Duration::from_millis(route.deadline_ms);
     let request = TurnRequest {
         key: key.clone(),
         turn: turn.clone(),
@@ -94,7 +86,7 @@
         entry.service.clone(),
         entry.version.clone(),
         route_name.clone(),
-        begun,
+        *begun,
     );
     let after = start_of(&running.record).max(last_seen);
     let (sink, body) = client_stream(shared.cut.clone(), admitted.guard.clone());
@@ -129,27 +121,20 @@
     }
 }
 
-pub(crate) async fn get(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-) -> Result<Response, Problem> {
-    let turn: TurnId = path_id(&params, "turn")?;
-    let key = own_session(&shared, &admitted, &params).await?;
-    let record = read_turn(&shared, &key, &turn).await?;
+pub(crate) async fn get(asked: ApiRequest) -> Result<Response, Problem> {
+    let shared = &asked.shared;
+    let turn: TurnId = asked.id("turn")?;
+    let key = asked.own_session().await?;
+    let record = read_turn(shared, &key, &turn).await?;
     Ok(axum::Json(views::turn(&record)).into_response())
 }
 
-pub(crate) async fn events(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-    headers: HeaderMap,
-) -> Result<Response, Problem> {
-    let turn: TurnId = path_id(&params, "turn")?;
+pub(crate) async fn events(asked: ApiRequest, headers: HeaderMap) -> Result<Response, Problem> {
+    let ApiRequest { shared, admitted, .. } = &asked;
+    let turn: TurnId = asked.id("turn")?;
     let last = last_event_id(&headers)?.unwrap_or_default();
-    let key = own_session(&shared, &admitted, &params).await?;
-    let record = read_turn(&shared, &key, &turn).await?;
+    let key = asked.own_session().await?;
+    let record = read_turn(shared, &key, &turn).await?;
     match &record.state {
         TurnState::Refused(refusal) => return Err(refusals::ledger(refusal)),
         // The caller has the terminal event: "no content" tells an event source to stop asking.
@@ -161,7 +146,7 @@
             return Err(Problem::field(Code::BadField, "last-event-id", detail));
         }
         TurnState::Ended { .. } => {}
-        TurnState::Open => check_last(last, &read(&shared, &key).await?)?,
+        TurnState::Open => check_last(last, &read(shared, &key).await?)?,
     }
     let span = info_span!("turn", program = %key.program, session = %key.session, turn = %turn);
     let after = start_of(&record).max(last);
@@ -171,14 +156,11 @@
     Ok(event_stream(body))
 }
 
-pub(crate) async fn abort(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-) -> Result<Response, Problem> {
-    let turn: TurnId = path_id(&params, "turn")?;
-    let key = own_session(&shared, &admitted, &params).await?;
-    let record = read_turn(&shared, &key, &turn).await?;
+pub(crate) async fn abort(asked: ApiRequest) -> Result<Response, Problem> {
+    let shared = &asked.shared;
+    let turn: TurnId = asked.id("turn")?;
+    let key = asked.own_session().await?;
+    let record = read_turn(shared, &key, &turn).await?;
     if record.state != TurnState::Open {
         return Ok(axum::Json(views::turn(&record)).into_response());
     }
@@ -192,7 +174,7 @@
         Ok((_, record)) => record,
         // It ended before the abort came.
         Err(error) if error.is_closed() || refused_code(&error) == Some(Code::NoTurn) => {
-            read_turn(&shared, &key, &turn).await?
+            read_turn(shared, &key, &turn).await?
         }
         Err(error) => return Err(error.into()),
     };
--- a/crates/gateway/src/api/views.rs
+++ b/crates/gateway/src/api/views.rs
@@ -4,6 +4,8 @@
 use hooklug_types::{CallOutcome, EndReason, TurnId};
 use serde_json::{Value, json};
 
+use crate::calls::once::refused_status;
+
 /// A program.
 #[must_use]
 pub fn program(record: &ProgramRecord) -> Value {
@@ -79,6 +81,9 @@
         None => json!({"call": call, "state": "running"}),
         Some(CallOutcome::Unknown) => json!({"call": call, "state": "unknown"}),
         Some(CallOutcome::NotRun) => json!({"call": call, "state": "not_run"}),
+        Some(CallOutcome::Answered { status, .. }) if *status == refused_status() => {
+            json!({"call": call, "state": "refused"})
+        }
         Some(CallOutcome::Answered { status, body }) => {
             let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
             json!({"call": call, "state": "answered", "status": status, "body": body})
--- a/crates/gateway/src/backend/balance.rs
+++ b/crates/gateway/src/backend/balance.rs
@@ -1,6 +1,8 @@
 //! Which application engine gets a call (design section 5): power of two choices on outstanding calls
 //! and latency, own zone first, ejected ones last. Pure.
 
+use std::sync::Arc;
+
 use hooklug_types::ZoneName;
 use rand::{Rng, RngExt};
 use tokio::time::Instant;
@@ -16,7 +18,7 @@
 #[derive(Debug, Clone)]
 pub struct Choice {
     /// The engine.
-    pub target: Target,
+    pub target: Arc<Target>,
     /// What calls have shown of it.
     pub stats: EngineStats,
     /// Calls that it may have outstanding before others are preferred.
--- /dev/null
+++ b/crates/gateway/src/backend/figures.rs
@@ -0,0 +1,209 @@
+//! What is known of the engines of a view and of routes: which could take a call, and what calls have
+//! shown of them. Pure.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooklug_bundle::Service;
+use hooklug_protocol::control::ClusterView;
+use hooklug_types::{RouteName, ServiceName, ServiceVersion};
+use tokio::time::Instant;
+
+use super::answer::Refusal;
+use super::balance::Choice;
+use super::stats::{CallEnd, EngineStats};
+use super::table::{Outstanding, Wanted};
+use super::{EngineRun, Target};
+use crate::limits::adaptive::{AdaptiveLimit, Sign};
+use crate::limits::baseline::Baseline;
+use crate::limits::circuit::Circuit;
+
+/// Share of an engine's limit that only urgent calls may use (ours).
+const URGENT_SHARE: f64 = 0.2;
+
+/// Average time of a call before any has ended (ours).
+const FIRST_AVERAGE: Duration = Duration::from_millis(20);
+
+/// What is known of one engine run beyond the view.
+#[derive(Debug, Clone)]
+struct Known {
+    stats: EngineStats,
+    limit: AdaptiveLimit,
+    /// It said that it drains: no new work, before the view tells.
+    draining: bool,
+}
+
+impl Known {
+    fn new(first_seen: Option<Instant>) -> Self {
+        let limit = AdaptiveLimit::default();
+        Self { stats: EngineStats::new(first_seen), limit, draining: false }
+    }
+}
+
+/// An engine as the view lists it.
+#[derive(Debug)]
+struct Listed {
+    target: Arc<Target>,
+    /// Healthy and not draining.
+    open: bool,
+}
+
+/// What is known of one route.
+#[derive(Debug, Clone, Default)]
+struct RouteState {
+    baseline: Option<Baseline>,
+    circuit: Circuit,
+}
+
+/// Engines by service, with their figures, and routes.
+#[derive(Debug, Default)]
+pub(super) struct Figures {
+    view: Arc<ClusterView>,
+    services: HashMap<ServiceName, Vec<Listed>>,
+    engines: HashMap<EngineRun, Known>,
+    routes: HashMap<RouteName, RouteState>,
+}
+
+impl Figures {
+    /// Takes a view, if it is another one: engines that are new start slowly.
+    pub(super) fn follow(&mut self, view: &Arc<ClusterView>, now: Instant) {
+        if !Arc::ptr_eq(&self.view, view) {
+            self.view = view.clone();
+            self.list(now);
+        }
+    }
+
+    /// Forgets engines that have left the view, once they have no call any more.
+    pub(super) fn forget_unlisted(&mut self) {
+        let view = &self.view;
+        self.engines.retain(|run, known| is_listed(view, run) || known.stats.outstanding() > 0);
+    }
+
+    fn list(&mut self, now: Instant) {
+        let first_seen = (!self.engines.is_empty()).then_some(now);
+        self.services.clear();
+        for engine in self.view.engines.values() {
+            let target = Arc::new(Target::of(engine));
+            self.engines.entry(target.run.clone()).or_insert_with(|| Known::new(first_seen));
+            let listed = Listed { target, open: engine.healthy && !engine.draining };
+            self.services.entry(engine.service.clone()).or_default().push(listed);
+        }
+    }
+
+    fn listed(&self, service: &ServiceName) -> &[Listed] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All engines of a service, whatever their state.
+    pub(super) fn all_of(&self, service: &ServiceName) -> impl Iterator<Item = &Arc<Target>> {
+        self.listed(service).iter().map(|listed| &listed.target)
+    }
+
+    /// Whether an engine said that it drains.
+    pub(super) fn is_draining(&self, run: &EngineRun) -> bool {
+        self.engines.get(run).is_some_and(|known| known.draining)
+    }
+
+    /// Engines of one version that can take the call, whether or not they have room.
+    pub(super) fn open_engines(
+        &self,
+        wanted: &Wanted<'_>,
+        version: &ServiceVersion,
+        service: &Service,
+    ) -> Vec<Choice> {
+        let listed = self.listed(wanted.service).iter();
+        let open = listed.filter(|e| e.open && e.target.version == *version);
+        open.filter(|e| !wanted.tried.contains(&e.target.run))
+            .filter_map(|e| Some((&e.target, self.engines.get(&e.target.run)?)))
+            .filter(|(_, known)| !known.draining)
+            .map(|(target, known)| {
+                let limit = known.limit.get(service.concurrency_per_engine);
+                let limit = if wanted.urgent { limit } else { without_reserve(limit) };
+                Choice { target: target.clone(), stats: known.stats.clone(), limit }
+            })
+            .collect()
+    }
+
+    /// Calls that run at once when all of a service's engines are full, and their number.
+    pub(super) fn capacity(&self, name: &ServiceName, service: &Service) -> (u32, usize) {
+        let most = service.concurrency_per_engine;
+        let listed = self.listed(name);
+        let known = listed.iter().filter_map(|e| self.engines.get(&e.target.run));
+        (known.map(|known| known.limit.steady(most)).sum(), listed.len())
+    }
+
+    /// Notes a call to an engine.
+    pub(super) fn begin(&mut self, run: &EngineRun) {
+        if let Some(known) = self.engines.get_mut(run) {
+            known.stats.begin();
+        }
+    }
+
+    /// Notes how a call ended.
+    pub(super) fn ended(&mut self, call: &Outstanding, now: Instant) {
+        let sign = self.observe_route(call.route(), call.end(), now);
+        let Some(known) = self.engines.get_mut(&call.target.run) else { return };
+        if let Some(sign) = sign {
+            let outstanding = known.stats.outstanding();
+            known.limit.learn(sign, outstanding, call.most(), call.began(), now);
+        }
+        known.stats.end(call.end(), now);
+        // An engine that drains, or whose address is another one's now, gets nothing more from here.
+        let refusal = matches!(call.end(), CallEnd::Refused(Refusal::Draining | Refusal::Identity));
+        known.draining |= refusal;
+    }
+
+    /// Notes how a call of a route ended, and what that says of its engine's load.
+    fn observe_route(&mut self, route: &RouteName, end: CallEnd, now: Instant) -> Option<Sign> {
+        let state = self.routes.entry(route.clone()).or_default();
+        match end {
+            CallEnd::Answered(latency) => {
+                state.circuit.ended(true, now);
+                let baseline = state.baseline.get_or_insert_with(|| Baseline::new(latency, now));
+                Some(Sign::Answered { ratio: baseline.observe(latency, now) })
+            }
+            CallEnd::Failed => {
+                state.circuit.ended(false, now);
+                Some(Sign::Overloaded)
+            }
+            CallEnd::Refused(Refusal::Overloaded) => Some(Sign::Overloaded),
+            CallEnd::Refused(Refusal::Draining | Refusal::Identity) | CallEnd::Cancelled => None,
+        }
+    }
+
+    /// Whether a route's circuit lets a call out.
+    ///
+    /// # Errors
+    /// When to come back.
+    pub(super) fn admit(&mut self, route: &RouteName, now: Instant) -> Result<(), Duration> {
+        self.routes.get_mut(route).map_or(Ok(()), |state| state.circuit.admit(now))
+    }
+
+    /// Average time of a route's calls of late.
+    pub(super) fn average(&self, route: &RouteName) -> Duration {
+        let baseline = self.routes.get(route).and_then(|r| r.baseline.as_ref());
+        baseline.map_or(FIRST_AVERAGE, Baseline::average)
+    }
+
+    /// Forgets routes that are no more.
+    pub(super) fn keep_routes(&mut self, is_route: impl Fn(&RouteName) -> bool) {
+        self.routes.retain(|route, _| is_route(route));
+    }
+
+    /// Closes all circuits.
+    pub(super) fn close_circuits(&mut self) {
+        self.routes.values_mut().for_each(|route| route.circuit = Circuit::default());
+    }
+}
+
+/// Whether a view lists an engine's run.
+pub(super) fn is_listed(view: &ClusterView, run: &EngineRun) -> bool {
+    view.engines.get(&run.engine).is_some_and(|e| e.incarnation == run.incarnation)
+}
+
+/// The part of a limit that calls without urgency may use; at least 1.
+fn without_reserve(limit: u32) -> u32 {
+    let reserve = (f64::from(limit) * URGENT_SHARE) as u32;
+    (limit - reserve).max(1)
+}
--- a/crates/gateway/src/backend/lookup.rs
+++ b/crates/gateway/src/backend/lookup.rs
@@ -1,5 +1,7 @@
 //! Asks application engines what became of a call whose answer was lost (docs/BACKENDS.md).
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -37,7 +39,7 @@
 /// The answer that an engine gave to a call, if one of them knows it.
 pub async fn find_answer(
     pool: &Pool,
-    targets: &[Target],
+    targets: &[Arc<Target>],
     program: &ProgramId,
     call: &CallId,
     deadline: Instant,
--- a/crates/gateway/src/backend/mod.rs
+++ b/crates/gateway/src/backend/mod.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod balance;
 pub mod exchange;
+mod figures;
 pub mod gate;
 pub mod identity;
 pub mod lookup;
--- a/crates/gateway/src/calls/mod.rs
+++ b/crates/gateway/src/calls/mod.rs
@@ -54,8 +54,6 @@
     pub tool: String,
     /// Its arguments, as canonical JSON.
     pub arguments: Bytes,
-    /// Digest of tool and arguments.
-    pub digest: Digest,
     /// The route.
     pub route: RouteName,
     /// Service that takes it.
@@ -70,10 +68,11 @@
 /// recognised whatever its spelling.
 #[must_use]
 pub fn content_digest(tool: &str, arguments: &Value) -> Digest {
-    let mut bytes = Vec::from(tool.as_bytes());
-    bytes.push(0);
-    bytes.extend_from_slice(arguments.to_string().as_bytes());
-    Digest::of(&bytes)
+    digest_of(tool, arguments.to_string().as_bytes())
+}
+
+fn digest_of(tool: &str, canonical_arguments: &[u8]) -> Digest {
+    Digest::of(&[tool.as_bytes(), &[0], canonical_arguments].concat())
 }
 
 /// A new claim to dispatch a call.
@@ -84,6 +83,11 @@
 }
 
 impl CallRequest {
+    /// Digest of tool and arguments; only calls that are recorded need it.
+    pub(crate) fn digest(&self) -> Digest {
+        digest_of(&self.tool, &self.arguments)
+    }
+
     pub(crate) fn dispatch(&self, attempt: &CallAttempt) -> Dispatch {
         Dispatch {
             method: Method::POST,
--- a/crates/gateway/src/calls/once.rs
+++ b/crates/gateway/src/calls/once.rs
@@ -74,7 +74,7 @@
 }
 
 /// Status under which a refusal by all engines is recorded; never an application's own (docs/BACKENDS.md).
-fn refused_status() -> u16 {
+pub(crate) fn refused_status() -> u16 {
     Code::CallRefused.status().as_u16()
 }
 
@@ -223,7 +223,7 @@
                         return self.after_lost(request, &target).await;
                     }
                     Err(ExchangeError::NotSent(_) | ExchangeError::Refused(_)) => {
-                        tried.push(target.run);
+                        tried.push(target.run.clone());
                         continue;
                     }
                 }
@@ -238,7 +238,7 @@
     }
 
     /// The engine that lost its answer may still know it.
-    async fn after_lost(&self, request: &CallRequest, target: &Target) -> CallOutcome {
+    async fn after_lost(&self, request: &CallRequest, target: &Arc<Target>) -> CallOutcome {
         let asked = std::slice::from_ref(target);
         let found = self.ask_engines(asked, &request.program, &request.call).await;
         found.map_or(CallOutcome::Unknown, |answer| answered_outcome(&answer))
@@ -251,10 +251,11 @@
         request: &CallRequest,
         mut record: CallRecord,
     ) -> Result<Settled, Problem> {
+        let digest = request.digest();
         let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
         let mut look_up_at = Instant::now() + LOOK_UP_INTERVAL;
         loop {
-            if record.digest != request.digest {
+            if record.digest != digest {
                 return Err(Problem::new(Code::CallDiffers, "the call exists with other content"));
             }
             let is_unknown = record.outcome == Some(CallOutcome::Unknown);
--- a/crates/gateway/src/calls/record.rs
+++ b/crates/gateway/src/calls/record.rs
@@ -41,7 +41,7 @@
             program: request.program.clone(),
             call: request.call.clone(),
             attempt: attempt.clone(),
-            digest: request.digest,
+            digest: request.digest(),
             route: request.route.clone(),
         });
         match self.shards.execute(&request.program, &command, deadline).await? {
--- a/crates/gateway/src/calls/repeatable.rs
+++ b/crates/gateway/src/calls/repeatable.rs
@@ -41,7 +41,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
-            tried.push(target.run);
+            tried.push(target.run.clone());
             if !self.may_try_again(&error, tried.len()) {
                 return Err(failed(&error, request.deadline));
             }
--- a/crates/gateway/src/calls/room.rs
+++ b/crates/gateway/src/calls/room.rs
@@ -1,5 +1,6 @@
 //! Finds room for a call at an application engine, and sends it there.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hooklug_settings::GatewayMode;
@@ -121,7 +122,7 @@
         request: &CallRequest,
         mut room: Outstanding,
         dispatch: &Dispatch,
-    ) -> (Target, Result<Answer, ExchangeError>) {
+    ) -> (Arc<Target>, Result<Answer, ExchangeError>) {
         let target = room.target.clone();
         let begun = Instant::now();
         let answered = self.backends.pool.exchange(&target, dispatch, request.deadline).await;
--- a/crates/gateway/src/calls/settle.rs
+++ b/crates/gateway/src/calls/settle.rs
@@ -1,5 +1,6 @@
 //! Settles calls whose answer was lost, by the application engines' own look-up.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hooklug_state::shard::CallRecord;
@@ -23,7 +24,7 @@
     /// Asks engines what became of a call.
     pub(super) async fn ask_engines(
         &self,
-        targets: &[Target],
+        targets: &[Arc<Target>],
         program: &ProgramId,
         call: &CallId,
     ) -> Option<Answer> {
@@ -48,7 +49,7 @@
         }
     }
 
-    fn targets_of(&self, record: &CallRecord) -> Vec<Target> {
+    fn targets_of(&self, record: &CallRecord) -> Vec<Arc<Target>> {
         let Some(bundle) = self.node.bundle.borrow().clone() else { return Vec::new() };
         let route = record.route.as_ref().and_then(|name| bundle.bundle.routes.get(name));
         route.map(|route| self.backends.all_of(&route.service)).unwrap_or_default()
