--- a/crates/gateway/src/api/calls.rs
+++ b/crates/gateway/src/api/calls.rs
@@ -1,26 +1,23 @@
 //! `/v1/programs/{program}/calls/{call}`.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use axum::Extension;
-use axum::body::Body;
-use axum::extract::{RawPathParams, State};
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
 use hooklug_bundle::{Bundle, Route};
 use hooklug_state::shard::{CallRecord, ShardCommand, ShardRefusal, ShardReply};
-use hooklug_types::{CallId, ProgramId, RouteName};
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use hooklug_types::RouteName;
+use http::{HeaderName, HeaderValue, StatusCode, header};
 use serde_json::Value;
-use tokio::time::Instant;
 
-use super::admission::Admitted;
-use super::body::{Fields, path_id};
-use super::problem::{Claim, Code, Problem};
+use super::body::Fields;
+use super::problem::{Code, Problem};
+use super::refusals::RETRY_STORE;
+use super::request::ApiRequest;
 use super::{refusals, views};
 use crate::backend::answer::Answer;
 use crate::calls::once::{Settled, unknown};
+use crate::calls::repeat_history::Repeatability;
 use crate::calls::{CallRequest, content_digest};
 use crate::shards::ShardError;
 use crate::shared::Shared;
@@ -75,27 +72,10 @@
     })
 }
 
-async fn own_call(
-    shared: &Shared,
-    admitted: &Admitted,
-    params: &RawPathParams,
-) -> Result<(ProgramId, CallId), Problem> {
-    let program: ProgramId = path_id(params, "program")?;
-    let call: CallId = path_id(params, "call")?;
-    shared.own_program(&admitted.caller, &program).await?;
-    Ok((program, call))
-}
-
-pub(crate) async fn put(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-    headers: HeaderMap,
-    body: Body,
-) -> Result<Response, Problem> {
-    let begun = Instant::now();
-    let body = parse(Fields::read(&headers, body, shared.body_limit()).await?)?;
-    let (program, call) = own_call(&shared, &admitted, &params).await?;
+pub(crate) async fn put(asked: ApiRequest, fields: Fields) -> Result<Response, Problem> {
+    let ApiRequest { shared, admitted, begun, .. } = &asked;
+    let body = parse(fields)?;
+    let (program, call) = asked.own_call().await?;
     let (route_name, route) = tool_route(&admitted.bundle.bundle, &body.tool)?;
     let most = route.deadline_ms;
     let allowed = Duration::from_millis(body.deadline_ms.map_or(most, |ms| ms.min(most)));
@@ -103,15 +83,19 @@
         program,
         call,
         tenant: admitted.caller.tenant.clone(),
-        digest: content_digest(&body.tool, &body.arguments),
         arguments: Bytes::from(body.arguments.to_string()),
         tool: body.tool,
         route: route_name.clone(),
         service: route.service.clone(),
         urgent: route.urgent,
-        deadline: begun + allowed,
+        deadline: *begun + allowed,
     };
-    if route.may_repeat && body.repeat != Some(false) {
+    let history = &shared.calls.history;
+    if route.may_repeat
+        && body.repeat != Some(false)
+        && history.of(&admitted.bundle, &request.tool, route).await
+            == Some(Repeatability::Repeatable)
+    {
         return Ok(answered(&shared.calls.repeatable(&request).await?));
     }
     shared.check_store_reach()?;
@@ -137,18 +121,14 @@
         }
         Settled::Unknown => Err(unknown("the call may have run; its answer was lost")),
         Settled::NotRun => {
-            Err(Problem::new(Code::CallSealed, "the call was sealed: it did not run")
-                .claiming(Claim::NotRun))
+            Err(Problem::not_run(Code::CallSealed, "the call was sealed: it did not run"))
         }
     }
 }
 
-pub(crate) async fn get(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-) -> Result<Response, Problem> {
-    let (program, call) = own_call(&shared, &admitted, &params).await?;
+pub(crate) async fn get(asked: ApiRequest) -> Result<Response, Problem> {
+    let shared = &asked.shared;
+    let (program, call) = asked.own_call().await?;
     let deadline = Shared::state_deadline();
     let record = shared.shards.call(&program, &call, deadline).await?;
     let record = record.ok_or_else(|| Problem::new(Code::NoCall, "no such call is recorded"))?;
@@ -156,30 +136,40 @@
     Ok(axum::Json(views::call(&record)).into_response())
 }
 
-pub(crate) async fn seal(
-    State(shared): State<Arc<Shared>>,
-    Extension(admitted): Extension<Admitted>,
-    params: RawPathParams,
-    headers: HeaderMap,
-    body: Body,
-) -> Result<Response, Problem> {
-    let mut fields = Fields::read(&headers, body, shared.body_limit()).await?;
+pub(crate) async fn seal(asked: ApiRequest, mut fields: Fields) -> Result<Response, Problem> {
+    let ApiRequest { shared, admitted, .. } = &asked;
     let (tool, arguments) = tool_and_arguments(&mut fields)?;
     fields.finish()?;
-    let (program, call) = own_call(&shared, &admitted, &params).await?;
+    let (program, call) = asked.own_call().await?;
     let (_, route) = tool_route(&admitted.bundle.bundle, &tool)?;
-    if route.may_repeat {
-        let detail = "calls of this tool may be repeated and are not recorded: none can be sealed";
-        return Err(Problem::field(Code::CallRepeatable, "tool", detail));
-    }
     let digest = content_digest(&tool, &arguments);
-    let command = ShardCommand::SealCall { program: program.clone(), call, digest };
-    let record =
-        sealed(shared.shards.execute(&program, &command, Shared::state_deadline()).await?)?;
+    let record = match shared.calls.history.of(&admitted.bundle, &tool, route).await {
+        None => return Err(Problem::try_again("the bundle's history is not known", RETRY_STORE)),
+        Some(Repeatability::Repeatable) => return Err(not_recorded()),
+        Some(Repeatability::OnceOfLate) => {
+            let read = shared.shards.call(&program, &call, Shared::state_deadline()).await?;
+            let record = read.ok_or_else(not_recorded)?;
+            if record.digest != digest {
+                return Err(refusals::ledger(&ShardRefusal::CallDiffers));
+            }
+            record
+        }
+        Some(Repeatability::Once) => {
+            let command = ShardCommand::SealCall { program: program.clone(), call, digest };
+            sealed(shared.shards.execute(&program, &command, Shared::state_deadline()).await?)?
+        }
+    };
     let record = shared.calls.refreshed(&program, record).await;
     Ok(axum::Json(views::call(&record)).into_response())
 }
 
+/// Of a call that left no record, "not run" cannot be said.
+fn not_recorded() -> Problem {
+    let detail = "calls of this tool may be repeated, or might under an earlier bundle, and are not \
+                  recorded: none can be sealed";
+    Problem::field(Code::CallRepeatable, "tool", detail)
+}
+
 fn sealed(reply: ShardReply) -> Result<CallRecord, Problem> {
     match reply {
         ShardReply::Call(record) => Ok(record),
--- a/crates/gateway/src/calls/mod.rs
+++ b/crates/gateway/src/calls/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod once;
 pub mod record;
+pub mod repeat_history;
 pub mod repeatable;
 pub mod retry_budget;
 pub mod room;
@@ -22,6 +23,7 @@
 use crate::backend::table::Backends;
 use crate::evidence::Evidence;
 use crate::shards::Shards;
+use repeat_history::RepeatHistory;
 use retry_budget::RetryBudget;
 
 /// Everything that calls need.
@@ -33,6 +35,8 @@
     pub(crate) node: hooklug_control::NodeHandle,
     pub(crate) retries: RetryBudget,
     pub(crate) mode: GatewayMode,
+    /// Which tools' calls left no record under earlier bundles.
+    pub(crate) history: RepeatHistory,
     /// Calls that go on when their caller has gone.
     pub(crate) running: TaskTracker,
 }
@@ -50,8 +54,6 @@
     pub tool: String,
     /// Its arguments, as canonical JSON.
     pub arguments: Bytes,
-    /// Digest of tool and arguments.
-    pub digest: Digest,
     /// The route.
     pub route: RouteName,
     /// Service that takes it.
@@ -66,10 +68,11 @@
 /// recognised whatever its spelling.
 #[must_use]
 pub fn content_digest(tool: &str, arguments: &Value) -> Digest {
-    let mut bytes = Vec::from(tool.as_bytes());
-    bytes.push(0);
-    bytes.extend_from_slice(arguments.to_string().as_bytes());
-    Digest::of(&bytes)
+    digest_of(tool, arguments.to_string().as_bytes())
+}
+
+fn digest_of(tool: &str, canonical_arguments: &[u8]) -> Digest {
+    Digest::of(&[tool.as_bytes(), &[0], canonical_arguments].concat())
 }
 
 /// A new claim to dispatch a call.
@@ -80,6 +83,11 @@
 }
 
 impl CallRequest {
+    /// Digest of tool and arguments; only calls that are recorded need it.
+    pub(crate) fn digest(&self) -> Digest {
+        digest_of(&self.tool, &self.arguments)
+    }
+
     pub(crate) fn dispatch(&self, attempt: &CallAttempt) -> Dispatch {
         Dispatch {
             method: Method::POST,
