fleet: failures that come together or twice, a retired store, a roll-out during restarts, a gateway dead at any moment of a call

Change: combined_failures.rs (a store frozen while another is killed, three times in a row; the engine that takes a session over killed too, after it and together with the first; the core leader cut off and the answering gateway killed while two bundles race, the winner sent again everywhere), a gateway killed 0 to 40 ms after a call was sent, all nodes restarted while a release goes through its steps, a store retired and another one killed right after. The tests' load sends a call again after 504 deadline_exceeded, which claims nothing (API.md): frozen stores give that answer, killed ones do not.

--- a/crates/bench/src/faults/apply.rs
+++ b/crates/bench/src/faults/apply.rs
@@ -1,10 +1,15 @@
 //! Begins and ends faults on a running fleet.
 
-use hooklug_fleet::{Fleet, FleetError, ProcessKind};
+use std::time::Duration;
+
+use hooklug_fleet::{Fleet, FleetError, ProcessKind, ProcessName};
 
 use super::backends;
 use super::fault::Fault;
 
+/// After this long a dead engine's lease has run out and its sessions are being taken over (design: 3.5 s).
+const TAKEOVER_TIME: Duration = Duration::from_millis(3_500);
+
 /// Begins a fault.
 ///
 /// # Errors
@@ -12,6 +17,7 @@
 pub(super) async fn begin(fleet: &Fleet, fault: &Fault) -> Result<(), FleetError> {
     match fault {
         Fault::Kill(names) => names.iter().try_for_each(|name| fleet.kill(*name)),
+        Fault::KillInTurn(names) => kill_in_turn(fleet, names).await,
         Fault::Freeze(name) => fleet.freeze(*name),
         Fault::CutOff(name) => fleet.cut_off(*name).await,
         Fault::CutOneWay(from, to) if from == to => Ok(()),
@@ -32,7 +38,7 @@
 /// When the fleet can't do it.
 pub(super) async fn end(fleet: &Fleet, fault: &Fault) -> Result<(), FleetError> {
     match fault {
-        Fault::Kill(names) => restart_all(fleet, names).await,
+        Fault::Kill(names) | Fault::KillInTurn(names) => restart_all(fleet, names).await,
         Fault::Freeze(name) => fleet.wake(*name),
         Fault::Drain(name) if name.kind == ProcessKind::App => backends::behave(fleet, *name).await,
         Fault::Drain(name) => fleet.restart(*name).await,
@@ -41,11 +47,16 @@
     }
 }
 
+async fn kill_in_turn(fleet: &Fleet, names: &[ProcessName]) -> Result<(), FleetError> {
+    for name in names {
+        fleet.kill(*name)?;
+        tokio::time::sleep(TAKEOVER_TIME).await;
+    }
+    Ok(())
+}
+
 /// Starts machines together, as when power returns.
-async fn restart_all(
-    fleet: &Fleet,
-    names: &[hooklug_fleet::ProcessName],
-) -> Result<(), FleetError> {
+async fn restart_all(fleet: &Fleet, names: &[ProcessName]) -> Result<(), FleetError> {
     let restarts = names.iter().map(|name| fleet.restart(*name));
     futures::future::join_all(restarts).await.into_iter().collect()
 }
--- a/crates/bench/src/faults/draw.rs
+++ b/crates/bench/src/faults/draw.rs
@@ -90,7 +90,7 @@
 fn draw_fault<R: Rng>(shape: &Shape, random: &mut R) -> Option<Fault> {
     use ProcessKind::{App, Core, Engine, Gateway, Model, Store};
     let node = [Store, Core, Engine, Gateway].choose(random).copied()?;
-    Some(match random.random_range(0..17) {
+    Some(match random.random_range(0..18) {
         0..=2 => Fault::Kill(vec![shape.one(node, random)?]),
         3 => Fault::Kill(shape.all(Core)),
         4 => Fault::Kill(draw_many(shape, random)),
@@ -106,10 +106,17 @@
             backend(random),
         ),
         15 => Fault::RestartBackend(shape.one([Model, App].choose(random).copied()?, random)?),
+        16 => Fault::KillInTurn(all_but_one(shape.all(Engine))),
         _ => Fault::HarmfulRelease,
     })
 }
 
+/// The last one is spared, so that there is service.
+fn all_but_one(mut names: Vec<ProcessName>) -> Vec<ProcessName> {
+    names.pop();
+    names
+}
+
 /// Many at once: two stores, or a mix of stores, cores, an engine and a gateway.
 fn draw_many<R: Rng>(shape: &Shape, random: &mut R) -> Vec<ProcessName> {
     use ProcessKind::{Core, Engine, Gateway, Store};
--- a/crates/bench/src/faults/fault.rs
+++ b/crates/bench/src/faults/fault.rs
@@ -20,6 +20,8 @@
 pub enum Fault {
     /// Processes are killed without warning and come back with their disks.
     Kill(Vec<ProcessName>),
+    /// Engines are killed one after another, each when sessions of the one before are just taken over.
+    KillInTurn(Vec<ProcessName>),
     /// A process is frozen and wakes.
     Freeze(ProcessName),
     /// A node is cut off from all others.
@@ -53,7 +55,7 @@
     #[must_use]
     pub fn hit(&self) -> Vec<ProcessName> {
         match self {
-            Self::Kill(names) => names.clone(),
+            Self::Kill(names) | Self::KillInTurn(names) => names.clone(),
             Self::CutOneWay(from, to) => vec![*from, *to],
             Self::Freeze(name)
             | Self::CutOff(name)
@@ -103,6 +105,10 @@
                 let names: Vec<String> = names.iter().map(ToString::to_string).collect();
                 write!(f, "kill {}", names.join(" "))
             }
+            Self::KillInTurn(names) => {
+                let names: Vec<String> = names.iter().map(ToString::to_string).collect();
+                write!(f, "kill {}", names.join(" then "))
+            }
             Self::Freeze(name) => write!(f, "freeze {name}"),
             Self::CutOff(name) => write!(f, "cut off {name}"),
             Self::CutOneWay(from, to) => write!(f, "cut {from} to {to}, one way"),
--- a/crates/bench/src/scenario/scene.rs
+++ b/crates/bench/src/scenario/scene.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hooklug_bundle::Bundle;
@@ -100,6 +101,8 @@
     seed: u64,
     stop: CancellationToken,
     tasks: tokio::sync::Mutex<JoinSet<()>>,
+    /// Whether engines are being replaced, one after another.
+    replacing: AtomicBool,
 }
 
 impl Stage {
@@ -126,6 +129,7 @@
             seed: run.seed,
             stop: CancellationToken::new(),
             tasks: tokio::sync::Mutex::default(),
+            replacing: AtomicBool::new(false),
         }
     }
 
@@ -151,7 +155,9 @@
             self.add_programs(self.load.burst, BURST_TIME, 2).await;
             let end = Instant::now() + self.part;
             if self.load.replace_engines {
+                self.replacing.store(true, Ordering::SeqCst);
                 self.restart_engines(end, progress).await?;
+                self.replacing.store(false, Ordering::SeqCst);
             }
             tokio::time::sleep_until(end).await;
             Ok::<u64, FleetError>(burst)
@@ -198,10 +204,15 @@
         progress: &dyn ChaosProgress,
     ) -> Result<(), FleetError> {
         let mut random = ChaCha8Rng::seed_from_u64(self.seed);
-        let kinds = [ProcessKind::Store, ProcessKind::Core, ProcessKind::Gateway];
+        use ProcessKind::{Core, Engine, Gateway, Store};
+        let kinds = [Store, Core, Gateway, Engine];
         while self.load.kills && Instant::now() + BETWEEN_KILLS + AWAY < end {
             sleep(BETWEEN_KILLS).await;
-            let kind = *kinds.choose(&mut random).unwrap_or(&ProcessKind::Core);
+            let kind = *kinds.choose(&mut random).unwrap_or(&Core);
+            if kind == Engine && self.replacing.load(Ordering::SeqCst) {
+                // Whoever replaces it would wait for its end and its start.
+                continue;
+            }
             let names = self.fleet.names(kind);
             let Some(name) = names.choose(&mut random).copied() else { continue };
             progress.say(&format!("{name} is killed"));
--- a/crates/bench/tests/oracle.rs
+++ b/crates/bench/tests/oracle/main.rs
@@ -1,126 +1,21 @@
 //! The oracle notices every breach: sound records, doctored one at a time.
 
+#![deny(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod records;
+
 use hooklug_bench::oracle::evidence::{
-    BundleRead, CallClaim, CallRecord, Disturbance, DrainRecord, Evidence, HarmfulRelease,
-    InstalledSeen, OwnerSeen, ProgramRecord, Recovery, SessionRecord, SubmissionAnswer,
-    SubmissionRecord, TurnClaim, TurnRecord,
+    CallClaim, Disturbance, DrainRecord, Evidence, HarmfulRelease, OwnerSeen, SubmissionAnswer,
+    TurnClaim,
 };
 use hooklug_bench::oracle::{Promise, judge};
-use hooklug_emulator::{LedgerEntry, LedgerLine};
+use hooklug_emulator::LedgerEntry;
 use hooklug_fleet::caller::StreamEvent;
 use hooklug_types::UnixMillis;
+use records::{CALL, SESSION, answer_body, event, events, generation, line, ran, seen, sound};
 use serde_json::{Value, json};
 
-const CALL: &str = "p/c1";
-const SESSION: &str = "p/s";
-
-fn line(at: u64, engine: &str, version: &str, entry: LedgerEntry) -> LedgerLine {
-    let identity = format!("service/{engine}/7");
-    LedgerLine { at: UnixMillis(at), identity, version: version.to_owned(), entry }
-}
-
-fn ran(at: u64, engine: &str, version: &str, call: &str) -> LedgerLine {
-    let (call, attempt) = (call.to_owned(), "1".to_owned());
-    let (tool, request) = ("send_alarm".to_owned(), "r".to_owned());
-    line(at, engine, version, LedgerEntry::CallRan { call, attempt, tool, request, times: 1 })
-}
-
-fn generation(engine: &str, turn: &str, text: &str, tokens: u64, end: &str) -> [LedgerLine; 2] {
-    let (session, request) = (SESSION.to_owned(), format!("r-{turn}"));
-    let began = LedgerEntry::GenerationBegan {
-        request: request.clone(),
-        session: session.clone(),
-        turn: turn.to_owned(),
-        prefix: None,
-        prefix_hit: false,
-        uncached_tokens: 0,
-    };
-    let ended = LedgerEntry::GenerationEnded {
-        request,
-        session,
-        turn: turn.to_owned(),
-        text: text.to_owned(),
-        tokens,
-        end: end.to_owned(),
-    };
-    [line(10, engine, "v1", began), line(20, engine, "v1", ended)]
-}
-
-fn event(id: u64, event: &str, data: Value) -> StreamEvent {
-    StreamEvent { id, event: event.to_owned(), data }
-}
-
-fn events() -> Vec<StreamEvent> {
-    vec![
-        event(1, "turn", json!({"turn": "t1", "after": null, "input": "?"})),
-        event(2, "tokens", json!({"turn": "t1", "text": "vent ", "count": 1})),
-        event(3, "tokens", json!({"turn": "t1", "text": "now ", "count": 1})),
-        event(4, "finished", json!({"turn": "t1", "tokens": 2})),
-    ]
-}
-
-fn turn(name: &str, after: Option<&str>, events: Vec<StreamEvent>, claim: TurnClaim) -> TurnRecord {
-    TurnRecord {
-        session: SESSION.to_owned(),
-        turn: name.to_owned(),
-        after: after.map(str::to_owned),
-        begun: 5,
-        ended: 30,
-        events,
-        ended_without_terminal: false,
-        claim,
-        first_token_ms: None,
-        gaps_ms: Vec::new(),
-        cuts: 0,
-    }
-}
-
-fn submission(version: u64, digest: &str, at: u64, answer: SubmissionAnswer) -> SubmissionRecord {
-    let (base, digest) = (version - 1, digest.to_owned());
-    SubmissionRecord { version, base, digest, begun: at, answered: at + 10, answer }
-}
-
-fn answer_body() -> Value {
-    json!({"tool": "send_alarm", "call": CALL, "times": 1, "arguments": {"house": 4}, "engine": "app-0"})
-}
-
-/// Records of a run in which every promise was kept.
-fn sound() -> Evidence {
-    let mut evidence = Evidence::default();
-    let program = ProgramRecord { budget: 10, longest_turn: 4, booked: Some(2) };
-    evidence.programs.insert("p".to_owned(), program);
-    let owner = OwnerSeen { owner: "engine-0".to_owned(), epoch: 1, begun: 4, opened: true };
-    let history = Some(events());
-    let session = SessionRecord { owners: vec![owner], joined: vec![events()], history };
-    evidence.sessions.insert(SESSION.to_owned(), session);
-    evidence.turns.push(turn("t1", None, events(), TurnClaim::Ended("finished".to_owned())));
-    let refused = TurnClaim::Refused("budget_spent".to_owned());
-    evidence.turns.push(turn("t2", Some("t1"), Vec::new(), refused));
-    evidence.calls.push(CallRecord {
-        call: CALL.to_owned(),
-        tool: "send_alarm".to_owned(),
-        arguments: json!({"house": 4}),
-        may_repeat: false,
-        begun: 40,
-        ended: 50,
-        claims: vec![CallClaim::Answered { status: 200, body: answer_body() }],
-    });
-    evidence.applications.push(ran(45, "app-0", "v1", CALL));
-    evidence.models.extend(generation("model-0", "t1", "vent now ", 2, "stop"));
-    evidence.submissions.push(submission(2, "a", 100, SubmissionAnswer::Acknowledged));
-    evidence.submissions.push(submission(2, "b", 105, SubmissionAnswer::Refused("race".into())));
-    evidence.submissions.push(submission(2, "a", 150, SubmissionAnswer::Acknowledged));
-    evidence.installed.push(seen(120, 1));
-    evidence.installed.push(seen(2_200, 2));
-    evidence.bundle_reads.push(BundleRead { begun: 200, version: 2 });
-    evidence.recoveries.push(Recovery { after: "x".into(), healed: 0, served: Some(11_000) });
-    evidence
-}
-
-fn seen(begun: u64, version: u64) -> InstalledSeen {
-    InstalledSeen { node: "gateway:0".to_owned(), begun, version }
-}
-
 /// Doctors sound records and expects breaches of exactly one promise.
 fn breaks(promise: Promise, doctor: impl FnOnce(&mut Evidence)) {
     let mut evidence = sound();
--- a/crates/fleet/tests/suite/at_most_once_calls.rs
+++ b/crates/fleet/tests/suite/at_most_once_calls.rs
@@ -4,12 +4,17 @@
 //! Catches a gateway that dispatches again after a lost or damaged answer, a second gateway that does
 //! not respect the first one's claim, and a claim that does not outlive its shard's leader.
 
+use std::time::Duration;
+
 use crate::support::{
     PATIENCE, TestFleet, alarm, caller, data_topology, fault, name, put_program, runs,
     shard_leader, slow, start,
 };
 use hooklug_emulator::{FaultKind, FaultRule, Faults};
+use hooklug_fleet::http::Ask;
 use hooklug_fleet::{Caller, Fleet, ProcessKind};
+use http::Method;
+use serde_json::Value;
 
 const PROGRAM: &str = "frost";
 
@@ -123,3 +128,40 @@
     );
     println!("{call} again: {first:?}, {second:?}");
 }
+
+/// How long after its sending a call's gateway is killed: before the claim, while it runs (20 ms), between
+/// its record and its answer, and after.
+const KILLED_AFTER_MS: [u64; 7] = [0, 4, 8, 16, 24, 28, 40];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_runs_once_though_its_gateway_dies_at_any_moment() {
+    let (fleet, caller) = start_calls().await;
+    for millis in KILLED_AFTER_MS {
+        let call = format!("killed-{millis}");
+        let ask = Ask::json(Method::PUT, format!("/v1/programs/{PROGRAM}/calls/{call}"), &alarm(3));
+        let dying = async {
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            fleet.kill(name("gateway:0")).unwrap();
+        };
+        let (first, ()) = tokio::join!(caller.ask_once(0, &ask), dying);
+        let again = caller.call(1, PROGRAM, &call, &alarm(3)).await;
+        println!("{call}: first {}, then {again:?}", first.is_ok());
+        match &again {
+            Ok(answer) => {
+                let first: Option<Value> = first.ok().map(|first| first.json().unwrap());
+                assert!(first.is_none_or(|first| first == answer.body), "{call}: two answers");
+                assert_ran_once(&fleet, &call);
+            }
+            // Claimed by the dead gateway, and no engine knows it any more.
+            Err(error) => {
+                assert!(first.is_err(), "{call}: answered, then {error}");
+                assert_eq!(error.code(), Some("call_unknown"), "{call}: {error}");
+            }
+        }
+        fleet.restart(name("gateway:0")).await.unwrap();
+        fleet.wait_ready(name("gateway:0"), PATIENCE).await.unwrap();
+        resend(&caller, &call).await;
+        let ran = runs(&fleet, &format!("{PROGRAM}/{call}"));
+        assert!(ran <= 1, "{call} ran {ran} times");
+    }
+}
--- a/crates/fleet/tests/suite/bundle_races.rs
+++ b/crates/fleet/tests/suite/bundle_races.rs
@@ -6,43 +6,18 @@
 
 use std::time::Duration;
 
+use crate::support::bundles::{Race, accepted, refused_as_taken, submit};
 use crate::support::{PATIENCE, control_topology, name, read_current, running_nodes, start};
-use hooklug_bundle::Bundle;
-use hooklug_fleet::{Fleet, ProcessName, Submitted, Verdict};
+use hooklug_fleet::Fleet;
 use hooklug_types::BundleVersion;
 
-async fn submit(fleet: &Fleet, at: ProcessName, bundle: &Bundle) -> Verdict {
-    fleet.submit_until_decided(at, bundle, PATIENCE).await.unwrap()
-}
-
-async fn accepted(fleet: &Fleet, at: ProcessName, bundle: &Bundle) -> Submitted {
-    match submit(fleet, at, bundle).await {
-        Verdict::Accepted(submitted) => submitted,
-        refused => panic!("{at} refused version {}: {refused:?}", bundle.version),
-    }
-}
-
-fn refused_as_taken(verdict: &Verdict) -> bool {
-    matches!(verdict, Verdict::Refused { status: 409, body } if body.contains("version_taken"))
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn one_of_two_racing_bundles_wins_and_its_resend_gets_the_same_answer_at_every_node() {
     let fleet = start(control_topology(3)).await;
-    let (left, right) = (name("gateway:0"), name("gateway:1"));
     for version in 2..=6 {
-        let ours = fleet.marked_bundle(version, 20).unwrap();
-        let theirs = fleet.marked_bundle(version, 30).unwrap();
-        let (first, second) =
-            tokio::join!(submit(&fleet, left, &ours), submit(&fleet, right, &theirs));
-        let (winner, answer, loser) = match (first, second) {
-            (Verdict::Accepted(answer), lost) if refused_as_taken(&lost) => (ours, answer, theirs),
-            (lost, Verdict::Accepted(answer)) if refused_as_taken(&lost) => (theirs, answer, ours),
-            both => panic!("version {version}: {both:?}"),
-        };
+        let race = Race::run(&fleet, version).await;
         for node in running_nodes(&fleet) {
-            assert_eq!(accepted(&fleet, node, &winner).await.bundle, answer.bundle, "at {node}");
-            assert!(refused_as_taken(&submit(&fleet, node, &loser).await), "at {node}");
+            race.check_at(&fleet, node).await;
         }
     }
 }
--- a/crates/fleet/tests/suite/bundle_spread.rs
+++ b/crates/fleet/tests/suite/bundle_spread.rs
@@ -8,12 +8,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use crate::support::bundles::accepted;
 use crate::support::{
     IN_FORCE_BOUND, PATIENCE, TestFleet, control_topology, name, pid, running_nodes, start,
     wait_installed,
 };
 use futures::future::join_all;
-use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
+use hooklug_fleet::{Fleet, ProcessKind, ProcessName};
 use hooklug_types::BundleVersion;
 use tokio::task::JoinHandle;
 
@@ -65,8 +66,7 @@
     let bundle = fleet.marked_bundle(version, 100).unwrap();
     let at = fleet.names(ProcessKind::Gateway)[0];
     let submitting = async {
-        let verdict = fleet.submit_until_decided(at, &bundle, PATIENCE).await.unwrap();
-        assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
+        accepted(fleet, at, &bundle).await;
         Instant::now()
     };
     let installing = join_all(nodes.iter().map(|node| async {
--- /dev/null
+++ b/crates/fleet/tests/suite/combined_failures.rs
@@ -0,0 +1,147 @@
+//! Failures that come together or twice: the second one strikes while the first is being met.
+//!
+//! Catches: an acknowledgement without a quorum while one store is frozen and another one dead; a session
+//! left between two owners when its taker dies too; a race of bundles that is decided twice, or a resend
+//! that is refused, because the core leader was lost in its middle and the answering gateway with it.
+
+use std::time::Instant;
+
+use hooklug_fleet::caller::{SessionRef, Transcript, TurnRequest};
+use hooklug_fleet::{Caller, Fleet, ProcessName};
+use hooklug_types::BundleVersion;
+
+use crate::support::bundles::{Race, accept_version};
+use crate::support::load::Load;
+use crate::support::{
+    PATIENCE, RETURN_BOUND, caller, check_text, control_topology, data_topology, finish,
+    generations, name, open, owner, put_program, read_current, restart_all, running_nodes, start,
+};
+
+/// Service is back in time after machines returned.
+async fn assert_back(fleet: &Fleet, load: &Load, what: &str) {
+    let returned = Instant::now();
+    load.wait_rounds(fleet, 1).await;
+    let took = returned.elapsed();
+    println!("{what}: all sessions go on {took:?} after the machine returned");
+    assert!(took <= RETURN_BOUND, "{what}: service was back only after {took:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_is_frozen_while_another_is_killed() {
+    let fleet = start(control_topology(3)).await;
+    let load = Load::start(&fleet, 6).await;
+    let (first, second, third) = (name("store:0"), name("store:1"), name("store:2"));
+    fleet.freeze(first).unwrap();
+    fleet.kill(second).unwrap();
+    // One of three is no quorum: nothing is acknowledged.
+    let alone = fleet.marked_bundle(2, 10).unwrap();
+    let answer = fleet.submit_bundle_at(name("gateway:0"), &alone).await;
+    assert!(answer.is_err(), "acknowledged by one store of three: {answer:?}");
+    fleet.wake(first).unwrap();
+    assert_back(&fleet, &load, "woken").await;
+    accept_version(&fleet, name("gateway:0"), 2).await;
+    // Again, the other way round: the one that was dead has to carry it with the one that was frozen.
+    fleet.freeze(third).unwrap();
+    fleet.restart(second).await.unwrap();
+    assert_back(&fleet, &load, "restarted").await;
+    accept_version(&fleet, name("gateway:1"), 3).await;
+    fleet.kill(first).unwrap();
+    fleet.wake(third).unwrap();
+    assert_back(&fleet, &load, "woken beside another dead one").await;
+    accept_version(&fleet, name("gateway:1"), 4).await;
+    fleet.restart(first).await.unwrap();
+    load.wait_rounds(&fleet, 2).await;
+    let current = read_current(&fleet, name("gateway:0")).await.record.version;
+    assert_eq!(current, BundleVersion(4));
+    println!("turns ended {:?}", load.ends());
+    load.stop_and_read_back(&fleet).await;
+}
+
+/// A turn that streams, with what its client has seen of it.
+async fn long_turn(caller: &Caller, session: &SessionRef) -> (TurnRequest, Transcript) {
+    let turn = TurnRequest::new("t2", Some("t1"), "[tokens 800]", 800);
+    let mut stream = caller.begin_turn(0, session, &turn).await.unwrap();
+    let mut seen = Transcript::default();
+    while seen.events.len() < 6 {
+        seen.events.push(stream.next().await.unwrap().unwrap());
+    }
+    (turn, seen)
+}
+
+/// Waits until an engine other than these owns a session.
+async fn next_owner(fleet: &Fleet, session: &SessionRef, before: ProcessName) -> ProcessName {
+    let caller = caller(fleet);
+    let look = || async {
+        let view = caller.session(1, session).await.map_err(|e| e.to_string())?;
+        let other = view.owner.as_ref().is_some_and(|owner| *owner != before.word());
+        if other { Ok(()) } else { Err(format!("{view:?}")) }
+    };
+    fleet.wait_until("another engine owns the session", PATIENCE, look).await.unwrap();
+    owner(fleet, &caller, session).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_engine_that_takes_a_session_over_dies_too() {
+    let fleet = start(data_topology(3, 1)).await;
+    let caller = caller(&fleet);
+    put_program(&caller, "frost", 100_000).await;
+    for together in [false, true] {
+        let session = open(&caller, "frost", &format!("s-{together}")).await;
+        finish(&caller, &session, &TurnRequest::new("t1", None, "[tokens 5]", 8)).await;
+        let (turn, seen) = long_turn(&caller, &session).await;
+        let first = owner(&fleet, &caller, &session).await;
+        fleet.kill(first).unwrap();
+        let following = {
+            let (caller, session, turn) = (caller.clone(), session.clone(), turn.clone());
+            tokio::spawn(async move { caller.follow_turn(1, &session, &turn, seen).await })
+        };
+        let second = if together {
+            let mut others = fleet.names(first.kind).into_iter();
+            others.find(|engine| *engine != first).unwrap()
+        } else {
+            next_owner(&fleet, &session, first).await
+        };
+        fleet.kill(second).unwrap();
+        let seen = following.await.unwrap().unwrap();
+        seen.check("t2").unwrap();
+        assert_eq!(seen.end(), "interrupted");
+        check_text(&fleet, &session, "t2", &seen).await;
+        assert_eq!(generations(&fleet, &session, "t2"), 1, "the turn was generated again");
+        let next = TurnRequest::new("t3", Some("t2"), "[tokens 5]", 8);
+        let next = finish(&caller, &session, &next).await;
+        assert_eq!(next.events[0].id, seen.last_id().unwrap() + 1);
+        let third = owner(&fleet, &caller, &session).await;
+        assert!(third != first && third != second, "{third} owns it, and is dead");
+        restart_all(&fleet, &[first, second]).await.unwrap();
+        fleet.wait_all_ready(PATIENCE).await.unwrap();
+        let again = caller.follow_turn(0, &session, &turn, Transcript::default()).await.unwrap();
+        assert_eq!(again.events, seen.events, "a turn read again differs");
+        println!("{first}, then {second} lost; {third} owns it, {} events", seen.events.len());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_core_leader_is_cut_off_and_an_answering_gateway_dies_while_bundles_race() {
+    let fleet = start(control_topology(3)).await;
+    for version in 2..=4 {
+        let leader = fleet.core_leader().await.unwrap();
+        let (race, cut) = tokio::join!(Race::run(&fleet, version), fleet.cut_off(leader));
+        cut.unwrap();
+        // Whoever answered is gone, and another core leads when the operators come again.
+        fleet.kill(name("gateway:0")).unwrap();
+        let look = || async {
+            let now = fleet.core_leader().await.map_err(|e| e.to_string())?;
+            if now == leader { Err(format!("{now} leads")) } else { Ok(()) }
+        };
+        fleet.wait_until("another core leads", PATIENCE, look).await.unwrap();
+        race.check_at(&fleet, name("gateway:1")).await;
+        fleet.heal().await.unwrap();
+        fleet.restart(name("gateway:0")).await.unwrap();
+        fleet.wait_all_ready(PATIENCE).await.unwrap();
+        for node in running_nodes(&fleet) {
+            race.check_at(&fleet, node).await;
+        }
+        let current = read_current(&fleet, name("gateway:0")).await.record;
+        assert_eq!((current.version, current.rollback), (BundleVersion(version), None));
+    }
+}
--- a/crates/fleet/tests/suite/core_failures.rs
+++ b/crates/fleet/tests/suite/core_failures.rs
@@ -8,13 +8,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::support::bundles::accept_version;
 use crate::support::load::Load;
 use crate::support::{
     PATIENCE, control_topology, name, read_current, restart_all, running_nodes, start,
     wait_installed,
 };
 use hooklug_fleet::http::{Ask, HttpClient};
-use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
+use hooklug_fleet::{Fleet, ProcessKind, ProcessName};
 use http::Method;
 use serde::Deserialize;
 
@@ -60,12 +61,6 @@
     fleet.wait_until("all members are seen right", PATIENCE, look).await.unwrap();
 }
 
-async fn accept(fleet: &Fleet, version: u64) {
-    let bundle = fleet.marked_bundle(version, 10).unwrap();
-    let verdict = fleet.submit_until_decided(name("gateway:0"), &bundle, PATIENCE).await.unwrap();
-    assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn all_cores_are_lost_and_then_the_leader_is_cut_off() {
     let fleet = start(control_topology(3)).await;
@@ -74,7 +69,7 @@
     cores.iter().for_each(|core| fleet.kill(*core).unwrap());
     // Without any core sessions, calls and bundles go on.
     load.wait_rounds(&fleet, 5).await;
-    accept(&fleet, 2).await;
+    accept_version(&fleet, name("gateway:0"), 2).await;
     for gateway in fleet.names(ProcessKind::Gateway) {
         wait_installed(&fleet, gateway, 2).await;
     }
@@ -85,7 +80,7 @@
     let former = fleet.core_leader().await.unwrap();
     let until = Instant::now() + CUT_OFF;
     fleet.cut_off(former).await.unwrap();
-    accept(&fleet, 3).await;
+    accept_version(&fleet, name("gateway:0"), 3).await;
     let look = || async {
         let seen = members(&fleet, name("gateway:0")).await?;
         let at = fleet.http_address(former).unwrap();
@@ -99,7 +94,7 @@
     fleet.heal().await.unwrap();
     wait_installed(&fleet, former, 3).await;
     wait_seen_right(&fleet).await;
-    accept(&fleet, 4).await;
+    accept_version(&fleet, name("gateway:0"), 4).await;
     // The former leader committed nothing: the newest bundle is the operators' own, not a roll-back.
     let current = read_current(&fleet, name("gateway:0")).await;
     assert_eq!((current.record.version.0, current.record.rollback), (4, None));
--- a/crates/fleet/tests/suite/durable_bundles.rs
+++ b/crates/fleet/tests/suite/durable_bundles.rs
@@ -3,19 +3,19 @@
 //! Catches: an acknowledgement before the sync of a quorum; a log or snapshot that is replayed in part; a
 //! repair that counts a replica as a voter before it has caught up; an emptied disk that votes as before.
 
+use crate::support::bundles::accepted;
 use crate::support::repair::{node_id, wait_repaired};
 use crate::support::{
     PATIENCE, control_topology, name, read_current, restart_all, running_nodes, start,
     wait_installed,
 };
 use hooklug_bundle::Bundle;
-use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
+use hooklug_fleet::{Fleet, ProcessKind, ProcessName};
 use hooklug_types::BundleVersion;
 
 async fn accept(fleet: &Fleet, at: ProcessName, version: u64, marker: u32) -> Bundle {
     let bundle = fleet.marked_bundle(version, marker).unwrap();
-    let verdict = fleet.submit_until_decided(at, &bundle, PATIENCE).await.unwrap();
-    assert!(matches!(verdict, Verdict::Accepted(_)), "version {version}: {verdict:?}");
+    accepted(fleet, at, &bundle).await;
     bundle
 }
 
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod at_most_once_calls;
 mod bundle_races;
 mod bundle_spread;
+mod combined_failures;
 mod core_failures;
 mod demo;
 mod durable_bundles;
--- a/crates/fleet/tests/suite/rolling_restart.rs
+++ b/crates/fleet/tests/suite/rolling_restart.rs
@@ -3,10 +3,16 @@
 //! Catches: a machine that is ready before it can serve; a handover between turns that loses the session;
 //! a node that comes back with an older bundle; an answer or event lost with the process that held it; "no such turn" after a move; a call run anew.
 
+use std::time::Instant;
+
+use crate::support::bundles::{accept_version, accepted};
 use crate::support::load::Load;
-use crate::support::{PATIENCE, control_topology, name, running_nodes, start, wait_installed};
-use hooklug_fleet::{Fleet, ProcessKind, ProcessName, Verdict};
-use hooklug_types::BundleVersion;
+use crate::support::{
+    PATIENCE, control_topology, name, read_current, running_nodes, start, wait_installed,
+};
+use hooklug_emulator::LedgerEntry;
+use hooklug_fleet::{Fleet, ProcessKind};
+use hooklug_types::{BundleVersion, ServiceVersion};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn all_machines_restart_in_turn_under_load() {
@@ -21,12 +27,6 @@
     load.stop_and_read_back(&fleet).await;
 }
 
-async fn accept(fleet: &Fleet, at: ProcessName, version: u64) {
-    let bundle = fleet.marked_bundle(version, 10).unwrap();
-    let verdict = fleet.submit_until_decided(at, &bundle, PATIENCE).await.unwrap();
-    assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn bundles_are_accepted_while_each_machine_is_killed_and_comes_back() {
     let mut small = control_topology(3);
@@ -36,12 +36,64 @@
     for node in running_nodes(&fleet) {
         let at = if node == name("gateway:0") { name("gateway:1") } else { name("gateway:0") };
         fleet.kill(node).unwrap();
-        accept(&fleet, at, version + 1).await;
+        accept_version(&fleet, at, version + 1).await;
         fleet.restart(node).await.unwrap();
         version += 2;
-        accept(&fleet, at, version).await;
+        accept_version(&fleet, at, version).await;
         fleet.wait_ready(node, PATIENCE).await.unwrap();
         wait_installed(&fleet, node, version).await;
         assert_eq!(fleet.installed_bundle(node).await.unwrap(), BundleVersion(version));
     }
 }
+
+/// Calls that engines of a version ran.
+fn ran(fleet: &Fleet, version: &ServiceVersion) -> usize {
+    let lines = fleet.ledgers(ProcessKind::App).unwrap();
+    let ran = |entry: &LedgerEntry| matches!(entry, LedgerEntry::CallRan { .. });
+    lines.iter().filter(|line| line.version == version.as_str() && ran(&line.entry)).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_machines_restart_in_turn_while_a_release_is_rolled_out() {
+    use ProcessKind::{Core, Engine, Gateway, Store};
+    let fleet = start(control_topology(3)).await;
+    let load = Load::start(&fleet, 6).await;
+    let mut released = fleet.topology().clone();
+    let mut newer = released.applications[0].clone();
+    newer.version = ServiceVersion::new("v2").unwrap();
+    released.applications.push(newer.clone());
+    fleet.add_application(&newer).await.unwrap();
+    let mut bundle = released.bundle(BundleVersion(2), BundleVersion(1)).unwrap();
+    // So short that all steps fall into the restarts.
+    for service in bundle.services.values_mut() {
+        (service.steps, service.step_seconds) = (vec![10, 50, 100], 2);
+    }
+    accepted(&fleet, name("gateway:0"), &bundle).await;
+    let released = Instant::now();
+    let old = ServiceVersion::new("v1").unwrap();
+    for kind in [Core, Gateway, Store, Engine] {
+        fleet.rolling_restart(&[kind]).await.unwrap();
+        let calls = (ran(&fleet, &old), ran(&fleet, &newer.version));
+        println!(
+            "{kind:?}s restarted, {:.1?} after the release: {calls:?} calls ran at v1 and v2",
+            released.elapsed()
+        );
+        load.wait_rounds(&fleet, 2).await;
+    }
+    // It goes all the way: after its last step nothing runs at the old version any more.
+    let look = || async {
+        let before = (ran(&fleet, &old), ran(&fleet, &newer.version));
+        load.wait_rounds(&fleet, 4).await;
+        let after = (ran(&fleet, &old), ran(&fleet, &newer.version));
+        let done = after.0 == before.0 && after.1 > before.1;
+        if done { Ok(()) } else { Err(format!("calls by version {before:?}, then {after:?}")) }
+    };
+    fleet.wait_until("all calls run at the new version", PATIENCE, look).await.unwrap();
+    let current = read_current(&fleet, name("gateway:0")).await.record;
+    assert_eq!(
+        (current.version, current.rollback),
+        (BundleVersion(2), None),
+        "rolled back without harm"
+    );
+    load.stop_and_read_back(&fleet).await;
+}
--- a/crates/fleet/tests/suite/store_failures.rs
+++ b/crates/fleet/tests/suite/store_failures.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use crate::support::load::Load;
-use crate::support::repair::{node_id, wait_repaired};
+use crate::support::repair::{node_id, retire, wait_repaired};
 use crate::support::{
     PATIENCE, RETURN_BOUND, control_topology, name, restart_all, start, whole_state_answers,
 };
@@ -105,3 +105,21 @@
     assert_eq!(load.ends().keys().collect::<Vec<_>>(), ["finished"], "turns ended early");
     load.stop_and_read_back(&fleet).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_is_retired_and_one_that_stays_is_killed_right_after() {
+    let fleet = start(control_topology(4)).await;
+    let load = Load::start(&fleet, SESSIONS).await;
+    let (leaving, killed) = (name("store:3"), name("store:0"));
+    let retired = node_id(&fleet, leaving).await.expect("in the view");
+    retire(&fleet, retired).await;
+    wait_repaired(&fleet, retired).await;
+    fleet.kill(leaving).unwrap();
+    load.wait_rounds(&fleet, 2).await;
+    // Its replicas are whole: one of the three that stay may be lost at once.
+    fleet.kill(killed).unwrap();
+    load.wait_rounds(&fleet, 3).await;
+    machines_return(&fleet, &load, &[killed], "retired").await;
+    println!("turns ended {:?}", load.ends());
+    load.stop_and_read_back(&fleet).await;
+}
--- /dev/null
+++ b/crates/fleet/tests/suite/support/bundles.rs
@@ -0,0 +1,64 @@
+//! Bundles as operators submit them.
+
+use hooklug_bundle::Bundle;
+use hooklug_fleet::{Fleet, ProcessName, Submitted, Verdict};
+
+use super::{PATIENCE, name};
+
+/// Submits until there is an answer that claims something.
+pub async fn submit(fleet: &Fleet, at: ProcessName, bundle: &Bundle) -> Verdict {
+    fleet.submit_until_decided(at, bundle, PATIENCE).await.unwrap()
+}
+
+/// Submits a bundle that must be accepted.
+pub async fn accepted(fleet: &Fleet, at: ProcessName, bundle: &Bundle) -> Submitted {
+    match submit(fleet, at, bundle).await {
+        Verdict::Accepted(submitted) => submitted,
+        refused => panic!("{at} refused version {}: {refused:?}", bundle.version),
+    }
+}
+
+/// Submits a version that changes little and must be accepted.
+pub async fn accept_version(fleet: &Fleet, at: ProcessName, version: u64) -> Bundle {
+    let bundle = fleet.marked_bundle(version, 10).unwrap();
+    accepted(fleet, at, &bundle).await;
+    bundle
+}
+
+pub fn refused_as_taken(verdict: &Verdict) -> bool {
+    matches!(verdict, Verdict::Refused { status: 409, body } if body.contains("version_taken"))
+}
+
+/// What came of two bundles of one version.
+pub struct Race {
+    pub winner: Bundle,
+    pub answer: Submitted,
+    pub loser: Bundle,
+}
+
+impl Race {
+    /// Submits two bundles of one version at once through two gateways; one of them must win.
+    pub async fn run(fleet: &Fleet, version: u64) -> Self {
+        let ours = fleet.marked_bundle(version, 20).unwrap();
+        let theirs = fleet.marked_bundle(version, 30).unwrap();
+        let (left, right) = (name("gateway:0"), name("gateway:1"));
+        let (first, second) =
+            tokio::join!(submit(fleet, left, &ours), submit(fleet, right, &theirs));
+        match (first, second) {
+            (Verdict::Accepted(answer), lost) if refused_as_taken(&lost) => {
+                Self { winner: ours, answer, loser: theirs }
+            }
+            (lost, Verdict::Accepted(answer)) if refused_as_taken(&lost) => {
+                Self { winner: theirs, answer, loser: ours }
+            }
+            both => panic!("version {version}: {both:?}"),
+        }
+    }
+
+    /// A node gives the winner the same answer again, and refuses the loser.
+    pub async fn check_at(&self, fleet: &Fleet, node: ProcessName) {
+        let again = accepted(fleet, node, &self.winner).await;
+        assert_eq!(again.bundle, self.answer.bundle, "at {node}");
+        assert!(refused_as_taken(&submit(fleet, node, &self.loser).await), "at {node}");
+    }
+}
--- a/crates/fleet/tests/suite/support/load.rs
+++ b/crates/fleet/tests/suite/support/load.rs
@@ -205,7 +205,8 @@
                 told.calls.insert(name, answer);
                 return;
             }
-            Err(error) if error.is_passing() => {}
+            // Neither claims anything; the same call again is told what became of it.
+            Err(error) if error.is_passing() || error.code() == Some("deadline_exceeded") => {}
             // Its gateway lost the answer: the record says so, and nothing is claimed.
             Err(error) if error.code() == Some("call_unknown") => {
                 told.unknown += 1;
--- a/crates/fleet/tests/suite/support/mod.rs
+++ b/crates/fleet/tests/suite/support/mod.rs
@@ -1,5 +1,6 @@
 //! What the tests share: fleets, requests, evidence, and a load that remembers what was acknowledged.
 
+pub mod bundles;
 mod evidence;
 mod fleet;
 pub mod load;
--- a/crates/fleet/tests/suite/support/repair.rs
+++ b/crates/fleet/tests/suite/support/repair.rs
@@ -58,3 +58,14 @@
     };
     fleet.wait_until("the lost store is replaced", 2 * PATIENCE, look).await.unwrap();
 }
+
+/// Asks for a store to be retired, until a core leader takes it.
+pub async fn retire(fleet: &Fleet, node: u64) {
+    let gateway = fleet.http_address(name("gateway:0")).unwrap();
+    let ask = Ask::new(Method::POST, format!("/admin/v1/stores/{node}/retire"));
+    let look = || async {
+        let answer = HttpClient::default().ask(gateway, &ask).await.map_err(|e| e.to_string())?;
+        if answer.status.is_success() { Ok(()) } else { Err(answer.status.to_string()) }
+    };
+    fleet.wait_until("the store may be retired", PATIENCE, look).await.unwrap();
+}
--- /dev/null
+++ b/crates/fleet/tests/suite/version_harm/release.rs
@@ -0,0 +1,218 @@
+//! A release under load: two versions side by side, and what each of them ran.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use crate::support::bundles::accepted;
+use crate::support::{
+    PATIENCE, TENANT, TestFleet, control_topology, name, read_current, start_alone, wait_installed,
+};
+use hooklug_bundle::Bundle;
+use hooklug_emulator::{FaultKind, FaultRule, Faults, LedgerEntry, Restart};
+use hooklug_fleet::caller::CallRequest;
+use hooklug_fleet::{Caller, Fleet, Harm, ProcessKind, ProcessName, Tool};
+use hooklug_types::{BundleVersion, ServiceVersion, UnixMillis};
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+/// Bound on a bad version's traffic after clear harm (brief: about 5 s).
+pub const HARM_BOUND: Duration = Duration::from_secs(5);
+/// Requests to a version after which harm is clear: the bundle's `least_samples`.
+pub const CLEAR_AFTER: usize = 20;
+/// Two tools of one service. Their calls may be repeated: nothing but the application is written for them.
+pub const READ: &str = "read_sensor";
+pub const LIST: &str = "list_alerts";
+pub const CALLERS: usize = 24;
+
+pub fn rule(kind: FaultKind) -> FaultRule {
+    FaultRule::always(kind)
+}
+
+pub fn faults(rule: FaultRule) -> Faults {
+    Faults { rules: vec![rule], ..Faults::default() }
+}
+
+/// Half of all calls go to the newest version, for as long as a test takes.
+pub fn at_half(mut bundle: Bundle) -> Bundle {
+    for service in bundle.services.values_mut() {
+        (service.steps, service.step_seconds) = (vec![50, 100], 600);
+    }
+    bundle
+}
+
+pub async fn accept(fleet: &Fleet, bundle: &Bundle) {
+    accepted(fleet, name("gateway:0"), bundle).await;
+    for gateway in fleet.names(ProcessKind::Gateway) {
+        wait_installed(fleet, gateway, bundle.version.0).await;
+    }
+}
+
+/// The roll-back that the system committed on top of a version.
+pub async fn wait_rolled_back(fleet: &Fleet, from: u64) -> Harm {
+    let at = name("gateway:0");
+    let look = || async move {
+        let current = fleet.current_bundle(at).await.map_err(|e| e.to_string())?;
+        let version = current.record.version;
+        if version > BundleVersion(from) { Ok(()) } else { Err(format!("{version} is newest")) }
+    };
+    fleet.wait_until("the system rolls back", PATIENCE, look).await.unwrap();
+    let record = read_current(fleet, at).await.record;
+    assert_eq!(record.version, BundleVersion(from + 1));
+    for gateway in fleet.names(ProcessKind::Gateway) {
+        wait_installed(fleet, gateway, from + 1).await;
+    }
+    record.rollback.expect("a bundle of the system")
+}
+
+/// Callers of both tools; how many of them call at a time is set.
+pub struct Calls {
+    pub busy: AtomicUsize,
+    pub stop: AtomicBool,
+}
+
+pub async fn keep_calling(calls: Arc<Calls>, caller: Caller, number: usize) {
+    let program = format!("p{number}");
+    let end = UnixMillis::now().plus(Duration::from_secs(3_600));
+    caller.put_program(number, &program, 1, end.0).await.unwrap();
+    for call in 0.. {
+        if calls.stop.load(Ordering::SeqCst) {
+            return;
+        }
+        if number >= calls.busy.load(Ordering::SeqCst) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        }
+        let tool = if call % 2 == 0 { READ } else { LIST };
+        let request = CallRequest::new(tool, json!({}));
+        // What reached which version is read from the ledgers; the answer tells nothing more.
+        let _ = caller.call(number, &program, &format!("c{call}"), &request).await;
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A fleet whose application service runs `v1` on two engines and a newer version on two.
+pub struct Release {
+    pub fleet: TestFleet,
+    pub calls: Arc<Calls>,
+    tasks: Vec<JoinHandle<()>>,
+    pub version: u64,
+    pub newer: ServiceVersion,
+}
+
+impl Release {
+    pub async fn start() -> Self {
+        let mut topology = control_topology(3);
+        topology.cores = 2;
+        topology.models[0].engines = 1;
+        let tool = |name: &str| Tool { name: name.to_owned(), may_repeat: true, urgent: false };
+        topology.applications[0].tools = [READ, LIST].map(tool).into();
+        let mut newer = topology.applications[0].clone();
+        newer.version = ServiceVersion::new("v2").unwrap();
+        topology.applications.push(newer);
+        let fleet = start_alone(topology).await;
+        let calls =
+            Arc::new(Calls { busy: AtomicUsize::new(CALLERS), stop: AtomicBool::new(false) });
+        let caller = Caller::new(fleet.gateways(), TENANT);
+        let tasks = (0..CALLERS)
+            .map(|number| tokio::spawn(keep_calling(calls.clone(), caller.clone(), number)))
+            .collect();
+        let newer = ServiceVersion::new("v2").unwrap();
+        Self { fleet, calls, tasks, version: 1, newer }
+    }
+
+    /// Engines of the newer version.
+    pub fn newer_engines(&self) -> [ProcessName; 2] {
+        [name("app:2"), name("app:3")]
+    }
+
+    /// The moments at which calls ran at a version.
+    pub fn runs(&self, version: &ServiceVersion) -> Vec<UnixMillis> {
+        let ledger = self.fleet.ledgers(ProcessKind::App).unwrap();
+        let calls = ledger.iter().filter(|line| {
+            line.version == version.as_str() && matches!(line.entry, LedgerEntry::CallRan { .. })
+        });
+        let mut runs: Vec<UnixMillis> = calls.map(|line| line.at).collect();
+        runs.sort_unstable();
+        runs
+    }
+
+    pub fn ran(&self, version: &ServiceVersion) -> usize {
+        self.runs(version).len()
+    }
+
+    pub async fn wait_ran(&self, version: &ServiceVersion, more: usize) {
+        let goal = self.ran(version) + more;
+        let look = || async {
+            let ran = self.ran(version);
+            if ran >= goal { Ok(()) } else { Err(format!("{ran} of {goal} calls")) }
+        };
+        let what = format!("calls run at {version}");
+        self.fleet.wait_until(&what, PATIENCE, look).await.unwrap();
+    }
+
+    /// Releases a version that nobody has seen before (`v2` is there from the start), and waits until both versions have traffic.
+    pub async fn release(&mut self, number: u32) {
+        self.newer = ServiceVersion::new(format!("v{number}")).unwrap();
+        for engine in self.newer_engines() {
+            self.fleet.set_faults(engine, &Faults::default()).await.unwrap();
+            let restart = Restart { version: Some(self.newer.clone()), ..Restart::default() };
+            self.fleet.restart_stand_in(engine, &restart).await.unwrap();
+        }
+        self.version += 1;
+        let mut topology = self.fleet.topology().clone();
+        topology.applications[1].version = self.newer.clone();
+        let base = BundleVersion(self.version - 1);
+        let bundle = at_half(topology.bundle(BundleVersion(self.version), base).unwrap());
+        accept(&self.fleet, &bundle).await;
+        let v1 = ServiceVersion::new("v1").unwrap();
+        self.wait_ran(&self.newer, 100).await;
+        self.wait_ran(&v1, 100).await;
+        let current = read_current(&self.fleet, name("gateway:0")).await.record;
+        assert_eq!(current.version, BundleVersion(self.version), "rolled back without harm");
+    }
+
+    pub async fn set_faults(&self, engines: &[ProcessName], faults: &Faults) {
+        for engine in engines {
+            self.fleet.set_faults(*engine, faults).await.unwrap();
+        }
+    }
+
+    /// From now on the newer version does harm: checks that it loses its traffic in time, for good.
+    pub async fn harm_is_met(&mut self, what: &str, route: Option<&str>) {
+        let (began, began_at) = (Instant::now(), UnixMillis::now());
+        let harm = wait_rolled_back(&self.fleet, self.version).await;
+        self.version += 1;
+        let rolled_back = began.elapsed();
+        assert_eq!((harm.service.as_str(), harm.version.as_str()), ("alarms", self.newer.as_str()));
+        assert!(!harm.reason.is_empty());
+        if let Some(route) = route {
+            assert_eq!(harm.route.as_deref(), Some(route));
+        }
+        // Calls begun before are over once as many more have been made as there are callers, and again.
+        let v1 = ServiceVersion::new("v1").unwrap();
+        self.wait_ran(&v1, 10 * CALLERS).await;
+        self.set_faults(&self.newer_engines(), &Faults::default()).await;
+        let settled = self.ran(&self.newer);
+        self.wait_ran(&v1, 10 * CALLERS).await;
+        assert_eq!(self.ran(&self.newer), settled, "{what}: traffic after the roll-back");
+        let mut runs = self.runs(&self.newer);
+        runs.retain(|at| *at >= began_at);
+        let clear = runs.get(CLEAR_AFTER - 1).copied().unwrap_or(began_at);
+        let last = runs.last().copied().unwrap_or(began_at);
+        let traffic = Duration::from_millis(last.0.saturating_sub(clear.0));
+        println!(
+            "{what}: rolled back in force after {rolled_back:?}, last of {} runs {traffic:?} after clear harm; {}",
+            runs.len(),
+            harm.reason
+        );
+        assert!(traffic <= HARM_BOUND, "{what}: traffic until {traffic:?} after clear harm");
+    }
+
+    pub async fn stop(self) {
+        self.calls.stop.store(true, Ordering::SeqCst);
+        for task in self.tasks {
+            task.await.unwrap();
+        }
+    }
+}
