rpc, store: commands are answered without a task each; bodies are shared bytes

Cause: each command had a task of its own in the server, a oneshot and a wake across threads to encode its reply; bodies were encoded and decoded byte by byte at each layer. Change: Router::route_deferred gives a handler a Replier that may be used later and from any thread; a command's outcome goes from the applier straight to its connection's writer. Frames, commands and replies hold Bytes (the same bytes on the wire).

--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use hooklug_raft::{ConfChange, ConfState, Message, Role, SnapshotMeta};
 use hooklug_state::meta::{GroupPlacement, StoreRecord};
 use hooklug_types::{Digest, EngineIncarnation, FencingEpoch, GroupId, NodeId, ZoneName};
@@ -54,11 +55,11 @@
     /// The group.
     pub group: GroupId,
     /// The encoded `ShardCommand` or `MetaCommand`.
-    pub command: Vec<u8>,
+    pub command: Bytes,
 }
 
 impl Request for Execute {
-    type Reply = Result<Vec<u8>, StoreFault>;
+    type Reply = Result<Bytes, StoreFault>;
     const METHOD: Method = Method::Execute;
 }
 
--- a/crates/replication/src/driver.rs
+++ b/crates/replication/src/driver.rs
@@ -120,11 +120,11 @@
             }
             Input::Propose { group, command, reply } => match self.replica(group) {
                 Ok(replica) => replica.propose(&command, reply),
-                Err(error) => drop(reply.send(Err(error))),
+                Err(error) => reply.send(Err(error)),
             },
             Input::ChangeMembers { group, change, reply } => match self.replica(group) {
                 Ok(replica) => replica.change_members(change, reply),
-                Err(error) => drop(reply.send(Err(error))),
+                Err(error) => reply.send(Err(error)),
             },
             Input::Read { group, read } => match self.replica(group) {
                 Ok(replica) => replica.read(read),
--- a/crates/replication/src/handle.rs
+++ b/crates/replication/src/handle.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
+use bytes::Bytes;
 use hooklug_protocol::store::{ReplicaStatus, SnapshotChunk, SnapshotProgress};
 use hooklug_raft::{ConfChange, ConfState, Message};
 use hooklug_types::{Digest, GroupId, NodeId};
@@ -14,7 +15,7 @@
 use crate::applier::{ApplyTask, GroupTask};
 use crate::input::Input;
 use crate::snapshot_inbox::{ChunkOutcome, SnapshotInbox};
-use crate::{ReadWaiter, ReplicationError};
+use crate::{ReadWaiter, ReplicationError, Reply};
 
 /// The answer to a linearizable read.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -70,10 +71,15 @@
         command: Vec<u8>,
     ) -> Result<Vec<u8>, ReplicationError> {
         let (reply, result) = oneshot::channel();
-        self.tell(Input::Propose { group, command, reply });
+        self.propose(group, command.into(), reply.into());
         result.await.map_err(gone)?
     }
 
+    /// Applies an encoded command; the state machine's reply, or an error, goes to `reply`.
+    pub fn propose(&self, group: GroupId, command: Bytes, reply: Reply) {
+        self.tell(Input::Propose { group, command, reply });
+    }
+
     /// Answers an encoded query linearizably.
     ///
     /// # Errors
@@ -112,7 +118,7 @@
         change: ConfChange,
     ) -> Result<(), ReplicationError> {
         let (reply, result) = oneshot::channel();
-        self.tell(Input::ChangeMembers { group, change, reply });
+        self.tell(Input::ChangeMembers { group, change, reply: reply.into() });
         result.await.map_err(gone)?.map(drop)
     }
 
--- a/crates/replication/src/input.rs
+++ b/crates/replication/src/input.rs
@@ -1,5 +1,6 @@
 //! What the driver thread is told.
 
+use bytes::Bytes;
 use hooklug_protocol::store::ReplicaStatus;
 use hooklug_raft::{ConfChange, ConfState, Message, Snapshot, SnapshotMeta};
 use hooklug_types::{GroupId, NodeId};
@@ -13,7 +14,7 @@
     /// Messages of other replicas, all from one store.
     Messages(Vec<(GroupId, Message)>),
     /// A command.
-    Propose { group: GroupId, command: Vec<u8>, reply: Reply },
+    Propose { group: GroupId, command: Bytes, reply: Reply },
     /// A membership change.
     ChangeMembers { group: GroupId, change: ConfChange, reply: Reply },
     /// A linearizable read.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -123,11 +123,12 @@
 
     /// A command; its result or an error goes to `reply`. Commands that come while a round is under way
     /// share the entries of the next one.
-    pub fn propose(&mut self, command: &[u8], reply: Reply) {
+    pub fn propose(&mut self, command: &[u8], reply: impl Into<Reply>) {
+        let reply = reply.into();
         if self.node.role() != Role::Leader {
-            drop(reply.send(Err(self.not_leader())));
+            reply.send(Err(self.not_leader()));
         } else if self.is_full(command) {
-            drop(reply.send(Err(ReplicationError::Busy("too many commands wait".to_owned()))));
+            reply.send(Err(ReplicationError::Busy("too many commands wait".to_owned())));
         } else {
             self.waiting += 1;
             self.gathered.push(command, reply);
@@ -141,11 +142,11 @@
     }
 
     /// A membership change; `reply` gets empty bytes once it is committed.
-    pub fn change_members(&mut self, change: ConfChange, reply: Reply) {
+    pub fn change_members(&mut self, change: ConfChange, reply: impl Into<Reply>) {
         self.append_gathered();
         self.waiting += 1;
         let position = self.node.propose_conf_change(change);
-        self.wait_for(position, vec![reply]);
+        self.wait_for(position, vec![reply.into()]);
     }
 
     /// Puts what was gathered into the log, in order.
@@ -171,7 +172,7 @@
     fn fail(&mut self, replies: Vec<Reply>, error: &ReplicationError) {
         self.waiting -= replies.len();
         for reply in replies {
-            drop(reply.send(Err(error.clone())));
+            reply.send(Err(error.clone()));
         }
     }
 
--- a/crates/replication/src/round.rs
+++ b/crates/replication/src/round.rs
@@ -7,10 +7,7 @@
 use hooklug_wal::Record;
 use tokio::sync::oneshot;
 
-use crate::{ConfirmedRead, ReplicationError};
-
-/// Where the answer to a command or a membership change goes.
-pub type Reply = oneshot::Sender<Result<Vec<u8>, ReplicationError>>;
+use crate::{ConfirmedRead, ReplicationError, Reply};
 
 /// A committed entry and who waits for its results.
 #[derive(Debug)]
--- a/crates/replication/tests/joined.rs
+++ b/crates/replication/tests/joined.rs
@@ -93,7 +93,7 @@
         let commands = commands_in(&entry);
         assert_eq!(commands.len(), replies.len());
         commands.into_iter().zip(replies).for_each(|(command, reply)| {
-            reply.send(Ok(command)).unwrap();
+            reply.send(Ok(command));
         });
     }
     for (command, mut answer) in commands.into_iter().zip(answers) {
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hooklug_protocol::{Request, StreamRequest};
 use serde::de::DeserializeOwned;
 use tokio::sync::{Mutex, mpsc, oneshot};
@@ -165,8 +166,8 @@
     }
 }
 
-fn encode<T: serde::Serialize>(request: &T) -> Result<Vec<u8>, RpcError> {
-    postcard::to_stdvec(request).map_err(|e| RpcError::NotSent(e.to_string()))
+fn encode<T: serde::Serialize>(request: &T) -> Result<Bytes, RpcError> {
+    postcard::to_stdvec(request).map(Bytes::from).map_err(|e| RpcError::NotSent(e.to_string()))
 }
 
 fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, RpcError> {
@@ -175,7 +176,7 @@
 
 /// Items of an open stream. Dropping it cancels the stream.
 pub struct ItemStream<T> {
-    items: mpsc::Receiver<Result<Vec<u8>, RpcError>>,
+    items: mpsc::Receiver<Result<Bytes, RpcError>>,
     connection: Arc<Connection>,
     _registration: Registration,
     item: std::marker::PhantomData<fn() -> T>,
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use hooklug_protocol::Method;
 use tokio::io::BufReader;
 use tokio::net::TcpSocket;
@@ -29,8 +30,8 @@
 
 /// What a waiting call or stream gets.
 pub(crate) enum Waiter {
-    Call(oneshot::Sender<Result<Vec<u8>, RpcError>>),
-    Stream(mpsc::Sender<Result<Vec<u8>, RpcError>>),
+    Call(oneshot::Sender<Result<Bytes, RpcError>>),
+    Stream(mpsc::Sender<Result<Bytes, RpcError>>),
 }
 
 type Waiters = Arc<Mutex<HashMap<u64, Waiter>>>;
@@ -119,7 +120,7 @@
     pub(crate) async fn send(
         self: &Arc<Self>,
         method: Method,
-        body: Vec<u8>,
+        body: Bytes,
         waiter: Waiter,
     ) -> Result<Registration, RpcError> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -201,7 +202,7 @@
     }
 }
 
-fn finish(waiters: &Waiters, id: u64, reply: Result<Vec<u8>, Fault>) {
+fn finish(waiters: &Waiters, id: u64, reply: Result<Bytes, Fault>) {
     let reply = reply.map_err(RpcError::Fault);
     match lock(waiters).remove(&id) {
         Some(Waiter::Call(waiter)) => drop(waiter.send(reply)),
--- a/crates/rpc/src/frame.rs
+++ b/crates/rpc/src/frame.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use bytes::Bytes;
 use hooklug_protocol::Method;
 use hooklug_types::BundleVersion;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -19,9 +20,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum ClientFrame {
     /// A request with one reply.
-    Call { id: u64, method: Method, body: Vec<u8> },
+    Call { id: u64, method: Method, body: Bytes },
     /// A request answered by a stream.
-    Open { id: u64, method: Method, body: Vec<u8> },
+    Open { id: u64, method: Method, body: Bytes },
     /// The reply or the rest of the stream is not wanted any more.
     Cancel { id: u64 },
     /// Asks for a sign of life.
@@ -38,8 +39,8 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum ServerBody {
-    Reply { id: u64, body: Vec<u8> },
-    Item { id: u64, body: Vec<u8> },
+    Reply { id: u64, body: Bytes },
+    Item { id: u64, body: Bytes },
     End { id: u64 },
     Fault { id: u64, fault: Fault },
     Pong,
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod client;
 mod connection;
+mod deferred;
 mod error;
 mod faults;
 mod frame;
@@ -20,6 +21,7 @@
 mod traffic;
 
 pub use client::{HELLO_PAUSE, ItemStream, RpcClient};
+pub use deferred::Replier;
 pub use error::{Fault, RpcError};
 pub use faults::{LinkFault, LinkFaults};
 pub use identity::{BundleNews, LocalIdentity, Peer};
--- a/crates/rpc/src/router.rs
+++ b/crates/rpc/src/router.rs
@@ -4,18 +4,22 @@
 use std::future::Future;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use futures::future::BoxFuture;
 use hooklug_protocol::{Method, Request, StreamRequest};
 use serde::Serialize;
 use tokio::sync::mpsc;
 
+use crate::deferred::{RawReplier, Replier};
 use crate::{Fault, Peer};
 
-type Encoded = Result<Vec<u8>, Fault>;
-type UnaryHandler = Arc<dyn Fn(Peer, Vec<u8>) -> BoxFuture<'static, Encoded> + Send + Sync>;
+/// An encoded reply.
+pub(crate) type Encoded = Result<Vec<u8>, Fault>;
+type UnaryHandler = Arc<dyn Fn(Peer, Bytes) -> BoxFuture<'static, Encoded> + Send + Sync>;
 type InlineHandler = Arc<dyn Fn(&Peer, &[u8]) -> Encoded + Send + Sync>;
+type DeferredHandler = Arc<dyn Fn(&Peer, &[u8], RawReplier) + Send + Sync>;
 type StreamHandler =
-    Arc<dyn Fn(Peer, Vec<u8>, RawSink) -> BoxFuture<'static, Result<(), Fault>> + Send + Sync>;
+    Arc<dyn Fn(Peer, Bytes, RawSink) -> BoxFuture<'static, Result<(), Fault>> + Send + Sync>;
 
 /// Encoded items of one stream, towards the connection's writer.
 pub(crate) type RawSink = mpsc::Sender<Vec<u8>>;
@@ -24,6 +28,7 @@
 pub(crate) enum Handler {
     Unary(UnaryHandler),
     Inline(InlineHandler),
+    Deferred(DeferredHandler),
     Stream(StreamHandler),
 }
 
@@ -109,6 +114,23 @@
         self
     }
 
+    /// Adds a handler that runs in the connection's reading loop and replies later, from any thread. It must
+    /// not block; that its caller gives up changes nothing.
+    #[must_use]
+    pub fn route_deferred<R, F>(mut self, handler: F) -> Self
+    where
+        R: Request,
+        F: Fn(&Peer, R, Replier<R::Reply>) + Send + Sync + 'static,
+    {
+        let deferred: DeferredHandler =
+            Arc::new(move |peer, body, mut replier| match decode::<R>(body) {
+                Ok(request) => handler(peer, request, Replier::new(replier)),
+                Err(fault) => replier.fail(fault),
+            });
+        self.handlers.insert(R::METHOD, Handler::Deferred(deferred));
+        self
+    }
+
     /// Adds a handler that answers with a stream; the stream ends when the handler returns.
     #[must_use]
     pub fn stream<R, F, Fut>(mut self, handler: F) -> Self
@@ -147,6 +169,6 @@
     postcard::from_bytes(body).map_err(|e| Fault::Decode(e.to_string()))
 }
 
-fn encode_reply<T: Serialize>(reply: &T) -> Encoded {
+pub(crate) fn encode_reply<T: Serialize>(reply: &T) -> Encoded {
     postcard::to_stdvec(reply).map_err(|e| Fault::Failed(e.to_string()))
 }
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::io::AsyncRead;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -13,9 +14,10 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{debug, error};
 
+use crate::deferred::RawReplier;
 use crate::frame::{ClientFrame, ServerBody, ServerFrame, encode, read};
 use crate::link::{Outgoing, WRITE_QUEUE_FRAMES, write_frames};
-use crate::router::Handler;
+use crate::router::{Encoded, Handler};
 use crate::{Fault, LocalIdentity, Peer, Router, hello};
 
 /// Time a peer has to prove the cluster secret.
@@ -112,13 +114,13 @@
 
 /// Where replies of one connection go.
 #[derive(Debug, Clone)]
-struct Answers {
-    queue: mpsc::Sender<Outgoing>,
+pub(crate) struct Answers {
+    pub(crate) queue: mpsc::Sender<Outgoing>,
     bundles: Arc<crate::BundleNews>,
 }
 
 impl Answers {
-    fn frame(&self, body: ServerBody) -> Option<Outgoing> {
+    pub(crate) fn frame(&self, body: ServerBody) -> Option<Outgoing> {
         let frame = ServerFrame { bundle: self.bundles.installed(), body };
         encode(&frame).ok().map(Outgoing::new)
     }
@@ -187,7 +189,7 @@
         self.answers.send(ServerBody::Fault { id, fault }).await;
     }
 
-    async fn start(&mut self, id: u64, handler: Handler, body: Vec<u8>) {
+    async fn start(&mut self, id: u64, handler: Handler, body: Bytes) {
         let answers = self.answers.clone();
         let peer = self.peer.clone();
         let task = match handler {
@@ -195,6 +197,10 @@
                 answers.send(reply_body(id, handler(&peer, &body))).await;
                 return;
             }
+            Handler::Deferred(handler) => {
+                handler(&peer, &body, RawReplier::new(id, answers));
+                return;
+            }
             Handler::Unary(handler) => self.tasks.spawn(async move {
                 let reply = handler(peer, body).await;
                 answers.send(reply_body(id, reply)).await;
@@ -216,16 +222,16 @@
     }
 }
 
-fn reply_body(id: u64, reply: Result<Vec<u8>, Fault>) -> ServerBody {
+pub(crate) fn reply_body(id: u64, reply: Encoded) -> ServerBody {
     match reply {
-        Ok(body) => ServerBody::Reply { id, body },
+        Ok(body) => ServerBody::Reply { id, body: body.into() },
         Err(fault) => ServerBody::Fault { id, fault },
     }
 }
 
 async fn forward_items(id: u64, mut items: mpsc::Receiver<Vec<u8>>, answers: &Answers) {
     while let Some(body) = items.recv().await {
-        if !answers.send(ServerBody::Item { id, body }).await {
+        if !answers.send(ServerBody::Item { id, body: body.into() }).await {
             return;
         }
     }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -182,7 +182,7 @@
         command: &C,
         deadline: Instant,
     ) -> Result<T, Unavailable> {
-        let request = Execute { group, command: encode(command) };
+        let request = Execute { group, command: encode(command).into() };
         let reply = self.call(group, &request, deadline).await?;
         decode_reply(group, &reply)
     }
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -2,11 +2,14 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
+use hooklug_protocol::Request;
 use hooklug_protocol::store::{
     ChangeReplicas, Execute, ExpireLease, FormationOffer, GroupStatus, Query, RaftBatch,
     SnapshotChunk, StoreFault,
 };
-use hooklug_rpc::{Peer, Router};
+use hooklug_replication::Reply;
+use hooklug_rpc::{Peer, Replier, Router};
 use hooklug_state::decode;
 use hooklug_state::meta::MetaCommand;
 use hooklug_state::shard::ShardCommand;
@@ -18,10 +21,10 @@
 /// Handlers of all requests to stores.
 pub(crate) fn router(shared: &Arc<Shared>) -> Router {
     Router::new()
-        .route(with(
-            shared,
-            |shared, _, request: Execute| async move { shared.execute(request).await },
-        ))
+        .route_deferred::<Execute, _>({
+            let shared = shared.clone();
+            move |_, request, replier| execute(&shared, request, replier)
+        })
         .route(with(shared, |shared, _, request: Query| async move { shared.query(request).await }))
         .route(with(shared, |shared, _, request: ExpireLease| async move {
             completed(async move { shared.expire_lease(request).await }).await
@@ -64,14 +67,21 @@
     tokio::spawn(work).await.unwrap_or(Err(StoreFault::Uncertain))
 }
 
-impl Shared {
-    /// Applies a command. Cancelling changes nothing: the replicas apply what was proposed.
-    async fn execute(&self, request: Execute) -> Result<Vec<u8>, StoreFault> {
-        check_command(request.group, &request.command)?;
-        let result = self.replicator.execute(request.group, request.command).await;
-        result.map_err(|error| self.fault(request.group, error))
+/// Applies a command. That its caller gives up changes nothing: the replicas apply what was proposed.
+fn execute(shared: &Arc<Shared>, request: Execute, replier: Replier<<Execute as Request>::Reply>) {
+    let Execute { group, command } = request;
+    if let Err(fault) = check_command(group, &command) {
+        return replier.send(&Err(fault));
     }
+    let answering = shared.clone();
+    let reply = Reply::new(move |outcome| {
+        let reply = outcome.map(Bytes::from).map_err(|error| answering.fault(group, error));
+        replier.send(&reply);
+    });
+    shared.replicator.propose(group, command, reply);
+}
 
+impl Shared {
     async fn query(&self, request: Query) -> Result<Vec<u8>, StoreFault> {
         let read = self.replicator.read(request.group, request.query).await;
         read.map(|read| read.answer).map_err(|error| self.fault(request.group, error))
--- a/crates/store/tests/disks.rs
+++ b/crates/store/tests/disks.rs
@@ -77,7 +77,7 @@
     }
     assert!(cluster.handle(failing).failure().is_some());
     assert!(!cluster.handle(failing).is_ready().await);
-    let request = Execute { group, command: encode(&put("other")) };
+    let request = Execute { group, command: encode(&put("other")).into() };
     let address = cluster.stores[failing].address;
     let answer = support::rpc_client().call(address, &request, soon()).await.unwrap();
     assert!(matches!(answer, Err(StoreFault::DiskFailed { .. })), "{answer:?}");
--- a/crates/store/tests/failures.rs
+++ b/crates/store/tests/failures.rs
@@ -137,7 +137,8 @@
     let clock = ShardCommand::AdvanceClock { now: UnixMillis(u64::MAX) };
     let hidden = ShardCommand::Batch(vec![clock.clone()]);
     for command in [vec![0xff; 9], encode(&clock), encode(&hidden)] {
-        let answer = rpc.call(leader, &Execute { group, command }, soon()).await.unwrap();
+        let answer =
+            rpc.call(leader, &Execute { group, command: command.into() }, soon()).await.unwrap();
         assert!(matches!(answer, Err(StoreFault::Refused { .. })), "{answer:?}");
     }
     put_program(&cluster.client(), "program").await;
