store, gateway: data folders name their format; a bundle's history is read only where there is a gap

Ruled out: reading old folders (no release has written one); only looking at the routes' digest (a bundle that was passed over may have changed them and back). Change: the folder's identity file begins with the format, another one is refused by name and nothing is changed; a bundle whose base is learnt asks the meta group for nothing. Tests: disks.rs refuses the next format; the gateway's call tests (33) and store's disk tests (5) passed, load average 31.

--- a/crates/gateway/src/calls/repeat_history.rs
+++ b/crates/gateway/src/calls/repeat_history.rs
@@ -27,9 +27,6 @@
 /// Longest time for which a call waits until the history of a new bundle is read (ours).
 const LEARN_TIME: Duration = Duration::from_secs(1);
 
-/// Records asked for when a bundle follows one whose history is known (ours).
-const FEW_RECORDS: u32 = 16;
-
 const FIRST_WAIT: Duration = Duration::from_millis(50);
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
@@ -132,7 +129,7 @@
         installed: &InstalledBundle,
     ) -> Result<(), HistoryError> {
         let from = self.learnt.borrow().up_to;
-        let records = read_records(state, from).await?;
+        let records = read_records(state, from, &installed.record).await?;
         let newest = records.first().map(|record| record.version);
         let mut found = Vec::new();
         for digest in records.iter().filter_map(|record| record.sections.get(ROUTES_SECTION)) {
@@ -163,17 +160,23 @@
     Unexpected,
 }
 
-/// Records of the bundles after a version, newest first; all that are kept when there is none.
+/// Records of the bundles after a version, newest first; all that are kept when there is none. A bundle built on the
+/// last one learnt asks for none, as no version lies between: with thousands of changes a day and a long record
+/// each, reading them at every gateway would cost more than all other control traffic.
 async fn read_records(
     state: &dyn StateAccess,
     after: Option<BundleVersion>,
+    newest: &BundleRecord,
 ) -> Result<Vec<BundleRecord>, HistoryError> {
     let all = u32::try_from(KEPT_VERSIONS).unwrap_or(u32::MAX);
-    if let Some(after) = after {
-        let few = history(state, FEW_RECORDS).await?;
-        if few.len() < FEW_RECORDS as usize || few.iter().any(|record| record.version <= after) {
-            return Ok(few);
-        }
+    let Some(after) = after else { return history(state, all).await };
+    if newest.base <= after {
+        return Ok(Vec::new());
+    }
+    let versions = newest.version.0.saturating_sub(after.0);
+    let few = history(state, u32::try_from(versions).unwrap_or(all).min(all)).await?;
+    if few.iter().any(|record| record.base <= after) {
+        return Ok(few);
     }
     history(state, all).await
 }
--- a/crates/store/src/data_folder.rs
+++ b/crates/store/src/data_folder.rs
@@ -15,12 +15,23 @@
 
 use crate::StoreError;
 
-const NODE_FILE: &str = "node";
+const IDENTITY_FILE: &str = "identity";
 const MEMBERSHIP_FILE: &str = "membership";
 const LOCK_FILE: &str = "lock";
 const GROUPS_FOLDER: &str = "groups";
 const CHECKSUM_BYTES: usize = 4;
 
+/// Layout of log entries and snapshots in a data folder; moves on whenever an older build would misread them.
+/// 2: entries hold joined commands, sessions' events lie in chunks.
+pub const DATA_FORMAT: u32 = 2;
+
+/// Whose a folder is, and how it is to be read. The format comes first in every build to come.
+#[derive(Debug, Serialize, Deserialize)]
+struct Identity {
+    format: u32,
+    node: NodeId,
+}
+
 /// What a store is to a cluster.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Membership {
@@ -52,20 +63,25 @@
 /// The node id of a data folder. Drawn at random and synced when the folder is empty.
 ///
 /// # Errors
-/// When the folder cannot be used, or holds a log without a node id.
+/// When the folder cannot be used, holds a log without a node id, or is of another [`DATA_FORMAT`]. Nothing in
+/// it is changed then.
 pub fn load_node_id(data_folder: &Path) -> Result<NodeId, StoreError> {
     let files = OsFiles;
     make_folder(&files, data_folder)?;
-    let path = data_folder.join(NODE_FILE);
-    if let Some(node) = load(&files, &path)? {
+    let path = data_folder.join(IDENTITY_FILE);
+    if let Some(Identity { format, node }) = load(&files, &path)? {
+        if format != DATA_FORMAT {
+            return Err(StoreError::OtherFormat { folder: data_folder.to_owned(), format });
+        }
         return Ok(node);
     }
     if data_folder.join(GROUPS_FOLDER).exists() {
-        let reason = "the node id is missing, though the folder holds a log".to_owned();
-        return Err(StoreError::Damaged { path, reason });
+        let reason =
+            "it is missing, though the folder holds a log; builds before data format 2 wrote none";
+        return Err(StoreError::Damaged { path, reason: reason.to_owned() });
     }
     let node = NodeId(rand::rng().random_range(1..=u64::MAX));
-    save(&files, &path, &node)?;
+    save(&files, &path, &Identity { format: DATA_FORMAT, node })?;
     Ok(node)
 }
 
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -26,6 +26,18 @@
         /// What does not fit.
         reason: String,
     },
+    /// Another build wrote the folder, in a layout that this one would misread.
+    #[error(
+        "{} has data format {format}; this build reads and writes format {}",
+        folder.display(),
+        crate::DATA_FORMAT
+    )]
+    OtherFormat {
+        /// The folder.
+        folder: PathBuf,
+        /// Its format.
+        format: u32,
+    },
     /// The identity names another node than the data folder does.
     #[error("the data folder belongs to node {folder}, not to node {identity}")]
     OtherNode {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use access::{StateAccess, Unavailable};
 pub use client::StoreClient;
-pub use data_folder::{Membership, load_node_id};
+pub use data_folder::{DATA_FORMAT, Membership, load_node_id};
 pub use error::StoreError;
 pub use leases::{LEASE_MARGIN, LEASE_TIME};
 pub use memory::MemoryState;
--- a/crates/store/tests/disks.rs
+++ b/crates/store/tests/disks.rs
@@ -12,7 +12,7 @@
 use hooklug_rpc::{LocalIdentity, RpcClient};
 use hooklug_settings::StoreSettings;
 use hooklug_state::encode;
-use hooklug_store::{StateAccess, Store, StoreError, load_node_id};
+use hooklug_store::{DATA_FORMAT, StateAccess, Store, StoreError, load_node_id};
 use hooklug_types::{NodeId, shard_of};
 use support::{PATIENCE, TestCluster, fast_options, has_program, put, put_program, soon, until};
 
@@ -146,7 +146,23 @@
     let refused = open_folder(&cluster, 0, node);
     assert!(matches!(refused, Err(StoreError::Damaged { .. })), "{refused:?}");
     std::fs::write(&membership, bytes).unwrap();
-    std::fs::remove_file(folder.join("node")).unwrap();
+    let identity = folder.join("identity");
+    let bytes = std::fs::read(&identity).unwrap();
+    std::fs::write(&identity, of_next_format(&bytes)).unwrap();
+    let newer = open_folder(&cluster, 0, node);
+    let format = DATA_FORMAT + 1;
+    assert!(
+        matches!(newer, Err(StoreError::OtherFormat { format: f, .. }) if f == format),
+        "{newer:?}"
+    );
+    std::fs::remove_file(&identity).unwrap();
     let lost = load_node_id(&folder);
     assert!(matches!(lost, Err(StoreError::Damaged { .. })), "{lost:?}");
 }
+
+/// An identity file as a build with the next data format would write it.
+fn of_next_format(identity: &[u8]) -> Vec<u8> {
+    let mut body = identity[4..].to_vec();
+    body[0] += 1;
+    [crc32fast::hash(&body).to_le_bytes().as_slice(), &body].concat()
+}
