--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -16,6 +16,7 @@
 mod input;
 mod joined;
 mod lifecycle;
+mod proposals;
 mod replica;
 mod reply;
 mod round;
--- /dev/null
+++ b/crates/replication/src/proposals.rs
@@ -0,0 +1,116 @@
+//! The commands and membership changes of one leader whose results are waited for.
+
+use std::collections::BTreeMap;
+
+use hooklug_raft::{Entry, LogPosition, ProposeError};
+
+use crate::joined::{Gathered, JoinedEntry};
+use crate::{ReplicationError, Reply};
+
+/// Commands that may wait for their results at one leader (ours).
+const MAX_WAITING_COMMANDS: usize = 65_536;
+/// Bytes of commands that may wait for the sync under way (ours); a single command may be longer.
+const MAX_GATHERED_BYTES: usize = 64 << 20;
+
+/// An entry of this leader that is not committed yet.
+#[derive(Debug)]
+struct PendingEntry {
+    term: u64,
+    replies: Vec<Reply>,
+}
+
+/// Who waits at one leader.
+#[derive(Debug, Default)]
+pub(crate) struct Proposals {
+    /// Commands that came since the last round began; they are not in the log.
+    gathered: Gathered,
+    /// Entries in the log, by index.
+    pending: BTreeMap<u64, PendingEntry>,
+    /// Results that are waited for, of both.
+    waiting: usize,
+}
+
+impl Proposals {
+    /// Adds a command to the next entry, or refuses it when too much waits.
+    pub(crate) fn gather(&mut self, command: &[u8], reply: Reply) {
+        if self.is_full(command) {
+            reply.send(Err(ReplicationError::Busy("too many commands wait".to_owned())));
+        } else {
+            self.waiting += 1;
+            self.gathered.push(command, reply);
+        }
+    }
+
+    fn is_full(&self, command: &[u8]) -> bool {
+        let bytes = self.gathered.bytes() + command.len();
+        let has_no_bytes_left = !self.gathered.is_empty() && bytes > MAX_GATHERED_BYTES;
+        self.waiting >= MAX_WAITING_COMMANDS || has_no_bytes_left
+    }
+
+    /// Puts what was gathered into the log, in order.
+    pub(crate) fn append_gathered(
+        &mut self,
+        mut append: impl FnMut(Vec<u8>) -> Result<LogPosition, ProposeError>,
+    ) {
+        while let Some(JoinedEntry { bytes, replies }) = self.gathered.pop() {
+            let position = append(bytes);
+            self.wait_for(position, replies);
+        }
+    }
+
+    /// Waits for a membership change.
+    pub(crate) fn wait_for_change(
+        &mut self,
+        position: Result<LogPosition, ProposeError>,
+        reply: Reply,
+    ) {
+        self.waiting += 1;
+        self.wait_for(position, vec![reply]);
+    }
+
+    fn wait_for(&mut self, position: Result<LogPosition, ProposeError>, replies: Vec<Reply>) {
+        match position {
+            Ok(LogPosition { term, index }) => {
+                if let Some(lost) = self.pending.insert(index, PendingEntry { term, replies }) {
+                    self.fail(lost.replies, &ReplicationError::Uncertain);
+                }
+            }
+            Err(error) => self.fail(replies, &error.into()),
+        }
+    }
+
+    /// Who waits for a committed entry; those who wait for another one at its place hear that theirs is uncertain.
+    pub(crate) fn committed(&mut self, entry: &Entry) -> Vec<Reply> {
+        let Some(PendingEntry { term, replies }) = self.pending.remove(&entry.index) else {
+            return Vec::new();
+        };
+        if term != entry.term {
+            self.fail(replies, &ReplicationError::Uncertain);
+            return Vec::new();
+        }
+        self.waiting -= replies.len();
+        replies
+    }
+
+    /// Answers those whose commands are not in the log with an error.
+    pub(crate) fn fail_gathered(&mut self, error: &ReplicationError) {
+        while let Some(entry) = self.gathered.pop() {
+            self.fail(entry.replies, error);
+        }
+    }
+
+    /// Answers all with an error.
+    pub(crate) fn fail_all(&mut self, error: &ReplicationError) {
+        self.fail_gathered(error);
+        for (_, pending) in std::mem::take(&mut self.pending) {
+            self.fail(pending.replies, error);
+        }
+    }
+
+    fn fail(&mut self, replies: Vec<Reply>, error: &ReplicationError) {
+        self.waiting -= replies.len();
+        for reply in replies {
+            reply.send(Err(error.clone()));
+        }
+    }
+}
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -5,13 +5,12 @@
 
 use hooklug_protocol::store::{MemberProgress, ReplicaStatus};
 use hooklug_raft::{
-    ConfChange, Entry, EntryKind, HardState, LogPosition, Message, ProposeError, RawNode, Ready,
-    Role, Snapshot, SnapshotMeta,
+    ConfChange, Entry, EntryKind, HardState, Message, RawNode, Ready, Role, Snapshot, SnapshotMeta,
 };
 use hooklug_types::{GroupId, NodeId};
 use hooklug_wal::Record;
 
-use crate::joined::{Gathered, JoinedEntry};
+use crate::proposals::Proposals;
 use crate::{Proposal, ReadWaiter, ReplicationError, Reply, Round, split};
 
 /// Bytes of commands after which a group takes a snapshot, however few they are (ours).
@@ -19,18 +18,6 @@
 
 /// Bytes of entries that stay in memory behind a snapshot at most (ours).
 const TRAILING_LOG_BYTES: usize = 8 << 20;
-/// Commands that may wait for their results at one leader (ours).
-const MAX_WAITING_COMMANDS: usize = 65_536;
-/// Bytes of commands that may wait for the sync under way (ours); a single command may be longer.
-const MAX_GATHERED_BYTES: usize = 64 << 20;
-
-/// An entry of this leader that is not committed yet.
-#[derive(Debug)]
-struct PendingEntry {
-    term: u64,
-    replies: Vec<Reply>,
-}
-
 /// One replica of one group.
 #[derive(Debug)]
 pub struct Replica {
@@ -38,12 +25,7 @@
     node: RawNode,
     /// The newest hard state that was handed out.
     hard_state: HardState,
-    /// Commands that came since the last round began; they are not in the log.
-    gathered: Gathered,
-    /// Entries whose results are waited for, by index.
-    pending: BTreeMap<u64, PendingEntry>,
-    /// Results that are waited for, of both.
-    waiting: usize,
+    proposals: Proposals,
     /// Reads that wait for their round, by context.
     unconfirmed: BTreeMap<u64, Vec<ReadWaiter>>,
     /// Reads that wait for entries up to an index.
@@ -80,9 +62,7 @@
             group,
             node,
             hard_state,
-            gathered: Gathered::default(),
-            pending: BTreeMap::new(),
-            waiting: 0,
+            proposals: Proposals::default(),
             unconfirmed: BTreeMap::new(),
             confirmed: Vec::new(),
             arrived: Vec::new(),
@@ -124,56 +104,23 @@
     /// A command; its result or an error goes to `reply`. Commands that come while a round is under way
     /// share the entries of the next one.
     pub fn propose(&mut self, command: &[u8], reply: impl Into<Reply>) {
-        let reply = reply.into();
-        if self.node.role() != Role::Leader {
-            reply.send(Err(self.not_leader()));
-        } else if self.is_full(command) {
-            reply.send(Err(ReplicationError::Busy("too many commands wait".to_owned())));
+        if self.node.role() == Role::Leader {
+            self.proposals.gather(command, reply.into());
         } else {
-            self.waiting += 1;
-            self.gathered.push(command, reply);
+            reply.into().send(Err(self.not_leader()));
         }
     }
 
-    fn is_full(&self, command: &[u8]) -> bool {
-        let bytes = self.gathered.bytes() + command.len();
-        let has_no_bytes_left = !self.gathered.is_empty() && bytes > MAX_GATHERED_BYTES;
-        self.waiting >= MAX_WAITING_COMMANDS || has_no_bytes_left
-    }
-
     /// A membership change; `reply` gets empty bytes once it is committed.
     pub fn change_members(&mut self, change: ConfChange, reply: impl Into<Reply>) {
         self.append_gathered();
-        self.waiting += 1;
         let position = self.node.propose_conf_change(change);
-        self.wait_for(position, vec![reply.into()]);
+        self.proposals.wait_for_change(position, reply.into());
     }
 
-    /// Puts what was gathered into the log, in order.
     fn append_gathered(&mut self) {
-        while let Some(JoinedEntry { bytes, replies }) = self.gathered.pop() {
-            let position = self.node.propose(bytes);
-            self.wait_for(position, replies);
-        }
-    }
-
-    fn wait_for(&mut self, position: Result<LogPosition, ProposeError>, replies: Vec<Reply>) {
-        match position {
-            Ok(LogPosition { term, index }) => {
-                if let Some(lost) = self.pending.insert(index, PendingEntry { term, replies }) {
-                    self.fail(lost.replies, &ReplicationError::Uncertain);
-                }
-            }
-            Err(error) => self.fail(replies, &error.into()),
-        }
-    }
-
-    /// Answers those who wait for one entry with an error.
-    fn fail(&mut self, replies: Vec<Reply>, error: &ReplicationError) {
-        self.waiting -= replies.len();
-        for reply in replies {
-            reply.send(Err(error.clone()));
-        }
+        let Self { proposals, node, .. } = self;
+        proposals.append_gathered(|bytes| node.propose(bytes));
     }
 
     fn not_leader(&self) -> ReplicationError {
@@ -288,14 +235,7 @@
             }
             EntryKind::Noop => self.log_commands += 1,
         }
-        let Some(PendingEntry { term, replies }) = self.pending.remove(&entry.index) else {
-            return Proposal { entry, replies: Vec::new() };
-        };
-        if term != entry.term {
-            self.fail(replies, &ReplicationError::Uncertain);
-            return Proposal { entry, replies: Vec::new() };
-        }
-        self.waiting -= replies.len();
+        let replies = self.proposals.committed(&entry);
         Proposal { entry, replies }
     }
 
@@ -323,23 +263,14 @@
         if !leads {
             // What is not in the log can be sent to the next leader at once.
             let error = self.not_leader();
-            self.fail_gathered(&error);
+            self.proposals.fail_gathered(&error);
             self.fail_waiting(&ReplicationError::Uncertain);
         }
     }
 
-    fn fail_gathered(&mut self, error: &ReplicationError) {
-        while let Some(entry) = self.gathered.pop() {
-            self.fail(entry.replies, error);
-        }
-    }
-
     /// Answers all commands, membership changes and new reads with an error.
     pub fn fail_waiting(&mut self, error: &ReplicationError) {
-        self.fail_gathered(error);
-        for (_, pending) in std::mem::take(&mut self.pending) {
-            self.fail(pending.replies, error);
-        }
+        self.proposals.fail_all(error);
         fail_reads(std::mem::take(&mut self.arrived), error);
     }
 
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -19,7 +19,7 @@
     pub election_ticks: u32,
     /// Ticks between heartbeats (ours: 2).
     pub heartbeat_ticks: u32,
-    /// Applied entries after which a group takes a snapshot.
+    /// Applied commands after which a group takes a snapshot.
     pub snapshot_entries: u64,
     /// Closed log segments after which the groups that hold the oldest take a snapshot (ours: 8).
     pub max_segments: usize,
--- a/crates/replication/tests/joined.rs
+++ b/crates/replication/tests/joined.rs
@@ -1,49 +1,33 @@
 //! Commands that share an entry: their order, their replies, their bounds, and a leader that loses its place.
 
+mod support;
+
 use std::time::Instant;
 
 use bytes::Bytes;
-use hooklug_raft::{
-    ConfChange, ConfState, Config, Entry, EntryKind, HardState, Message, MessageBody, RawNode,
-    Restored, SnapshotMeta,
-};
+use hooklug_raft::{ConfChange, EntryKind, Message, MessageBody};
 use hooklug_replication::{
     MAX_JOINED_BYTES, MAX_JOINED_COMMANDS, Proposal, Replica, ReplicationError, Round, split,
 };
-use hooklug_types::{GroupId, NodeId};
+use hooklug_types::NodeId;
 use proptest::prelude::*;
+use support::{OWN, commands_in, leader_alone, replica, settle};
 use tokio::sync::oneshot::{self, error::TryRecvError};
 
 type Answer = oneshot::Receiver<Result<Vec<u8>, ReplicationError>>;
 
-const OWN: NodeId = NodeId(1);
 const OTHER: NodeId = NodeId(2);
 
-/// A replica that leads a group of these voters.
-fn leader(voters: &[NodeId]) -> Replica {
-    let config = Config {
-        id: OWN,
-        election_ticks: 10,
-        heartbeat_ticks: 2,
-        max_append_bytes: 1 << 20,
-        max_inflight: 16,
-        seed: 7,
-    };
-    let conf = ConfState { voters: voters.iter().copied().collect(), learners: [].into() };
-    let meta = SnapshotMeta { index: 1, term: 1, conf };
-    let hard_state = HardState { term: 1, vote: None, commit: 1 };
-    let restored = Restored { hard_state, snapshot: meta.clone(), entries: Vec::new() };
-    let node = RawNode::new(config, restored).unwrap();
-    let mut replica = Replica::new(GroupId(1), node, hard_state, Some(meta));
+/// A replica that leads a group of three.
+fn leader_of_three() -> Replica {
+    let mut replica = replica(&[1, 2, 3]);
     replica.campaign();
     settle(&mut replica);
     let votes =
         [MessageBody::PreVoteReply { granted: true }, MessageBody::VoteReply { granted: true }];
     for body in votes {
-        if !replica.leads() {
-            from_other(&mut replica, 2, body);
-            settle(&mut replica);
-        }
+        from_other(&mut replica, 2, body);
+        settle(&mut replica);
     }
     assert!(replica.leads());
     replica
@@ -53,29 +37,12 @@
     replica.step(Message { from: OTHER, to: OWN, term, body }, Instant::now());
 }
 
-/// Does all rounds at once, as if each sync succeeded.
-fn settle(replica: &mut Replica) -> Vec<Round> {
-    let mut rounds = Vec::new();
-    while let Some(round) = replica.round(Instant::now()) {
-        if round.sync {
-            replica.persisted(Instant::now());
-        }
-        rounds.push(round);
-    }
-    rounds
-}
-
 fn propose(replica: &mut Replica, command: &[u8]) -> Answer {
     let (reply, answer) = oneshot::channel();
     replica.propose(command, reply);
     answer
 }
 
-fn commands_in(entry: &Entry) -> Vec<Vec<u8>> {
-    let EntryKind::Command(joined) = &entry.kind else { return Vec::new() };
-    split(joined).map(|command| command.expect("whole commands").to_vec()).collect()
-}
-
 /// Proposals of commands, as an applier gets them.
 fn commands_committed(rounds: Vec<Round>) -> Vec<Proposal> {
     let committed = rounds.into_iter().flat_map(|round| round.committed);
@@ -84,10 +51,10 @@
 
 #[test]
 fn commands_of_one_cycle_share_an_entry_and_each_gets_its_own_reply() {
-    let mut replica = leader(&[OWN]);
+    let mut replica = leader_alone();
     let commands: Vec<Vec<u8>> = (0..20_u8).map(|number| vec![number; 3]).collect();
     let answers: Vec<Answer> = commands.iter().map(|c| propose(&mut replica, c)).collect();
-    let committed = commands_committed(settle(&mut replica));
+    let committed = commands_committed(settle(&mut replica).0);
     assert_eq!(committed.len(), 1, "one entry");
     for Proposal { entry, replies } in committed {
         let commands = commands_in(&entry);
@@ -103,28 +70,28 @@
 
 #[test]
 fn commands_that_come_during_a_sync_share_the_next_entry() {
-    let mut replica = leader(&[OWN]);
+    let mut replica = leader_alone();
     let _first = propose(&mut replica, b"first");
     let round = replica.round(Instant::now()).expect("an entry to persist");
     assert!(round.sync);
     let _rest = [propose(&mut replica, b"second"), propose(&mut replica, b"third")];
     assert!(replica.round(Instant::now()).is_none());
     replica.persisted(Instant::now());
-    let committed = commands_committed(settle(&mut replica));
+    let committed = commands_committed(settle(&mut replica).0);
     let entries: Vec<_> = committed.iter().map(|proposal| commands_in(&proposal.entry)).collect();
     assert_eq!(entries, [vec![b"first".to_vec()], vec![b"second".to_vec(), b"third".to_vec()]]);
 }
 
 #[test]
 fn an_entry_is_bounded_in_bytes_and_in_commands() {
-    let mut replica = leader(&[OWN]);
+    let mut replica = leader_alone();
     let large = vec![1; MAX_JOINED_BYTES / 3];
     let too_large = vec![2; MAX_JOINED_BYTES * 2];
     let mut sent: Vec<Vec<u8>> = vec![large; 7];
     sent.insert(3, too_large.clone());
     sent.extend(vec![vec![3]; MAX_JOINED_COMMANDS * 2]);
     let _answers: Vec<Answer> = sent.iter().map(|command| propose(&mut replica, command)).collect();
-    let committed = commands_committed(settle(&mut replica));
+    let committed = commands_committed(settle(&mut replica).0);
     for proposal in &committed {
         let EntryKind::Command(joined) = &proposal.entry.kind else { unreachable!() };
         let commands = commands_in(&proposal.entry);
@@ -138,12 +105,12 @@
 
 #[test]
 fn a_membership_change_has_an_entry_of_its_own_between_the_commands() {
-    let mut replica = leader(&[OWN]);
+    let mut replica = leader_alone();
     let _before = propose(&mut replica, b"before");
     let (reply, _changed) = oneshot::channel();
     replica.change_members(ConfChange::AddLearner(OTHER), reply);
     let _after = propose(&mut replica, b"after");
-    let committed: Vec<_> = settle(&mut replica).into_iter().flat_map(|r| r.committed).collect();
+    let committed: Vec<_> = settle(&mut replica).0.into_iter().flat_map(|r| r.committed).collect();
     let kinds: Vec<_> = committed.iter().map(|proposal| commands_in(&proposal.entry)).collect();
     assert_eq!(kinds, [vec![b"before".to_vec()], vec![], vec![b"after".to_vec()]]);
     assert!(matches!(committed[1].entry.kind, EntryKind::ConfChange(_)));
@@ -152,7 +119,7 @@
 
 #[test]
 fn a_leader_that_loses_its_place_calls_a_joined_entry_uncertain_and_the_gathered_not_appended() {
-    let mut replica = leader(&[OWN, OTHER, NodeId(3)]);
+    let mut replica = leader_of_three();
     let mut in_flight = [propose(&mut replica, b"one"), propose(&mut replica, b"two")];
     let round = replica.round(Instant::now()).expect("an entry to persist");
     assert!(round.sync);
@@ -168,13 +135,13 @@
     let moved = ReplicationError::NotLeader { leader: Some(OTHER) };
     assert_eq!(gathered.try_recv().unwrap(), Err(moved));
     replica.persisted(Instant::now());
-    let waiting = settle(&mut replica).into_iter().flat_map(|round| round.committed);
+    let waiting = settle(&mut replica).0.into_iter().flat_map(|round| round.committed);
     assert!(waiting.into_iter().all(|proposal| proposal.replies.is_empty()));
 }
 
 #[test]
 fn waiting_commands_are_bounded_and_answers_make_room() {
-    let mut replica = leader(&[OWN]);
+    let mut replica = leader_alone();
     let mut answers: Vec<Answer> = Vec::new();
     let refused = loop {
         let mut answer = propose(&mut replica, b"command");
@@ -186,7 +153,7 @@
     };
     assert!(matches!(refused.unwrap(), Err(ReplicationError::Busy(_))));
     let replies: usize =
-        commands_committed(settle(&mut replica)).iter().map(|p| p.replies.len()).sum();
+        commands_committed(settle(&mut replica).0).iter().map(|p| p.replies.len()).sum();
     assert_eq!(replies, answers.len());
     assert_eq!(propose(&mut replica, b"command").try_recv(), Err(TryRecvError::Empty));
 }
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -1,54 +1,16 @@
 //! One replica without I/O: who is answered, when, and what is persisted first.
 
+mod support;
+
 use std::time::Instant;
 
-use hooklug_raft::{
-    ConfChange, ConfState, Config, Entry, EntryKind, HardState, Message, MessageBody, RawNode,
-    Restored, SnapshotMeta,
-};
-use hooklug_replication::{ReadWaiter, Replica, ReplicationError, Round, split};
-use hooklug_types::{GroupId, NodeId};
+use hooklug_raft::{ConfChange, Entry, EntryKind, Message, MessageBody, SnapshotMeta};
+use hooklug_replication::{ReadWaiter, Replica, ReplicationError, Round};
+use hooklug_types::NodeId;
 use hooklug_wal::Record;
+use support::{OWN, commands_in, leader_alone, replica, settle};
 use tokio::sync::oneshot;
 
-const OWN: NodeId = NodeId(1);
-
-/// A replica of a group that began with these voters.
-fn replica(voters: &[u64]) -> Replica {
-    let config = Config {
-        id: OWN,
-        election_ticks: 10,
-        heartbeat_ticks: 2,
-        max_append_bytes: 1 << 20,
-        max_inflight: 16,
-        seed: 7,
-    };
-    let voters = voters.iter().copied().map(NodeId).collect();
-    let conf = ConfState { voters, learners: [].into() };
-    let meta = SnapshotMeta { index: 1, term: 1, conf };
-    let hard_state = HardState { term: 1, vote: None, commit: 1 };
-    let restored = Restored { hard_state, snapshot: meta.clone(), entries: Vec::new() };
-    let node = RawNode::new(config, restored).unwrap();
-    Replica::new(GroupId(1), node, hard_state, Some(meta))
-}
-
-/// Does all rounds at once, as if each sync succeeded; gives them and what went out after the syncs.
-fn settle(replica: &mut Replica) -> (Vec<Round>, Vec<Message>) {
-    let (mut rounds, mut sent) = (Vec::new(), Vec::new());
-    while let Some(round) = replica.round(Instant::now()) {
-        if round.sync {
-            sent.extend(replica.persisted(Instant::now()));
-        }
-        rounds.push(round);
-    }
-    (rounds, sent)
-}
-
-fn commands_in(entry: &Entry) -> Vec<Vec<u8>> {
-    let EntryKind::Command(joined) = &entry.kind else { return Vec::new() };
-    split(joined).map(|command| command.expect("whole commands").to_vec()).collect()
-}
-
 fn commands_of(rounds: &[Round]) -> Vec<Vec<u8>> {
     let committed = rounds.iter().flat_map(|round| &round.committed);
     committed.flat_map(|proposal| commands_in(&proposal.entry)).collect()
@@ -60,14 +22,6 @@
     [&length.to_le_bytes(), command].concat().into()
 }
 
-fn leader_alone() -> Replica {
-    let mut replica = replica(&[1]);
-    replica.campaign();
-    settle(&mut replica);
-    assert!(replica.leads());
-    replica
-}
-
 #[test]
 fn a_command_is_handed_over_only_after_its_sync() {
     let mut replica = leader_alone();
--- /dev/null
+++ b/crates/replication/tests/support/mod.rs
@@ -0,0 +1,57 @@
+//! One replica without I/O.
+
+use std::time::Instant;
+
+use hooklug_raft::{
+    ConfState, Config, Entry, EntryKind, HardState, Message, RawNode, Restored, SnapshotMeta,
+};
+use hooklug_replication::{Replica, Round, split};
+use hooklug_types::{GroupId, NodeId};
+
+pub const OWN: NodeId = NodeId(1);
+
+/// A replica of a group that began with these voters.
+pub fn replica(voters: &[u64]) -> Replica {
+    let config = Config {
+        id: OWN,
+        election_ticks: 10,
+        heartbeat_ticks: 2,
+        max_append_bytes: 1 << 20,
+        max_inflight: 16,
+        seed: 7,
+    };
+    let voters = voters.iter().copied().map(NodeId).collect();
+    let conf = ConfState { voters, learners: [].into() };
+    let meta = SnapshotMeta { index: 1, term: 1, conf };
+    let hard_state = HardState { term: 1, vote: None, commit: 1 };
+    let restored = Restored { hard_state, snapshot: meta.clone(), entries: Vec::new() };
+    let node = RawNode::new(config, restored).unwrap();
+    Replica::new(GroupId(1), node, hard_state, Some(meta))
+}
+
+/// Does all rounds at once, as if each sync succeeded; gives them and what went out after the syncs.
+pub fn settle(replica: &mut Replica) -> (Vec<Round>, Vec<Message>) {
+    let (mut rounds, mut sent) = (Vec::new(), Vec::new());
+    while let Some(round) = replica.round(Instant::now()) {
+        if round.sync {
+            sent.extend(replica.persisted(Instant::now()));
+        }
+        rounds.push(round);
+    }
+    (rounds, sent)
+}
+
+/// The commands of an entry, in order.
+pub fn commands_in(entry: &Entry) -> Vec<Vec<u8>> {
+    let EntryKind::Command(joined) = &entry.kind else { return Vec::new() };
+    split(joined).map(|command| command.expect("whole commands").to_vec()).collect()
+}
+
+/// A replica that leads a group of its own.
+pub fn leader_alone() -> Replica {
+    let mut replica = replica(&[1]);
+    replica.campaign();
+    settle(&mut replica);
+    assert!(replica.leads());
+    replica
+}
--- a/crates/rpc/tests/transport.rs
+++ b/crates/rpc/tests/transport.rs
@@ -51,6 +51,18 @@
     const METHOD: Method = Method::Heartbeat;
 }
 
+/// A request that is answered from another thread, or not at all.
+#[derive(Debug, Serialize, Deserialize)]
+enum Deferred {
+    Answer(u32),
+    Forget,
+}
+
+impl Request for Deferred {
+    type Reply = u32;
+    const METHOD: Method = Method::Execute;
+}
+
 fn identity(node: u64, secret: &str) -> LocalIdentity {
     let address = NodeAddress {
         node: NodeId(node),
@@ -79,6 +91,10 @@
     let router = Router::new()
         .route(|peer, Echo(text)| async move { format!("{} from {}", text, peer.node) })
         .route(|_, _: Panicking| async move { panic!("as the test asks") })
+        .route_deferred(|_, request: Deferred, replier| match request {
+            Deferred::Answer(number) => drop(std::thread::spawn(move || replier.send(&number))),
+            Deferred::Forget => drop(replier),
+        })
         .stream(|_, Count(to), sink| async move {
             for i in 1..=to {
                 if sink.send(&i).await.is_err() {
@@ -111,6 +127,18 @@
     }
 }
 
+#[tokio::test]
+async fn a_deferred_reply_comes_from_any_thread_and_a_dropped_one_is_a_fault() {
+    let server = start("a shared secret").await;
+    let client = RpcClient::new(identity(2, "a shared secret"));
+    for number in 0..50 {
+        let reply = client.call(server.address, &Deferred::Answer(number), soon()).await;
+        assert_eq!(reply, Ok(number));
+    }
+    let forgotten = client.call(server.address, &Deferred::Forget, soon()).await;
+    assert!(matches!(forgotten, Err(RpcError::Fault(Fault::Failed(_)))), "{forgotten:?}");
+}
+
 #[tokio::test]
 async fn a_stream_is_whole_and_ends() {
     let server = start("a shared secret").await;
