store: errors of commands are worded outside of the groups' threads

Cause: a refusal may look at the store's membership, whose lock is held over a sync; since replies are given by the driver or an applier, either could have waited for that. Found by reading the change again. Change: an error is turned into the caller's answer by a task; results go straight on. Tests: all of the store's.

--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use hooklug_protocol::Request;
 use hooklug_protocol::store::{
     ChangeReplicas, Execute, ExpireLease, FormationOffer, GroupStatus, Query, RaftBatch,
@@ -14,6 +13,7 @@
 use hooklug_state::meta::MetaCommand;
 use hooklug_state::shard::ShardCommand;
 use hooklug_types::{GroupId, META_GROUP, NodeRole};
+use tokio::runtime::Handle;
 
 use crate::gossip;
 use crate::shared::Shared;
@@ -73,10 +73,13 @@
     if let Err(fault) = check_command(group, &command) {
         return replier.send(&Err(fault));
     }
-    let answering = shared.clone();
-    let reply = Reply::new(move |outcome| {
-        let reply = outcome.map(Bytes::from).map_err(|error| answering.fault(group, error));
-        replier.send(&reply);
+    let (answering, runtime) = (shared.clone(), Handle::current());
+    let reply = Reply::new(move |outcome| match outcome {
+        Ok(result) => replier.send(&Ok(result.into())),
+        // What it says may wait for a lock that is held over a sync; the threads of the groups must not.
+        Err(error) => drop(runtime.spawn(async move {
+            replier.send(&Err(answering.fault(group, error)));
+        })),
     });
     shared.replicator.propose(group, command, reply);
 }
