gateway: a former owner is not asked to take its session back

Cause: after a lease has expired the taker is chosen among all engines that the view lists, by prefix first; a frozen engine stays listed for some seconds and is the one that its sessions' prefix points to. It was asked, and its silence cost CONNECT_TIME (2 s). Change: the owner in the record is no candidate. Its incarnation can never own again. The test was not run against the code before.

--- a/crates/gateway/src/sessions/takeover.rs
+++ b/crates/gateway/src/sessions/takeover.rs
@@ -84,7 +84,8 @@
         let mut tried: Vec<EngineIncarnation> = Vec::new();
         loop {
             let mut open = self.candidates(&record.service);
-            open.retain(|c| !tried.contains(&c.engine));
+            // A former owner is gone for ever, though the view may list it yet and its prefix points to it.
+            open.retain(|c| !tried.contains(&c.engine) && record.owner.as_ref() != Some(&c.engine));
             let chosen = choose(&open, record.prefix.as_ref(), &self.zone, &mut rand::rng());
             match chosen {
                 Some(candidate) => match self.ask_to_take(record, &candidate, deadline).await? {
--- a/crates/gateway/tests/sessions.rs
+++ b/crates/gateway/tests/sessions.rs
@@ -136,6 +136,31 @@
     assert_eq!(ids(&events), [5, 6, 7]);
 }
 
+#[tokio::test]
+async fn a_former_owner_is_not_asked_to_take_its_sessions_back() {
+    const SESSIONS: usize = 8;
+    let (mut world, old) = open_world().await;
+    for number in 2..=SESSIONS {
+        world.open_session("p1", &format!("s{number}")).await;
+    }
+    // It answers and is listed yet, as one that was frozen is, and its lease runs out.
+    old.script(|s| s.refusals.extend(vec![EngineRefusal::LeaseLost; SESSIONS]));
+    let new = FakeEngine::start("e2", "v2", 2, &world.state).await;
+    world.list(&new, "z1");
+    let turns = (1..=SESSIONS).map(|number| {
+        let url = world.url(0);
+        async move {
+            let session = format!("p1/sessions/s{number}");
+            http::post_turn(url, &session, &turn("t1", None, 1)).await.rest().await
+        }
+    });
+    for (events, whole) in futures::future::join_all(turns).await {
+        assert!(whole);
+        assert_eq!(names(&events), ["turn", "tokens", "finished"]);
+    }
+    assert_eq!((old.count("take"), new.count("take")), (0, SESSIONS));
+}
+
 #[tokio::test]
 async fn racing_takers_agree_and_each_caller_gets_its_answer() {
     let mut world = World::with(bundle(), GatewayMode::Full, 2).await;
