bench: run takeover, engines killed, frozen and drained under 200 streaming programs

Cause: nothing measured how long sessions are without an owner, nor judged one run that loses engines in each way. Change: scenario takeover, from the pieces of workload, oracle and faults; a scenario may now give several sections. Takeover time is from the fault to the first token of the first turn that began to stream after it and finished, of each session whose owner as last seen was the lost engine.

--- a/crates/bench/src/command/compare.rs
+++ b/crates/bench/src/command/compare.rs
@@ -2,7 +2,7 @@
 
 use clap::Args;
 
-use super::run::{Common, check, section};
+use super::run::{Common, check, sections};
 use crate::environment::Environment;
 use crate::figures::Figures;
 use crate::report::{Measure, Report, Section};
@@ -29,21 +29,23 @@
     }
     let environment = Environment::read();
     let (first, second) = super::block_on(async {
-        let first = section(&arguments.first, &arguments.common).await?;
-        Ok((first, section(&arguments.second, &arguments.common).await?))
+        let first = sections(&arguments.first, &arguments.common).await?;
+        Ok((first, sections(&arguments.second, &arguments.common).await?))
     })?;
     let ratios = ratios(&first, &second);
+    let all = first.into_iter().chain(second).chain([ratios]).collect();
     let name = format!("{}-and-{}", arguments.first, arguments.second);
-    let report = Report::new(&name, environment, vec![first, second, ratios]);
+    let report = Report::new(&name, environment, all);
     report.print();
     report.write(&arguments.common.reports)?;
     Ok(())
 }
 
 /// The second run's figures by the first's, part by part.
-fn ratios(first: &Section, second: &Section) -> Section {
+fn ratios(first: &[Section], second: &[Section]) -> Section {
     let mut measures = Vec::new();
-    if let (Section::Run(first), Section::Run(second)) = (first, second) {
+    if let (Some(Section::Run(first)), Some(Section::Run(second))) = (first.first(), second.first())
+    {
         for ((part, one), (_, other)) in first.figures.iter().zip(&second.figures) {
             measures.extend(ratios_of(part, one, other));
         }
--- a/crates/bench/src/command/run.rs
+++ b/crates/bench/src/command/run.rs
@@ -12,6 +12,7 @@
 use crate::scenario::chaos::default_topology;
 use crate::scenario::scene::SceneRun;
 use crate::scenario::specification::Specification;
+use crate::scenario::takeover::Takeover;
 use crate::scenario::{call_rate, overhead, proxy};
 
 /// Starting a fleet and reading everything back, beside the load itself (ours; for the bar only).
@@ -21,7 +22,7 @@
 #[derive(Debug, Args)]
 pub struct Arguments {
     /// `frost-night`, `sowing-morning` or `storm-warning`, with `@plain` for baseline gateways and `xN` for N
-    /// times the load; or `calls`, `proxy`, `overhead`.
+    /// times the load; or `calls`, `proxy`, `overhead`, `takeover`.
     scenario: String,
     #[command(flatten)]
     pub(super) common: Common,
@@ -39,7 +40,7 @@
     /// Seed of load, operators and kills.
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Callers or streams at once, for `calls`, `proxy` and `overhead`.
+    /// Callers or streams at once, for `calls`, `proxy`, `overhead` and `takeover`.
     #[arg(long)]
     callers: Option<usize>,
     /// Topology file (default: four stores, three cores, three gateways, four engines).
@@ -68,7 +69,7 @@
 
 /// Callers at once unless asked otherwise (ours).
 const CALLERS: usize = 64;
-/// Streams at once at which the overhead is to be measured (issue 5).
+/// Streams at once at which overhead and takeovers are to be measured (issue 5).
 const STREAMS: usize = 200;
 
 /// Runs it.
@@ -78,8 +79,8 @@
 pub fn run(arguments: &Arguments) -> anyhow::Result<()> {
     let environment = Environment::read();
     let scenario = arguments.scenario.as_str();
-    let section = super::block_on(section(scenario, &arguments.common))?;
-    let report = Report::new(scenario, environment, vec![section]);
+    let sections = super::block_on(sections(scenario, &arguments.common))?;
+    let report = Report::new(scenario, environment, sections);
     report.print();
     report.write(&arguments.common.reports)?;
     anyhow::ensure!(report.violations() == 0, "{} violations", report.violations());
@@ -88,22 +89,31 @@
 
 /// Whether a text names a scenario.
 pub(super) fn check(scenario: &str) -> anyhow::Result<()> {
-    if !matches!(scenario, "calls" | "proxy" | "overhead") {
+    if !matches!(scenario, "calls" | "proxy" | "overhead" | "takeover") {
         scenario.parse::<Specification>()?;
     }
     Ok(())
 }
 
-/// Runs one scenario and tells what came of it.
-pub(super) async fn section(scenario: &str, common: &Common) -> anyhow::Result<Section> {
+/// Runs one scenario and tells what came of it; a run of a fleet comes first.
+pub(super) async fn sections(scenario: &str, common: &Common) -> anyhow::Result<Vec<Section>> {
     let (topology, part) = (common.topology()?, common.part());
     let callers = common.callers.unwrap_or(CALLERS);
-    let _bar = TimeBar::start(scenario, part + AROUND);
+    let streams = common.callers.unwrap_or(STREAMS);
+    let bar = TimeBar::start(scenario, part + AROUND);
     match scenario {
-        "calls" => Ok(call_rate::run(topology, callers, part).await?),
-        "proxy" => Ok(proxy::run(topology, callers, part).await?),
-        "overhead" => Ok(overhead::run(topology, common.callers.unwrap_or(STREAMS)).await?),
-        _ => scene(scenario.parse()?, common, topology).await,
+        "calls" => Ok(vec![call_rate::run(topology, callers, part).await?]),
+        "proxy" => Ok(vec![proxy::run(topology, callers, part).await?]),
+        "overhead" => Ok(vec![overhead::run(topology, streams).await?]),
+        "takeover" => {
+            let (data, seed) = (common.data.clone(), common.seed);
+            let run = Takeover { topology, time: part, programs: streams, seed, data };
+            Ok(run.run(&bar).await?)
+        }
+        _ => {
+            drop(bar);
+            Ok(vec![scene(scenario.parse()?, common, topology).await?])
+        }
     }
 }
 
--- a/crates/bench/src/scenario/mod.rs
+++ b/crates/bench/src/scenario/mod.rs
@@ -8,5 +8,6 @@
 mod rate;
 pub mod scene;
 pub mod specification;
+pub mod takeover;
 
 pub use outcome::Outcome;
--- a/crates/bench/tests/oracle.rs
+++ b/crates/bench/tests/oracle.rs
@@ -6,6 +6,7 @@
     SubmissionRecord, TurnClaim, TurnRecord,
 };
 use hooklug_bench::oracle::{Promise, judge};
+use hooklug_bench::scenario::takeover::takeover_times;
 use hooklug_emulator::{LedgerEntry, LedgerLine};
 use hooklug_fleet::caller::StreamEvent;
 use hooklug_types::UnixMillis;
@@ -375,3 +376,29 @@
     breaks(Promise::Recovery, |e| e.recoveries[0].served = Some(12_001));
     breaks(Promise::Recovery, |e| e.recoveries[0].served = None);
 }
+
+#[test]
+fn a_takeover_lasts_until_the_next_turns_first_token() {
+    let mut evidence = sound();
+    let hit = vec!["engine-0".to_owned()];
+    let kill = Disturbance { fault: "kill engine:0".to_owned(), hit, from: 1_000, until: None };
+    evidence.disturbances = vec![kill];
+    let timed = |name: &str, begun: u64, first: f64, end: &str| {
+        let ended = TurnClaim::Ended(end.to_owned());
+        let mut record = turn(name, None, events(), ended);
+        (record.begun, record.first_token_ms) = (begun, Some(first));
+        record
+    };
+    // One before the kill, one that the killed engine had begun, two after it.
+    evidence.turns.extend([
+        timed("t3", 800, 100.0, "finished"),
+        timed("t4", 990, 12.0, "interrupted"),
+        timed("t5", 4_400, 50.0, "finished"),
+        timed("t6", 5_000, 50.0, "finished"),
+    ]);
+    assert_eq!(takeover_times(&evidence, "kill"), [3_450.0]);
+    assert!(takeover_times(&evidence, "freeze").is_empty());
+    // What another engine owned when the fault began is not counted.
+    evidence.disturbances[0].hit = vec!["engine-1".to_owned()];
+    assert!(takeover_times(&evidence, "kill").is_empty());
+}
