control: views, bundles and records by changed parts only

Cause: each node copied its whole view for each change of it, learned all members anew, and decoded and digested the whole bundle for a change of one section; the core leader copied and compared all members up to 40 times a second; a heartbeat's answer repeated the bundle's record each second.

Change: members lie behind shared pointers (`MemberMap`, `CopyOnWrite`); differences are found by comparing pointers; an index by address at the leader; tenants lie in 256 chunks that bundle versions share (`TenantTable`), a node decodes only sections whose digest changed, and each must read back as its bytes, which makes the whole digest hold; the record is told once a node and version and again after 3 s; sections are asked of a core at random first; connections to peers for sections end with the installation. gateway/tests/support builds its tenants as a `TenantTable`.

Ruled out: a persistent map crate; a clone of the map is one pointer here and a change copies a pointer a node.

--- a/crates/bench/src/hollow/field.rs
+++ b/crates/bench/src/hollow/field.rs
@@ -1,10 +1,9 @@
 //! Real cores and stores for hollow nodes, and bundles of many tenants.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use hooklug_bundle::Bundle;
+use hooklug_bundle::{Bundle, TenantTable};
 use hooklug_fleet::http::HttpClient;
 use hooklug_fleet::{Fleet, ModelPace, ProcessKind, ProcessName, Topology};
 use hooklug_types::{BundleVersion, TenantId, ZoneName};
@@ -90,7 +89,7 @@
 
     /// Submits a bundle with so many tenants, each with a key and limits of its own.
     pub(crate) async fn set_tenants(&mut self, count: usize) -> anyhow::Result<InstallTimes> {
-        let mut tenants = BTreeMap::new();
+        let mut tenants = TenantTable::default();
         let mut template: hooklug_bundle::Tenant = serde_json::from_str("{}")?;
         for n in 0..count {
             template.key_digests = vec![format!("{n:0width$x}", width = 2 * KEY_DIGEST_BYTES)];
--- a/crates/bundle/src/canonical.rs
+++ b/crates/bundle/src/canonical.rs
@@ -8,7 +8,8 @@
 use hooklug_types::{BundleVersion, Digest, TenantId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{Bundle, Tenant};
+use crate::Bundle;
+use crate::tenants::chunk_of;
 
 const SERVICES: &str = "services";
 const ROUTES: &str = "routes";
@@ -29,6 +30,9 @@
     /// A section has a name that this version of the program does not know.
     #[error("unknown section {0:?}")]
     UnknownSection(String),
+    /// A section does not read back as the bytes it came from: another build wrote it.
+    #[error("section {0:?} is not in the one byte form")]
+    NotCanonical(String),
 }
 
 /// What a bundle says outside its sections.
@@ -75,8 +79,11 @@
 /// one tenant costs least.
 #[must_use]
 pub fn tenant_section(tenant: &TenantId) -> String {
-    let first = Digest::of(tenant.as_str().as_bytes()).0[0];
-    format!("{TENANTS_PREFIX}{first:02x}")
+    chunk_section(chunk_of(tenant))
+}
+
+fn chunk_section(number: u8) -> String {
+    format!("{TENANTS_PREFIX}{number:02x}")
 }
 
 /// The bundle's content by section name; the header travels apart. Tenant sections without tenants are left out.
@@ -87,11 +94,8 @@
         (ROUTES.to_owned(), to_json(&bundle.routes)),
         (WINDOWS.to_owned(), to_json(&bundle.windows)),
     ]);
-    let mut chunks: BTreeMap<String, BTreeMap<&TenantId, &Tenant>> = BTreeMap::new();
-    for (id, tenant) in &bundle.tenants {
-        chunks.entry(tenant_section(id)).or_default().insert(id, tenant);
-    }
-    sections.extend(chunks.into_iter().map(|(name, tenants)| (name, to_json(&tenants))));
+    let chunks = bundle.tenants.chunks();
+    sections.extend(chunks.map(|(number, chunk)| (chunk_section(number), to_json(chunk))));
     sections
 }
 
@@ -101,27 +105,57 @@
     sections(bundle).into_iter().map(|(name, bytes)| (name, Digest::of(&bytes))).collect()
 }
 
-/// Puts a bundle together from its header and sections.
+/// Puts a bundle together from its header and all its sections.
 ///
 /// # Errors
-/// When a section does not decode or is unknown.
+/// When a section is unknown, does not decode, or is not in the one byte form.
 pub fn from_sections(
     header: BundleHeader,
     sections: &BTreeMap<String, impl AsRef<[u8]>>,
 ) -> Result<Bundle, DecodeError> {
-    let mut bundle = Bundle { version: header.version, base: header.base, ..Bundle::default() };
-    for (name, section) in sections {
-        let bytes = section.as_ref();
-        match name.as_str() {
-            SERVICES => bundle.services = from_json(name, bytes)?,
-            ROUTES => bundle.routes = from_json(name, bytes)?,
-            WINDOWS => bundle.windows = from_json(name, bytes)?,
-            chunk if chunk.starts_with(TENANTS_PREFIX) => {
-                let tenants: BTreeMap<TenantId, Tenant> = from_json(name, bytes)?;
-                bundle.tenants.extend(tenants);
-            }
-            _ => return Err(DecodeError::UnknownSection(name.clone())),
+    let all = sections.iter().map(|(name, bytes)| (name.as_str(), Some(bytes.as_ref())));
+    with_sections(&Bundle::default(), header, all)
+}
+
+/// A bundle that differs from a held one by its header and some sections; `None` stands for a section that is
+/// gone. Decodes only these. A section must read back as the bytes it came from, so when each has the digest
+/// that a record names, the whole has the record's digest too and need not be encoded for it.
+///
+/// # Errors
+/// When a section is unknown, does not decode, or is not in the one byte form.
+pub fn with_sections<'a>(
+    held: &Bundle,
+    header: BundleHeader,
+    changed: impl IntoIterator<Item = (&'a str, Option<&'a [u8]>)>,
+) -> Result<Bundle, DecodeError> {
+    let mut bundle = Bundle { version: header.version, base: header.base, ..held.clone() };
+    for (name, bytes) in changed {
+        match name {
+            SERVICES => bundle.services = section(name, bytes)?,
+            ROUTES => bundle.routes = section(name, bytes)?,
+            WINDOWS => bundle.windows = section(name, bytes)?,
+            _ => bundle.tenants.set_chunk(chunk_number(name)?, section(name, bytes)?),
         }
     }
     Ok(bundle)
 }
+
+/// Number of a section of tenants.
+fn chunk_number(name: &str) -> Result<u8, DecodeError> {
+    let number = name.strip_prefix(TENANTS_PREFIX).and_then(|n| u8::from_str_radix(n, 16).ok());
+    number
+        .filter(|number| chunk_section(*number) == name)
+        .ok_or_else(|| DecodeError::UnknownSection(name.to_owned()))
+}
+
+fn section<T>(name: &str, bytes: Option<&[u8]>) -> Result<T, DecodeError>
+where
+    T: Default + Serialize + DeserializeOwned,
+{
+    let Some(bytes) = bytes else { return Ok(T::default()) };
+    let content: T = from_json(name, bytes)?;
+    if to_json(&content) != bytes {
+        return Err(DecodeError::NotCanonical(name.to_owned()));
+    }
+    Ok(content)
+}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -11,12 +11,13 @@
 pub mod model;
 mod parse;
 mod signature;
+mod tenants;
 mod unique_keys;
 mod validate;
 
 pub use canonical::{
     BundleHeader, DecodeError, canonical_bytes, decode, digest, from_sections, section_digests,
-    sections, tenant_section,
+    sections, tenant_section, with_sections,
 };
 pub use diff::{BundleChange, diff};
 
@@ -26,5 +27,6 @@
 };
 pub use parse::{ParseError, TextFormat, parse};
 pub use signature::{KeyPair, SignatureFault, check_public_key, generate_key_pair, sign, verify};
+pub use tenants::TenantTable;
 pub use unique_keys::check_unique_keys;
 pub use validate::{BundleFault, validate};
--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 
 use hooklug_types::{
-    BundleVersion, ModelName, RouteName, ServiceName, ServiceVersion, TenantId, UnixMillis,
-    WindowGroup, WindowName,
+    BundleVersion, ModelName, RouteName, ServiceName, ServiceVersion, UnixMillis, WindowGroup,
+    WindowName,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::TenantTable;
+
 /// One whole bundle.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -27,7 +29,7 @@
     pub windows: BTreeMap<WindowName, Window>,
     /// Tenants by id.
     #[serde(default)]
-    pub tenants: BTreeMap<TenantId, Tenant>,
+    pub tenants: TenantTable,
 }
 
 /// What a service's back ends are.
--- a/crates/bundle/src/validate/tenants.rs
+++ b/crates/bundle/src/validate/tenants.rs
@@ -9,7 +9,7 @@
 const DIGEST_DIGITS: usize = 64;
 
 pub(super) fn check(bundle: &Bundle, faults: &mut Faults) {
-    for (id, tenant) in &bundle.tenants {
+    for (id, tenant) in bundle.tenants.iter() {
         let path = format!("tenants.{id}");
         check_keys(&path, tenant, faults);
         let rate = tenant.limits.requests_per_second;
--- a/crates/control/src/agent/discovery.rs
+++ b/crates/control/src/agent/discovery.rs
@@ -40,17 +40,18 @@
 /// reach), and, while no core answers, a few others at random. With a core the view tells of all nodes;
 /// asking others then would end with a connection from each node to each.
 fn targets(shared: &Shared) -> Vec<SocketAddr> {
-    let others = shared.peers().others();
-    let stores = shared.peers().addresses(NodeRole::Store);
+    let peers = shared.peers();
+    let stores = peers.addresses(NodeRole::Store);
     let own = shared.identity.address.rpc;
     let mut rng = rand::rng();
-    let unknown = |seed: &&SocketAddr| !others.iter().any(|o| o.rpc == **seed);
+    let unknown = |seed: &&SocketAddr| !peers.is_known(**seed);
     let mut targets: Vec<SocketAddr> = shared.seeds.iter().filter(unknown).copied().collect();
     let alone = !shared.reach.core_answers();
     let store_count = if alone { stores.len() } else { 1 };
     targets.extend(stores.sample(&mut rng, store_count));
-    let other_count = if alone { ASKED_IN_A_ROUND } else { 0 };
-    targets.extend(others.sample(&mut rng, other_count).map(|o| o.rpc));
+    if alone {
+        targets.extend(peers.sample(ASKED_IN_A_ROUND, &mut rng));
+    }
     targets.retain(|target| *target != own);
     targets.sort_unstable();
     targets.dedup();
--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -7,17 +7,18 @@
 use std::time::Duration;
 
 use futures::future::try_join_all;
-use hooklug_bundle::{BundleHeader, DecodeError};
+use hooklug_bundle::{Bundle, BundleHeader, DecodeError};
 use hooklug_protocol::control::FetchSection;
+use hooklug_rpc::RpcClient;
 use hooklug_state::meta::{BundleRecord, MetaAnswer, MetaQuery};
-use hooklug_types::{BundleVersion, Digest};
+use hooklug_types::{BundleVersion, Digest, NodeRole};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use tokio::sync::Semaphore;
 use tracing::{info, warn};
 
 use super::sections::Section;
-use super::{Shared, heartbeat};
+use super::Shared;
 use crate::figures;
 use crate::handle::InstalledBundle;
 
@@ -45,8 +46,6 @@
 enum InstallError {
     #[error("no node within reach has section {name} ({digest})")]
     Missing { name: String, digest: Digest },
-    #[error("bundle {version} has another digest than its record")]
-    WrongDigest { version: BundleVersion },
     #[error(transparent)]
     Decode(#[from] DecodeError),
 }
@@ -134,22 +133,19 @@
 }
 
 async fn install(shared: &Shared, record: BundleRecord) -> Result<(), InstallError> {
-    shared.sections().want(&record.sections.values().copied().collect());
-    let slots = Semaphore::new(FETCHES_AT_ONCE);
-    let fetches = record.sections.iter().map(|(name, digest)| async {
-        let _slot = slots.acquire().await;
-        let bytes = fetch(shared, digest).await;
-        let missing = || InstallError::Missing { name: name.clone(), digest: *digest };
-        Ok::<_, InstallError>((name.clone(), bytes.ok_or_else(missing)?))
-    });
-    let sections: BTreeMap<String, Section> = try_join_all(fetches).await?.into_iter().collect();
+    let held = shared.bundle.borrow().clone();
+    let (held_bundle, held_sections) = match &held {
+        Some(held) => (held.bundle.clone(), held.record.sections.clone()),
+        None => (Bundle::default(), BTreeMap::new()),
+    };
+    let differs = |(name, digest): &(&String, &Digest)| held_sections.get(*name) != Some(*digest);
+    let fetched = fetch_all(shared, record.sections.iter().filter(differs)).await?;
+    let gone = held_sections.keys().filter(|name| !record.sections.contains_key(*name));
     let header = BundleHeader { version: record.version, base: record.base };
-    let bundle = hooklug_bundle::from_sections(header, &sections)?;
-    if hooklug_bundle::digest(&bundle) != record.digest {
-        return Err(InstallError::WrongDigest { version: record.version });
-    }
-    let digest_of = |(name, section)| record.sections.get(&name).map(|digest| (*digest, section));
-    shared.sections().replace(sections.into_iter().filter_map(digest_of).collect());
+    let changed = fetched.iter().map(|(name, (_, bytes))| (name.as_str(), Some(&**bytes)));
+    let changed = changed.chain(gone.map(|name| (name.as_str(), None)));
+    let bundle = hooklug_bundle::with_sections(&held_bundle, header, changed)?;
+    shared.sections().replace(&record.sections, fetched.into_values());
     let version = record.version;
     shared.bundle.send_replace(Some(Arc::new(InstalledBundle { record, bundle })));
     shared.identity.bundles.set_installed(version);
@@ -159,21 +155,44 @@
     Ok(())
 }
 
+/// Sections by name, with their digests.
+type Fetched = BTreeMap<String, (Digest, Section)>;
+
+async fn fetch_all<'a>(
+    shared: &Shared,
+    wanted: impl Iterator<Item = (&'a String, &'a Digest)>,
+) -> Result<Fetched, InstallError> {
+    let wanted: Vec<(&String, &Digest)> = wanted.collect();
+    shared.sections().want(&wanted.iter().map(|(_, digest)| **digest).collect());
+    // Connections to peers end with the installation; kept, each would ping for ever.
+    let peers = RpcClient::new(shared.identity.clone());
+    let slots = Semaphore::new(FETCHES_AT_ONCE);
+    let fetches = wanted.into_iter().map(|(name, digest)| async {
+        let _slot = slots.acquire().await;
+        let bytes = fetch(shared, &peers, digest).await;
+        let missing = || InstallError::Missing { name: name.clone(), digest: *digest };
+        Ok::<_, InstallError>((name.clone(), (*digest, bytes.ok_or_else(missing)?)))
+    });
+    Ok(try_join_all(fetches).await?.into_iter().collect())
+}
+
 /// A section from this node, a core, a few peers, or the stores, whoever has it first; always checked.
-async fn fetch(shared: &Shared, digest: &Digest) -> Option<Section> {
+async fn fetch(shared: &Shared, peers: &RpcClient, digest: &Digest) -> Option<Section> {
     let held = shared.sections().get(digest);
     if held.is_some() {
         return held;
     }
-    let section: Section = fetch_bytes(shared, digest).await?.into();
+    let section: Section = fetch_bytes(shared, peers, digest).await?.into();
     shared.sections().keep(*digest, section.clone());
     Some(section)
 }
 
-async fn fetch_bytes(shared: &Shared, digest: &Digest) -> Option<Vec<u8>> {
-    for peer in sources(shared) {
+async fn fetch_bytes(shared: &Shared, peers: &RpcClient, digest: &Digest) -> Option<Vec<u8>> {
+    let asked = cores(shared).into_iter().map(|core| (&shared.client, core));
+    let asked = asked.chain(some_peers(shared).into_iter().map(|peer| (peers, peer)));
+    for (client, source) in asked {
         let request = FetchSection { digest: *digest };
-        let answer = shared.client.call(peer, &request, shared.deadline()).await;
+        let answer = client.call(source, &request, shared.deadline()).await;
         if let Ok(Some(bytes)) = answer
             && Digest::of(&bytes) == *digest
         {
@@ -188,12 +207,18 @@
     }
 }
 
-fn sources(shared: &Shared) -> Vec<SocketAddr> {
+/// One core at random, so that they share the work, then the leader, which is the first to hold a new bundle.
+fn cores(shared: &Shared) -> Vec<SocketAddr> {
     let own = shared.identity.address.rpc;
-    let mut sources: Vec<SocketAddr> =
-        heartbeat::cores_in_order(shared).into_iter().take(1).collect();
-    let others = shared.peers().others();
-    sources.extend(others.sample(&mut rand::rng(), PEERS_ASKED).map(|o| o.rpc));
-    sources.retain(|source| *source != own);
-    sources
+    let leader = *shared.leader.borrow();
+    let mut cores = shared.peers().addresses(NodeRole::Core);
+    cores.retain(|core| *core != own);
+    let first = cores.choose(&mut rand::rng()).copied();
+    let then = leader.filter(|leader| *leader != own && Some(*leader) != first);
+    first.into_iter().chain(then).collect()
+}
+
+/// A few others at random.
+fn some_peers(shared: &Shared) -> Vec<SocketAddr> {
+    shared.peers().sample(PEERS_ASKED, &mut rand::rng())
 }
--- a/crates/control/src/agent/peers.rs
+++ b/crates/control/src/agent/peers.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 
 use hooklug_protocol::control::{ClusterView, MemberHealth, NodeAddress};
+use hooklug_protocol::member_map::MemberMap;
 use hooklug_state::meta::StoreState;
 use hooklug_types::{NodeId, NodeRole};
 use rand::Rng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 
 /// Gateways and engines that a node that asks is told of, beside all stores and cores (ours).
 const OTHERS_INTRODUCED: usize = 8;
@@ -21,13 +22,21 @@
     by_address: BTreeMap<SocketAddr, NodeId>,
     /// Stores that the meta group lists; they may not have been met yet.
     listed_stores: Vec<SocketAddr>,
+    /// Members of the view that was followed last; what is the same in the next is not looked at again.
+    followed: MemberMap,
 }
 
 impl Peers {
     /// Only the node itself.
     #[must_use]
     pub fn new(own: NodeAddress) -> Self {
-        Self { own, known: BTreeMap::new(), by_address: BTreeMap::new(), listed_stores: Vec::new() }
+        Self {
+            own,
+            known: BTreeMap::new(),
+            by_address: BTreeMap::new(),
+            listed_stores: Vec::new(),
+            followed: MemberMap::default(),
+        }
     }
 
     /// Learns of a process. An earlier run changes nothing; a process at the same address that started
@@ -61,9 +70,11 @@
         }
     }
 
-    /// Follows the cluster view: learns its members, forgets those that are given up.
+    /// Follows the cluster view: learns its members, forgets those that are given up. Costs what changed since
+    /// the last view.
     pub fn follow_view(&mut self, view: &ClusterView) {
-        for member in view.members.values() {
+        let followed = std::mem::replace(&mut self.followed, view.members.clone());
+        for (_, member) in view.members.changed_since(&followed) {
             let address = &member.address;
             if member.health == MemberHealth::Dead {
                 let same = |k: &NodeAddress| k.incarnation <= address.incarnation;
@@ -82,13 +93,6 @@
         }
     }
 
-    /// Forgets a process that did not answer, unless it started anew since.
-    pub fn forget(&mut self, gone: &NodeAddress) {
-        if self.known.get(&gone.node).is_some_and(|k| k.incarnation <= gone.incarnation) {
-            self.remove(gone.node);
-        }
-    }
-
     /// What a node that asks is told: this node, all stores and cores, and a few others at random. The rest
     /// it learns from the view; telling all to all each second would grow with the square of the cluster.
     pub fn introduction(&self, rng: &mut impl Rng) -> Vec<NodeAddress> {
@@ -104,12 +108,24 @@
         self.known.len() as u64
     }
 
-    /// All other processes.
+    /// Whether a process other than this one is known to listen at an address.
+    #[must_use]
+    pub fn is_known(&self, address: SocketAddr) -> bool {
+        self.by_address.contains_key(&address)
+    }
+
+    /// All other processes, each copied.
     #[must_use]
     pub fn others(&self) -> Vec<NodeAddress> {
         self.known.values().cloned().collect()
     }
 
+    /// Rpc addresses of a few others at random.
+    #[must_use]
+    pub fn sample(&self, count: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        self.by_address.keys().copied().sample(rng, count)
+    }
+
     /// Rpc addresses of all processes of a role, this one included if it has the role; sorted.
     #[must_use]
     pub fn addresses(&self, role: NodeRole) -> Vec<SocketAddr> {
--- a/crates/control/src/agent/sections.rs
+++ b/crates/control/src/agent/sections.rs
@@ -33,9 +33,18 @@
         self.arrived.insert(digest, section);
     }
 
-    /// Takes the sections of a newly installed bundle.
-    pub(super) fn replace(&mut self, sections: BTreeMap<Digest, Section>) {
-        self.former = std::mem::replace(&mut self.current, sections);
+    /// Takes the sections that a newly installed bundle is made of: those that were held stay, others were
+    /// fetched.
+    pub(super) fn replace(
+        &mut self,
+        sections: &BTreeMap<String, Digest>,
+        fetched: impl Iterator<Item = (Digest, Section)>,
+    ) {
+        let fetched: BTreeMap<Digest, Section> = fetched.collect();
+        let held = |digest: &Digest| fetched.get(digest).cloned().or_else(|| self.get(digest));
+        let present = |digest: &Digest| Some((*digest, held(digest)?));
+        let next = sections.values().filter_map(present).collect();
+        self.former = std::mem::replace(&mut self.current, next);
         self.arrived.clear();
     }
 }
--- a/crates/control/src/agent/watch.rs
+++ b/crates/control/src/agent/watch.rs
@@ -99,9 +99,9 @@
     let Ok(MetaAnswer::State(state)) = answer else { return };
     shared.reach.store_answered();
     shared.change_view(|view| {
-        let changed = is_later(&state, &view.meta) && view.meta != *state;
+        let changed = is_later(&state, &view.meta) && *view.meta != *state;
         if changed {
-            view.meta = *state;
+            view.meta = (*state).into();
         }
         changed
     });
--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -5,9 +5,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use hooklug_protocol::control::{ApplicationEngine, ClusterView, Member, MemberHealth};
+use hooklug_protocol::control::{ApplicationEngine, ClusterView, MemberHealth};
+use hooklug_protocol::copy_on_write::CopyOnWrite;
+use hooklug_protocol::member_map::MemberMap;
 use hooklug_state::meta::{MetaAnswer, MetaQuery, MetaState};
-use hooklug_types::{FencingEpoch, Renewal};
+use hooklug_types::{EngineId, FencingEpoch, Renewal, ServiceName, ServiceVersion};
 use tokio::sync::{Notify, watch};
 
 use super::engines::EngineTable;
@@ -46,7 +48,7 @@
 #[derive(Debug)]
 pub(super) struct Leading {
     pub(super) epoch: FencingEpoch,
-    pub(super) meta: watch::Sender<Option<Arc<MetaState>>>,
+    pub(super) meta: watch::Sender<Option<CopyOnWrite<MetaState>>>,
     /// Set when this leader changed the meta state itself.
     pub(super) meta_due: Notify,
     lost: Mutex<VecDeque<(Instant, JudgedVersion)>>,
@@ -114,11 +116,13 @@
         if let Ok(MetaAnswer::State(state)) =
             shared.ctx.state.query_meta(&MetaQuery::State, deadline).await
         {
-            let state = Some(Arc::new(without_renewal(*state)));
+            let state = Some(CopyOnWrite::from(without_renewal(*state)));
             hold_bundle(shared, state.as_deref()).await;
             leading.meta.send_if_modified(|known| {
                 let changed = *known != state;
-                *known = state;
+                if changed {
+                    *known = state;
+                }
                 changed
             });
         }
@@ -187,9 +191,9 @@
 
 /// The parts of a view, when the meta state is known.
 struct Parts {
-    members: BTreeMap<hooklug_types::NodeId, Member>,
-    engines: BTreeMap<hooklug_types::EngineId, ApplicationEngine>,
-    meta: Arc<MetaState>,
+    members: MemberMap,
+    engines: BTreeMap<EngineId, ApplicationEngine>,
+    meta: CopyOnWrite<MetaState>,
 }
 
 fn assemble(
@@ -206,15 +210,12 @@
 
 /// Publishes the view when it changed.
 fn show(shared: &Shared, shown: &mut ClusterView, next: Parts) {
-    let same =
-        shown.members == next.members && shown.engines == next.engines && shown.meta == *next.meta;
+    let same_engines = *shown.engines == next.engines;
+    let same = shown.members == next.members && same_engines && shown.meta == next.meta;
     if !same || shared.published.view().revision < shown.revision {
-        *shown = ClusterView {
-            revision: shown.revision.next(),
-            members: next.members,
-            engines: next.engines,
-            meta: MetaState::clone(&next.meta),
-        };
+        let engines = if same_engines { shown.engines.clone() } else { next.engines.into() };
+        let revision = shown.revision.next();
+        *shown = ClusterView { revision, members: next.members, engines, meta: next.meta };
         figures::view_shown(shown);
         shared.published.publish(shown.clone());
     }
@@ -245,9 +246,6 @@
     lost
 }
 
-fn judged(
-    service: &hooklug_types::ServiceName,
-    version: &hooklug_types::ServiceVersion,
-) -> JudgedVersion {
+fn judged(service: &ServiceName, version: &ServiceVersion) -> JudgedVersion {
     JudgedVersion { service: service.clone(), version: version.clone() }
 }
--- a/crates/control/src/core/members.rs
+++ b/crates/control/src/core/members.rs
@@ -1,9 +1,11 @@
 //! Which nodes live, judged by the core leader from their heartbeats. Pure: time is passed in.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hooklug_protocol::control::{Heartbeat, Member, MemberHealth};
+use hooklug_protocol::member_map::MemberMap;
 use hooklug_types::NodeId;
 
 /// Silence after which a node is suspected (ours).
@@ -18,48 +20,69 @@
 /// A longer pause between two looks than this means that this process itself was stopped (ours).
 const LONGEST_OWN_PAUSE: Duration = Duration::from_secs(1);
 
-#[derive(Debug, Clone)]
-struct Entry {
-    member: Member,
-    last_heard: Instant,
-}
-
 /// The nodes that the core leader knows.
 #[derive(Debug, Clone, Default)]
 pub struct MemberTable {
-    entries: BTreeMap<NodeId, Entry>,
+    /// As the view shows them. A heartbeat that tells nothing new changes no member here.
+    members: MemberMap,
+    /// The same nodes as in `members`.
+    last_heard: BTreeMap<NodeId, Instant>,
+    /// Who listens at an address; the same nodes again.
+    by_address: HashMap<SocketAddr, NodeId>,
     last_look: Option<Instant>,
 }
 
 impl MemberTable {
     /// Takes over what the former leader knew; each node gets its full time from now.
     #[must_use]
-    pub fn take_over(members: &BTreeMap<NodeId, Member>, now: Instant) -> Self {
-        let living = members.values().filter(|m| m.health != MemberHealth::Dead);
-        let entries = living
-            .map(|member| (member.address.node, Entry { member: member.clone(), last_heard: now }));
-        Self { entries: entries.collect(), last_look: Some(now) }
+    pub fn take_over(members: &MemberMap, now: Instant) -> Self {
+        let mut table = Self { last_look: Some(now), ..Self::default() };
+        for (node, member) in members.iter().filter(|(_, m)| m.health != MemberHealth::Dead) {
+            table.members.insert(*node, member.clone());
+            table.last_heard.insert(*node, now);
+            table.by_address.insert(member.address.rpc, *node);
+        }
+        table
     }
 
     /// Takes a heartbeat. One of an earlier run changes nothing; a node at the address of an earlier one
     /// replaces it.
     pub fn heard(&mut self, heartbeat: &Heartbeat, now: Instant) {
         let from = &heartbeat.from;
-        let newer = |e: &Entry| e.member.address.incarnation > from.incarnation;
-        let same_place = |e: &Entry| e.member.address.rpc == from.rpc;
-        if self.entries.get(&from.node).is_some_and(newer)
-            || self.entries.values().any(|e| same_place(e) && newer(e))
-        {
+        let holder = self.by_address.get(&from.rpc).copied();
+        let newer = |node: &NodeId| {
+            let known = self.members.get(node);
+            known.is_some_and(|member| member.address.incarnation > from.incarnation)
+        };
+        if newer(&from.node) || holder.as_ref().is_some_and(newer) {
             return;
         }
-        self.entries.retain(|node, entry| *node == from.node || !same_place(entry));
+        if let Some(replaced) = holder.filter(|node| *node != from.node) {
+            self.remove(replaced);
+        }
         let member = Member {
             address: from.clone(),
             health: MemberHealth::Alive,
             bundle: heartbeat.bundle,
             engine: heartbeat.engine.clone(),
         };
-        self.entries.insert(from.node, Entry { member, last_heard: now });
+        self.last_heard.insert(from.node, now);
+        let known = self.members.get(&from.node);
+        if known != Some(&member) {
+            if let Some(known) = known {
+                self.by_address.remove(&known.address.rpc);
+            }
+            self.by_address.insert(from.rpc, from.node);
+            self.members.insert(from.node, member);
+        }
+    }
+
+    fn remove(&mut self, node: NodeId) {
+        self.last_heard.remove(&node);
+        if let Some(address) = self.members.get(&node).map(|member| member.address.rpc) {
+            self.by_address.remove(&address);
+            self.members.remove(&node);
+        }
     }
 
     /// Looks at the time passed: suspects, gives up and drops silent nodes. A pause of this process itself
@@ -69,25 +92,32 @@
             self.last_look.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
         self.last_look = Some(now);
         if pause > LONGEST_OWN_PAUSE {
-            self.entries.values_mut().for_each(|entry| entry.last_heard += pause);
+            self.last_heard.values_mut().for_each(|heard| *heard += pause);
         }
-        for entry in self.entries.values_mut() {
-            entry.member.health = health(now.saturating_duration_since(entry.last_heard));
+        let silence = |heard: &Instant| now.saturating_duration_since(*heard);
+        let gone = self.last_heard.iter().filter(|(_, heard)| silence(heard) >= GONE_AFTER);
+        let gone: Vec<NodeId> = gone.map(|(node, _)| *node).collect();
+        gone.into_iter().for_each(|node| self.remove(node));
+        for (node, heard) in &self.last_heard {
+            let health = health(silence(heard));
+            if self.members.get(node).is_some_and(|member| member.health != health)
+                && let Some(member) = self.members.get_mut(node)
+            {
+                member.health = health;
+            }
         }
-        self.entries
-            .retain(|_, entry| now.saturating_duration_since(entry.last_heard) < GONE_AFTER);
     }
 
     /// How long a node has been silent; `None` for one that is not known.
     #[must_use]
     pub fn silence(&self, node: NodeId, now: Instant) -> Option<Duration> {
-        self.entries.get(&node).map(|entry| now.saturating_duration_since(entry.last_heard))
+        self.last_heard.get(&node).map(|heard| now.saturating_duration_since(*heard))
     }
 
-    /// The nodes as the view shows them.
+    /// The nodes as the view shows them; costs one pointer.
     #[must_use]
-    pub fn members(&self) -> BTreeMap<NodeId, Member> {
-        self.entries.iter().map(|(node, entry)| (*node, entry.member.clone())).collect()
+    pub fn members(&self) -> MemberMap {
+        self.members.clone()
     }
 }
 
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod platform;
 pub mod probe;
 mod published;
+pub mod records_told;
 mod repair;
 mod rollout;
 
@@ -24,6 +25,7 @@
     WatchView,
 };
 use hooklug_rpc::Router;
+use hooklug_state::meta::BundleRecord;
 use hooklug_types::NodeRole;
 use tokio::time::Instant;
 
@@ -33,6 +35,7 @@
 use inbox::Inbox;
 use leadership::Leadership;
 use published::Published;
+use records_told::RecordsTold;
 
 /// Longest wait of a core for the core leader, inside the time that a node waits for the core (ours).
 const FORWARD_TIME: Duration = Duration::from_millis(700);
@@ -49,6 +52,7 @@
     inbox: Inbox,
     judge: Mutex<Judge>,
     engines: Mutex<EngineTable>,
+    records_told: Mutex<RecordsTold>,
 }
 
 impl Shared {
@@ -85,6 +89,7 @@
             inbox: Inbox::default(),
             judge: Mutex::default(),
             engines: Mutex::default(),
+            records_told: Mutex::default(),
         };
         Self { shared: Arc::new(shared) }
     }
@@ -152,12 +157,15 @@
             return reply;
         }
     }
-    let installed = heartbeat.bundle;
-    shared.inbox.put_heartbeat(heartbeat, std::time::Instant::now());
+    let (node, installed) = (heartbeat.from.node, heartbeat.bundle);
+    let now = std::time::Instant::now();
+    shared.inbox.put_heartbeat(heartbeat, now);
     let view = shared.published.view();
+    let mut told = shared.records_told.lock().unwrap_or_else(PoisonError::into_inner);
+    let due = |record: &&BundleRecord| told.is_due(node, installed, record.version, now);
     HeartbeatReply {
         revision: view.revision,
-        bundle: view.meta.bundle.as_ref().filter(|b| b.version > installed).cloned(),
+        bundle: view.meta.bundle.as_ref().filter(due).cloned(),
         leader: shared.other_leader().filter(|_| !leads),
     }
 }
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use hooklug_protocol::control::{ClusterView, Member, ViewChange, ViewItem};
-use hooklug_types::{BundleVersion, FencingEpoch, NodeId, Revision};
+use hooklug_protocol::control::{
+    ApplicationEngine, ClusterView, Member, ViewChange, ViewItem,
+};
+use hooklug_types::{BundleVersion, EngineId, FencingEpoch, NodeId, Revision};
 
 /// Bits of a revision that count changes under one core leader; the bits above are its fencing epoch.
 const COUNT_BITS: u32 = 32;
@@ -31,32 +33,39 @@
 pub fn changes(before: &ClusterView, after: &ClusterView) -> Vec<ViewChange> {
     let mut changes = Vec::new();
     let mut installed: BTreeMap<BundleVersion, Vec<NodeId>> = BTreeMap::new();
-    for (id, member) in &after.members {
-        match before.members.get(id) {
-            Some(known) if known == member => {}
+    for (known, member) in after.members.changed_since(&before.members) {
+        match known {
             Some(known) if differs_by_bundle_only(known, member) => {
-                installed.entry(member.bundle).or_default().push(*id);
+                installed.entry(member.bundle).or_default().push(member.address.node);
             }
             _ => changes.push(ViewChange::Member(member.clone())),
         }
     }
     let group = |(bundle, nodes)| ViewChange::Installed { bundle, nodes };
     changes.extend(installed.into_iter().map(group));
-    let gone = before.members.keys().filter(|id| !after.members.contains_key(id));
-    changes.extend(gone.map(|id| ViewChange::MemberGone(*id)));
-    for (id, engine) in &after.engines {
-        if before.engines.get(id) != Some(engine) {
-            changes.push(ViewChange::Engine(engine.clone()));
-        }
-    }
-    let gone = before.engines.keys().filter(|id| !after.engines.contains_key(id));
-    changes.extend(gone.map(|id| ViewChange::EngineGone(id.clone())));
+    changes.extend(after.members.gone_since(&before.members).map(ViewChange::MemberGone));
+    changes.extend(engine_changes(before, after));
     if before.meta != after.meta {
-        changes.push(ViewChange::Meta(Box::new(after.meta.clone())));
+        changes.push(ViewChange::Meta(after.meta.clone()));
     }
     changes
 }
 
+fn engine_changes(before: &ClusterView, after: &ClusterView) -> Vec<ViewChange> {
+    if before.engines == after.engines {
+        return Vec::new();
+    }
+    let differs = |(id, engine): &(&EngineId, &ApplicationEngine)| {
+        before.engines.get(*id) != Some(*engine)
+    };
+    let changed = after.engines.iter().filter(differs);
+    let gone = before.engines.keys().filter(|id| !after.engines.contains_key(*id));
+    changed
+        .map(|(_, engine)| ViewChange::Engine(engine.clone()))
+        .chain(gone.map(|id| ViewChange::EngineGone(id.clone())))
+        .collect()
+}
+
 fn differs_by_bundle_only(known: &Member, member: &Member) -> bool {
     known.address == member.address
         && known.health == member.health
@@ -85,7 +94,7 @@
         ViewChange::EngineGone(id) => {
             view.engines.remove(&id);
         }
-        ViewChange::Meta(meta) => view.meta = *meta,
+        ViewChange::Meta(meta) => view.meta = meta,
     }
 }
 
--- a/crates/control/tests/views.rs
+++ b/crates/control/tests/views.rs
@@ -1,6 +1,6 @@
 //! Differences between views lead from one to the other, and what a node that asks is told stays short.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use hooklug_control::agent::Peers;
 use hooklug_control::view::{apply_change, changes};
@@ -52,7 +52,7 @@
             member.address.node = NodeId(node);
             (NodeId(node), member)
         };
-        let members: BTreeMap<NodeId, Member> = members.into_iter().map(named).collect();
+        let members = members.into_iter().map(named).collect();
         ClusterView { members, ..ClusterView::default() }
     })
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -127,10 +127,12 @@
             (id("sensors"), tool_route("read_sensor", true)),
         ]),
         windows: BTreeMap::new(),
-        tenants: BTreeMap::from([
+        tenants: [
             (id("dalatek"), open.clone()),
             (id("serra"), Tenant { key_digests: vec![key], ..open }),
-        ]),
+        ]
+        .into_iter()
+        .collect(),
     }
 }
 
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -10,6 +10,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::copy_on_write::CopyOnWrite;
+use crate::member_map::{MemberMap, SharedMember};
 use crate::{Method, Request, StreamRequest};
 
 /// Asks any process which others it knows. The answer names it, the stores and cores, and a few others.
@@ -103,24 +105,24 @@
     pub healthy: bool,
 }
 
-/// The whole cluster as a core sees it.
+/// The whole cluster as a core sees it. Its parts are shared by all copies that did not change them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ClusterView {
     /// Grows with every change, across cores (higher half: fencing epoch of the core leader).
     pub revision: Revision,
     /// Nodes by id.
-    pub members: BTreeMap<NodeId, Member>,
+    pub members: MemberMap,
     /// Application engines by id.
-    pub engines: BTreeMap<EngineId, ApplicationEngine>,
+    pub engines: CopyOnWrite<BTreeMap<EngineId, ApplicationEngine>>,
     /// Stores, placements, core leader, newest bundle's record.
-    pub meta: MetaState,
+    pub meta: CopyOnWrite<MetaState>,
 }
 
 /// Something that changed in the view.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ViewChange {
     /// A node came or changed.
-    Member(Member),
+    Member(SharedMember),
     /// Nodes of which only the installed bundle changed; a bundle change makes one of these, not a `Member` a node.
     Installed {
         /// The version that they have in force now.
@@ -135,7 +137,7 @@
     /// An application engine left.
     EngineGone(EngineId),
     /// Something in the meta state changed.
-    Meta(Box<MetaState>),
+    Meta(CopyOnWrite<MetaState>),
 }
 
 /// Follows the view.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,7 +6,9 @@
 #![forbid(unsafe_code)]
 
 pub mod control;
+pub mod copy_on_write;
 pub mod engine;
+pub mod member_map;
 pub mod request;
 pub mod store;
 
