control: judge versions that never become ready; show slots in use

Cause: a newest version whose engines never became ready, or never appeared, was not judged. Operators saw windows, but not how they were used.

Change: after `core.version_ready_seconds` (300 s) without a ready engine, while an older sound version has some, the core leader rolls the version back with both counts as reason (`ReadinessWatch`, pure). New sessions meanwhile go to the newest sound version with ready engines, as the gateway's placement does already. Engines tell with heartbeats how slots are used by group (small addition to protocol, engine admission and reporter); the leader adds them up; `GET /admin/v1/slots` and `hooklug status` show reserved, used and borrowed. Forwarding to the leader stands once.

--- a/crates/admin/src/answers.rs
+++ b/crates/admin/src/answers.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use hooklug_bundle::Bundle;
-use hooklug_protocol::control::{MemberHealth, VersionStatistics};
+use hooklug_protocol::control::{MemberHealth, ServiceSlotUse, VersionStatistics};
 use hooklug_state::meta::{BundleOrigin, BundleRecord, GroupPlacement, HarmReport, StoreState};
 use hooklug_types::{
     BundleVersion, EngineId, Incarnation, NodeId, NodeRole, OperatorName, Revision, RouteName,
@@ -321,6 +321,30 @@
     pub open: bool,
 }
 
+/// One service and group of `GET /admin/v1/slots`: how session hosts' slots are used, as they told last.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotUseAnswer {
+    /// The service.
+    pub service: ServiceName,
+    /// The group; `None` for turns of no group.
+    pub group: Option<WindowGroup>,
+    /// Engines that told of the group.
+    pub engines: u32,
+    /// Slots that open windows keep for it.
+    pub reserved: u32,
+    /// Its turns that run.
+    pub used: u32,
+    /// Those of them beyond the slots kept for it at their engine.
+    pub borrowed: u32,
+}
+
+impl From<ServiceSlotUse> for SlotUseAnswer {
+    fn from(told: ServiceSlotUse) -> Self {
+        let ServiceSlotUse { service, group, engines, reserved, used, borrowed } = told;
+        Self { service, group, engines, reserved, used, borrowed }
+    }
+}
+
 /// Where the cluster stands, for `GET /admin/v1/view`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ViewAnswer {
--- a/crates/admin/src/cluster.rs
+++ b/crates/admin/src/cluster.rs
@@ -8,14 +8,15 @@
 use axum::extract::State;
 use hooklug_bundle::{Service, VersionState};
 use hooklug_control::InstalledBundle;
-use hooklug_protocol::control::{ClusterView, Member, VersionFigures, VersionStatistics};
+use hooklug_protocol::Request;
+use hooklug_protocol::control::{ClusterView, Member, SlotUseFigures, VersionFigures};
 use hooklug_types::{BundleVersion, NodeRole, ServiceName, UnixMillis};
 use tokio::time::Instant;
 
 use crate::AdminContext;
 use crate::answers::{
     EngineAnswer, EngineKind, HarmAnswer, MemberAnswer, RollbackAnswer, RolloutsAnswer,
-    ServiceRollout, VersionFigure, ViewAnswer, WindowAnswer,
+    ServiceRollout, SlotUseAnswer, VersionFigure, ViewAnswer, WindowAnswer,
 };
 
 type Admin = State<Arc<AdminContext>>;
@@ -117,8 +118,13 @@
     Json(answer.collect())
 }
 
+pub(crate) async fn slots(State(admin): Admin) -> Json<Vec<SlotUseAnswer>> {
+    let uses = ask_cores(&admin, &SlotUseFigures).await;
+    Json(uses.into_iter().map(SlotUseAnswer::from).collect())
+}
+
 pub(crate) async fn rollouts(State(admin): Admin) -> Json<RolloutsAnswer> {
-    let figures = figures(&admin).await;
+    let figures = ask_cores(&admin, &VersionFigures).await;
     let view = view_of(&admin);
     let installed = installed(&admin);
     let services = installed.iter().flat_map(|i| i.bundle.services.iter());
@@ -152,15 +158,18 @@
     }
 }
 
-/// Figures from any core; empty when none answers.
-async fn figures(admin: &AdminContext) -> Vec<VersionStatistics> {
+/// What the core leader knows, asked through any core; empty when none answers.
+async fn ask_cores<R, T>(admin: &AdminContext, request: &R) -> Vec<T>
+where
+    R: Request<Reply = Vec<T>>,
+{
     let view = view_of(admin);
     let cores = view.members.values().filter(|m| m.address.role == NodeRole::Core);
     let cores: Vec<SocketAddr> = cores.map(|m| m.address.rpc).collect();
     for core in cores {
         let deadline = Instant::now() + CORE_TIME;
-        if let Ok(figures) = admin.client().call(core, &VersionFigures, deadline).await {
-            return figures;
+        if let Ok(answer) = admin.client().call(core, request, deadline).await {
+            return answer;
         }
     }
     Vec::new()
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -71,6 +71,7 @@
         .route("/admin/v1/engines", get(cluster::engines))
         .route("/admin/v1/view", get(cluster::view))
         .route("/admin/v1/windows", get(cluster::windows))
+        .route("/admin/v1/slots", get(cluster::slots))
         .route("/admin/v1/shards", get(shards::shards))
         .route("/admin/v1/stores/{node}/retire", post(shards::retire))
         .route("/admin/v1/sessions", get(sessions::list))
--- a/crates/bundle/tests/canonical.rs
+++ b/crates/bundle/tests/canonical.rs
@@ -6,7 +6,7 @@
 use hooklug_bundle::{
     Bundle, BundleHeader, DecodeError, HarmThresholds, Tenant, TenantLimits, TextFormat,
     canonical_bytes, decode, diff, digest, from_sections, parse, section_digests, sections,
-    tenant_section,
+    tenant_section, with_sections,
 };
 use hooklug_types::{BundleVersion, TenantId};
 use proptest::prelude::*;
@@ -75,6 +75,18 @@
         prop_assert_eq!(differing, vec![&expected]);
     }
 
+    #[test]
+    fn a_held_bundle_and_what_changed_give_the_next(held in any_bundle(), next in any_bundle()) {
+        let (before, after) = (sections(&held), sections(&next));
+        let changed = after.iter().filter(|(name, bytes)| before.get(*name) != Some(*bytes));
+        let changed = changed.map(|(name, bytes)| (name.as_str(), Some(bytes.as_slice())));
+        let gone = before.keys().filter(|name| !after.contains_key(*name));
+        let all = changed.chain(gone.map(|name| (name.as_str(), None)));
+        let built = with_sections(&held, header(&next), all).expect("sections decode");
+        prop_assert_eq!(digest(&built), digest(&next));
+        prop_assert_eq!(built, next);
+    }
+
     #[test]
     fn a_text_in_json_is_the_bundle_again(bundle in any_bundle()) {
         let text = serde_json::to_string_pretty(&bundle).expect("plain data");
@@ -103,6 +115,14 @@
     assert!(matches!(refused, Err(DecodeError::Malformed { part, .. }) if part == "routes"));
 }
 
+#[test]
+fn a_section_in_another_byte_form_is_refused() {
+    let mut parts = sections(&valid());
+    parts.insert("windows".to_owned(), b"{ }".to_vec());
+    let refused = from_sections(header(&valid()), &parts);
+    assert_eq!(refused, Err(DecodeError::NotCanonical("windows".to_owned())));
+}
+
 #[test]
 fn a_diff_names_what_changed() {
     let before = valid();
--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -17,8 +17,8 @@
 use tokio::sync::Semaphore;
 use tracing::{info, warn};
 
-use super::sections::Section;
 use super::Shared;
+use super::sections::Section;
 use crate::figures;
 use crate::handle::InstalledBundle;
 
--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -9,7 +9,7 @@
 use hooklug_protocol::copy_on_write::CopyOnWrite;
 use hooklug_protocol::member_map::MemberMap;
 use hooklug_state::meta::{MetaAnswer, MetaQuery, MetaState};
-use hooklug_types::{EngineId, FencingEpoch, Renewal, ServiceName, ServiceVersion};
+use hooklug_types::{EngineId, FencingEpoch, Renewal};
 use tokio::sync::{Notify, watch};
 
 use super::engines::EngineTable;
@@ -180,9 +180,13 @@
 
 fn take_inbox(shared: &Shared, members: &mut MemberTable, now: Instant) {
     let received = shared.inbox.take(now);
+    let mut slot_uses = shared.slot_uses();
     for heartbeat in &received.heartbeats {
         members.heard(heartbeat, now);
+        slot_uses.heard(heartbeat, now);
     }
+    slot_uses.look(now);
+    drop(slot_uses);
     shared.judge().observe(&received.statistics, now);
     for harm in received.harm {
         shared.judge().report(harm);
@@ -234,18 +238,14 @@
     for (id, engine) in shown.engines.iter().filter(|(_, e)| e.healthy && !e.draining) {
         let well = |e: &&ApplicationEngine| e.healthy && e.incarnation == engine.incarnation;
         if next.engines.get(id).filter(well).is_none() {
-            lost.push(judged(&engine.service, &engine.version));
+            lost.push(JudgedVersion::new(&engine.service, &engine.version));
         }
     }
     for (id, member) in shown.members.iter().filter(|(_, m)| m.health == MemberHealth::Alive) {
         let silent = members.silence(*id, now).is_none_or(|s| s >= SILENCE_OF_LOSS);
         if let Some(engine) = member.engine.as_ref().filter(|e| e.ready && silent) {
-            lost.push(judged(&engine.service, &engine.version));
+            lost.push(JudgedVersion::new(&engine.service, &engine.version));
         }
     }
     lost
 }
-
-fn judged(service: &ServiceName, version: &ServiceVersion) -> JudgedVersion {
-    JudgedVersion { service: service.clone(), version: version.clone() }
-}
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -16,13 +16,15 @@
 pub mod records_told;
 mod repair;
 mod rollout;
+pub mod slot_uses;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use hooklug_protocol::Request;
 use hooklug_protocol::control::{
-    Heartbeat, HeartbeatReply, ReportHarm, ReportProbes, VersionFigures, VersionStatistics,
-    WatchView,
+    Heartbeat, HeartbeatReply, ReportHarm, ReportProbes, ServiceSlotUse, SlotUseFigures,
+    VersionFigures, VersionStatistics, WatchView,
 };
 use hooklug_rpc::Router;
 use hooklug_state::meta::BundleRecord;
@@ -36,6 +38,7 @@
 use leadership::Leadership;
 use published::Published;
 use records_told::RecordsTold;
+use slot_uses::SlotUses;
 
 /// Longest wait of a core for the core leader, inside the time that a node waits for the core (ours).
 const FORWARD_TIME: Duration = Duration::from_millis(700);
@@ -53,6 +56,7 @@
     judge: Mutex<Judge>,
     engines: Mutex<EngineTable>,
     records_told: Mutex<RecordsTold>,
+    slot_uses: Mutex<SlotUses>,
 }
 
 impl Shared {
@@ -64,6 +68,10 @@
         self.engines.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn slot_uses(&self) -> MutexGuard<'_, SlotUses> {
+        self.slot_uses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Where the core leader is, when it is another one.
     fn other_leader(&self) -> Option<std::net::SocketAddr> {
         let leader = self.leadership.watch_leader().borrow().clone()?;
@@ -90,6 +98,7 @@
             judge: Mutex::default(),
             engines: Mutex::default(),
             records_told: Mutex::default(),
+            slot_uses: Mutex::default(),
         };
         Self { shared: Arc::new(shared) }
     }
@@ -98,7 +107,7 @@
     #[must_use]
     pub fn rpc_router(&self) -> Router {
         let (beating, watching) = (self.shared.clone(), self.shared.clone());
-        let probing = self.shared.clone();
+        let (probing, counting) = (self.shared.clone(), self.shared.clone());
         let (reporting, showing) = (self.shared.clone(), self.shared.clone());
         Router::new()
             .route(move |peer, heartbeat: Heartbeat| {
@@ -122,6 +131,10 @@
                 let shared = showing.clone();
                 async move { figures(&shared, request, peer.role).await }
             })
+            .route(move |peer, request: SlotUseFigures| {
+                let shared = counting.clone();
+                async move { slot_uses(&shared, request, peer.role).await }
+            })
     }
 
     /// Runs the core until the process is stopped.
@@ -171,17 +184,9 @@
 }
 
 async fn take_harm(shared: &Shared, report: ReportHarm, from: NodeRole) {
-    let leads = shared.leadership.epoch().is_some();
-    if !leads
-        && from != NodeRole::Core
-        && let Some(leader) = shared.other_leader()
-    {
-        let deadline = Instant::now() + FORWARD_TIME;
-        if shared.ctx.client.call(leader, &report, deadline).await.is_ok() {
-            return;
-        }
+    if ask_leader(shared, &report, from).await != LeaderAnswer::Given(()) {
+        shared.inbox.put_harm(report.harm, std::time::Instant::now());
     }
-    shared.inbox.put_harm(report.harm, std::time::Instant::now());
 }
 
 async fn figures(
@@ -189,13 +194,47 @@
     request: VersionFigures,
     from: NodeRole,
 ) -> Vec<VersionStatistics> {
+    match ask_leader(shared, &request, from).await {
+        LeaderAnswer::Given(figures) => figures,
+        LeaderAnswer::Missing => Vec::new(),
+        LeaderAnswer::Here => shared.judge().figures(FIGURES_INTERVAL, std::time::Instant::now()),
+    }
+}
+
+async fn slot_uses(
+    shared: &Shared,
+    request: SlotUseFigures,
+    from: NodeRole,
+) -> Vec<ServiceSlotUse> {
+    match ask_leader(shared, &request, from).await {
+        LeaderAnswer::Given(uses) => uses,
+        LeaderAnswer::Missing => Vec::new(),
+        LeaderAnswer::Here => shared.slot_uses().sums(),
+    }
+}
+
+/// What came of passing a question on to the core leader.
+#[derive(Debug, PartialEq, Eq)]
+enum LeaderAnswer<T> {
+    /// The leader's answer.
+    Given(T),
+    /// The leader did not answer.
+    Missing,
+    /// There is nobody to pass it on to: this core leads, knows no leader, or was itself asked by a core.
+    Here,
+}
+
+async fn ask_leader<R: Request>(
+    shared: &Shared,
+    request: &R,
+    from: NodeRole,
+) -> LeaderAnswer<R::Reply> {
     let leads = shared.leadership.epoch().is_some();
-    if !leads
-        && from != NodeRole::Core
-        && let Some(leader) = shared.other_leader()
-    {
-        let deadline = Instant::now() + FORWARD_TIME;
-        return shared.ctx.client.call(leader, &request, deadline).await.unwrap_or_default();
+    let leader = shared.other_leader().filter(|_| !leads && from != NodeRole::Core);
+    let Some(leader) = leader else { return LeaderAnswer::Here };
+    let deadline = Instant::now() + FORWARD_TIME;
+    match shared.ctx.client.call(leader, request, deadline).await {
+        Ok(answer) => LeaderAnswer::Given(answer),
+        Err(_) => LeaderAnswer::Missing,
     }
-    shared.judge().figures(FIGURES_INTERVAL, std::time::Instant::now())
 }
--- a/crates/control/src/core/records_told.rs
+++ b/crates/control/src/core/records_told.rs
@@ -38,9 +38,8 @@
         if self.told.get(&node).is_some_and(lately) {
             return false;
         }
-        let outdated = |(_, at): &(BundleVersion, Instant)| {
-            now.saturating_duration_since(*at) >= REPEAT_AFTER
-        };
+        let outdated =
+            |(_, at): &(BundleVersion, Instant)| now.saturating_duration_since(*at) >= REPEAT_AFTER;
         if self.told.len() > MOST_REMEMBERED {
             self.told.retain(|_, told| !outdated(told));
         }
--- a/crates/control/src/core/rollout.rs
+++ b/crates/control/src/core/rollout.rs
@@ -1,4 +1,4 @@
-//! Rolls harmful versions back: judges what gateways saw, and commits the roll-back under the leader's
+//! Rolls harmful versions back: judges what gateways saw and how engines stand, and commits the roll-back under the leader's
 //! fencing epoch.
 
 use std::time::{Duration, Instant};
@@ -9,6 +9,7 @@
 use super::Shared;
 use super::leader::Leading;
 use crate::figures;
+use crate::judge::{ReadinessWatch, standings};
 
 /// Pause between judgements (ours).
 const JUDGE_PAUSE: Duration = Duration::from_millis(250);
@@ -17,8 +18,10 @@
 const COMMIT_TIME: Duration = Duration::from_secs(2);
 
 pub(super) async fn run(shared: &Shared, leading: &Leading) {
+    let bound = Duration::from_secs(shared.ctx.settings.core.version_ready_seconds);
+    let mut readiness = ReadinessWatch::new(bound);
     loop {
-        for harm in judge(shared, leading) {
+        for harm in judge(shared, leading, &mut readiness) {
             roll_back(shared, leading, harm).await;
         }
         tokio::time::sleep(JUDGE_PAUSE).await;
@@ -26,11 +29,14 @@
 }
 
 /// Harm by the versions of the bundle that this node has in force.
-fn judge(shared: &Shared, leading: &Leading) -> Vec<HarmReport> {
+fn judge(shared: &Shared, leading: &Leading, readiness: &mut ReadinessWatch) -> Vec<HarmReport> {
     let Some(installed) = shared.ctx.node.bundle.borrow().clone() else { return Vec::new() };
     let now = Instant::now();
     let lost = leading.lost_lately(now);
-    shared.judge().evaluate(&installed.bundle, &lost, now)
+    let mut harm = shared.judge().evaluate(&installed.bundle, &lost, now);
+    let standings = standings(&shared.published.view());
+    harm.extend(readiness.evaluate(&installed.bundle, &standings, now));
+    harm
 }
 
 async fn roll_back(shared: &Shared, leading: &Leading, harm: HarmReport) {
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use hooklug_bundle::Bundle;
-use hooklug_protocol::control::{ClusterView, HostedEngine, LATENCY_BUCKETS, VersionStatistics};
+use hooklug_protocol::control::{
+    ClusterView, HostedEngine, LATENCY_BUCKETS, SlotUse, VersionStatistics,
+};
 use hooklug_rpc::{LocalIdentity, RpcClient};
 use hooklug_settings::Settings;
 use hooklug_state::meta::{BundleRecord, HarmReport};
@@ -42,6 +44,8 @@
     pub engine: Option<HostedEngine>,
     /// For session-host engines.
     pub load: Option<EngineLoad>,
+    /// For session-host engines: how their slots are used, by group.
+    pub slot_uses: Vec<SlotUse>,
 }
 
 /// Why a node is not ready, by component. Empty means ready.
--- a/crates/control/src/judge/mod.rs
+++ b/crates/control/src/judge/mod.rs
@@ -5,6 +5,7 @@
 
 mod compare;
 mod counts;
+mod readiness;
 mod reason;
 mod window;
 
@@ -18,6 +19,7 @@
 
 pub use compare::{Against, Finding, compare};
 pub use counts::{Counts, Percentile, share, standard_errors_above};
+pub use readiness::{ReadinessWatch, Standing, standings};
 use reason::reason;
 use window::{Key, Window, statistics};
 
@@ -55,6 +57,14 @@
     pub version: ServiceVersion,
 }
 
+impl JudgedVersion {
+    /// A version of a service.
+    #[must_use]
+    pub fn new(service: &ServiceName, version: &ServiceVersion) -> Self {
+        Self { service: service.clone(), version: version.clone() }
+    }
+}
+
 /// Judges all versions of a bundle.
 #[derive(Debug, Clone, Default)]
 pub struct Judge {
@@ -138,7 +148,7 @@
             let Some(watched) = watched(name, service) else { continue };
             self.note_load(&watched, now);
             let Some(report) = self.judge(&watched, now) else { continue };
-            let judged = JudgedVersion { service: name.clone(), version: report.version.clone() };
+            let judged = JudgedVersion::new(name, &report.version);
             let since = self.suspected.get(&judged).copied().unwrap_or(now);
             let confirm = match lost_engines.contains(&judged) {
                 true => CONFIRM_TIME_AFTER_LOSS,
@@ -288,8 +298,7 @@
 fn versions(bundle: &Bundle, state: VersionState) -> BTreeSet<JudgedVersion> {
     let of = |(name, service): (&ServiceName, &Service)| {
         let listed = service.versions.iter().filter(|entry| entry.state == state);
-        let judged = listed
-            .map(|entry| JudgedVersion { service: name.clone(), version: entry.version.clone() });
+        let judged = listed.map(|entry| JudgedVersion::new(name, &entry.version));
         judged.collect::<Vec<_>>()
     };
     bundle.services.iter().flat_map(of).collect()
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -2,9 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use hooklug_protocol::control::{
-    ApplicationEngine, ClusterView, Member, ViewChange, ViewItem,
-};
+use hooklug_protocol::control::{ApplicationEngine, ClusterView, Member, ViewChange, ViewItem};
 use hooklug_types::{BundleVersion, EngineId, FencingEpoch, NodeId, Revision};
 
 /// Bits of a revision that count changes under one core leader; the bits above are its fencing epoch.
@@ -55,9 +53,8 @@
     if before.engines == after.engines {
         return Vec::new();
     }
-    let differs = |(id, engine): &(&EngineId, &ApplicationEngine)| {
-        before.engines.get(*id) != Some(*engine)
-    };
+    let differs =
+        |(id, engine): &(&EngineId, &ApplicationEngine)| before.engines.get(*id) != Some(*engine);
     let changed = after.engines.iter().filter(differs);
     let gone = before.engines.keys().filter(|id| !after.engines.contains_key(*id));
     changed
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -274,7 +274,7 @@
         store: StoreSettings::default(),
         engine: None,
         gateway: GatewaySettings::default(),
-        core: CoreSettings { platform_list },
+        core: CoreSettings { platform_list, ..CoreSettings::default() },
         operators: OperatorSettings::default(),
     }
 }
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hooklug_control::core::members::{DEAD_AFTER, GONE_AFTER, MemberTable, SUSPECT_AFTER};
+use hooklug_control::core::records_told::{REPEAT_AFTER, RecordsTold};
 use hooklug_protocol::control::{Heartbeat, MemberHealth, NodeAddress};
 use hooklug_types::{BundleVersion, Incarnation, NodeId, NodeRole, ZoneName};
 
@@ -20,6 +21,7 @@
         engine: None,
         load: None,
         statistics: Vec::new(),
+        slot_uses: Vec::new(),
     }
 }
 
@@ -103,3 +105,44 @@
     look_until(&mut table, now, SUSPECT_AFTER - Duration::from_millis(500));
     assert_eq!(health(&table, 2), Some(MemberHealth::Alive));
 }
+
+#[test]
+fn a_heartbeat_with_nothing_new_changes_no_member() {
+    let now = Instant::now();
+    let mut table = MemberTable::default();
+    (1..=3).for_each(|node| table.heard(&heartbeat(node, 1, node as u16), now));
+    let before = table.members();
+    table.heard(&heartbeat(2, 1, 2), now + Duration::from_secs(1));
+    table.look(now + Duration::from_secs(1));
+    assert_eq!(table.members().changed_since(&before).count(), 0);
+    table.heard(&heartbeat(2, 2, 2), now + Duration::from_secs(2));
+    let members = table.members();
+    let changed: Vec<NodeId> =
+        members.changed_since(&before).map(|(_, member)| member.address.node).collect();
+    assert_eq!(changed, [NodeId(2)]);
+}
+
+#[test]
+fn a_node_that_moved_leaves_its_address_to_others() {
+    let now = Instant::now();
+    let mut table = MemberTable::default();
+    table.heard(&heartbeat(1, 5, 1), now);
+    table.heard(&heartbeat(1, 6, 2), now);
+    // An earlier run than the one that left: the address is free.
+    table.heard(&heartbeat(3, 2, 1), now);
+    assert!(table.members().contains_key(&NodeId(1)));
+    assert!(table.members().contains_key(&NodeId(3)));
+}
+
+#[test]
+fn a_record_is_told_once_a_node_and_version_and_again_after_a_while() {
+    let now = Instant::now();
+    let mut told = RecordsTold::default();
+    let (old, new, newer) = (BundleVersion(1), BundleVersion(2), BundleVersion(3));
+    assert!(!told.is_due(NodeId(1), new, new, now), "it is installed");
+    assert!(told.is_due(NodeId(1), old, new, now));
+    assert!(!told.is_due(NodeId(1), old, new, now + REPEAT_AFTER / 2));
+    assert!(told.is_due(NodeId(2), old, new, now + REPEAT_AFTER / 2), "another node");
+    assert!(told.is_due(NodeId(1), old, newer, now + REPEAT_AFTER / 2), "another version");
+    assert!(told.is_due(NodeId(1), old, newer, now + REPEAT_AFTER * 2), "it may have been lost");
+}
--- /dev/null
+++ b/crates/control/tests/slot_uses.rs
@@ -0,0 +1,76 @@
+//! What engines tell of their slots, added up for operators.
+
+use std::time::{Duration, Instant};
+
+use hooklug_control::core::members::DEAD_AFTER;
+use hooklug_control::core::slot_uses::SlotUses;
+use hooklug_protocol::control::{Heartbeat, HostedEngine, NodeAddress, ServiceSlotUse, SlotUse};
+use hooklug_types::{BundleVersion, Incarnation, NodeId, NodeRole};
+
+fn heartbeat(node: u64, service: &str, slot_uses: Vec<SlotUse>) -> Heartbeat {
+    Heartbeat {
+        from: NodeAddress {
+            node: NodeId(node),
+            incarnation: Incarnation(1),
+            role: NodeRole::Engine,
+            rpc: ([127, 0, 0, 1], 1).into(),
+            http: ([127, 0, 0, 1], 2).into(),
+            zone: "z1".parse().expect("valid"),
+        },
+        bundle: BundleVersion(1),
+        engine: Some(HostedEngine {
+            engine: format!("engine-{node}").parse().expect("valid"),
+            service: service.parse().expect("valid"),
+            version: "v1".parse().expect("valid"),
+            ready: true,
+            draining: false,
+            slots: 8,
+        }),
+        load: None,
+        statistics: Vec::new(),
+        slot_uses,
+    }
+}
+
+fn of(group: Option<&str>, reserved: u32, running: u32) -> SlotUse {
+    SlotUse { group: group.map(|g| g.parse().expect("valid")), reserved, running }
+}
+
+fn sum(service: &str, group: Option<&str>, counts: [u32; 4]) -> ServiceSlotUse {
+    let [engines, reserved, used, borrowed] = counts;
+    ServiceSlotUse {
+        service: service.parse().expect("valid"),
+        group: group.map(|g| g.parse().expect("valid")),
+        engines,
+        reserved,
+        used,
+        borrowed,
+    }
+}
+
+#[test]
+fn uses_add_up_by_service_and_group_and_loans_are_counted_engine_by_engine() {
+    let now = Instant::now();
+    let mut uses = SlotUses::default();
+    uses.heard(&heartbeat(1, "advisor", vec![of(Some("frost"), 4, 6), of(None, 0, 2)]), now);
+    uses.heard(&heartbeat(2, "advisor", vec![of(Some("frost"), 4, 1)]), now);
+    uses.heard(&heartbeat(3, "planner", vec![of(Some("frost"), 2, 2)]), now);
+    let expected = [
+        sum("advisor", None, [1, 0, 2, 2]),
+        sum("advisor", Some("frost"), [2, 8, 7, 2]),
+        sum("planner", Some("frost"), [1, 2, 2, 0]),
+    ];
+    assert_eq!(uses.sums(), expected);
+    uses.heard(&heartbeat(1, "advisor", Vec::new()), now + Duration::from_secs(1));
+    assert_eq!(uses.sums()[0], sum("advisor", Some("frost"), [1, 4, 1, 0]), "the newest counts");
+}
+
+#[test]
+fn an_engine_that_is_silent_for_long_no_longer_counts() {
+    let now = Instant::now();
+    let mut uses = SlotUses::default();
+    uses.heard(&heartbeat(1, "advisor", vec![of(None, 0, 1)]), now);
+    uses.heard(&heartbeat(2, "advisor", vec![of(None, 0, 1)]), now + DEAD_AFTER / 2);
+    uses.look(now + DEAD_AFTER);
+    assert_eq!(uses.sums(), [sum("advisor", None, [1, 0, 1, 1])]);
+}
--- a/crates/engine/src/admission/policy.rs
+++ b/crates/engine/src/admission/policy.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use hooklug_protocol::control::SlotUse;
 use hooklug_types::{TenantId, UnixMillis, WindowGroup};
 
 use super::Ticket;
@@ -119,6 +120,20 @@
         (count(self.running.len()), count(self.waiting.len()))
     }
 
+    /// How the slots are used, by group; groups without slots kept and running turns are left out.
+    #[must_use]
+    pub fn uses(&self, now: UnixMillis) -> Vec<SlotUse> {
+        let mut uses: BTreeMap<Option<WindowGroup>, (u32, u32)> = BTreeMap::new();
+        for (group, reserved) in self.reservations.shares_at(now) {
+            uses.entry(Some(group.clone())).or_default().0 = reserved;
+        }
+        for running in self.running.values() {
+            uses.entry(running.occupant.group.clone()).or_default().1 += 1;
+        }
+        let told = |(group, (reserved, running))| SlotUse { group, reserved, running };
+        uses.into_iter().map(told).collect()
+    }
+
     /// A turn asks for a slot. The decisions may be about others too: one that is pushed out of a full queue.
     pub fn request(&mut self, ticket: Ticket, ask: TurnAsk, now: UnixMillis) -> Vec<Decision> {
         let occupant =
--- a/crates/engine/src/admission/reserve.rs
+++ b/crates/engine/src/admission/reserve.rs
@@ -66,7 +66,7 @@
     }
 
     /// Slots kept for each group at an instant; overlapping windows add up.
-    fn shares_at(&self, at: UnixMillis) -> BTreeMap<&WindowGroup, u32> {
+    pub(super) fn shares_at(&self, at: UnixMillis) -> BTreeMap<&WindowGroup, u32> {
         let mut shares = BTreeMap::new();
         for span in self.spans.iter().filter(|s| s.covers(at)) {
             let share: &mut u32 = shares.entry(&span.group).or_default();
--- a/crates/engine/src/reporter.rs
+++ b/crates/engine/src/reporter.rs
@@ -22,7 +22,11 @@
 pub async fn run(shared: Arc<Shared>, stop: CancellationToken) {
     let mut load_told = Instant::now();
     loop {
-        let report = NodeReport { engine: Some(shared.hosted_engine()), load: Some(shared.load()) };
+        let report = NodeReport {
+            engine: Some(shared.hosted_engine()),
+            load: Some(shared.load()),
+            slot_uses: shared.slots.uses(),
+        };
         let load_is_due = load_told.elapsed() >= LOAD_EVERY;
         let told = shared.node.report.send_if_modified(|known| {
             let changed = known.engine != report.engine || (load_is_due && *known != report);
--- a/crates/engine/src/slots.rs
+++ b/crates/engine/src/slots.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use hooklug_protocol::control::SlotUse;
 use hooklug_session::{Message, SlotRefusal, SlotRequest, SlotTicket};
 use hooklug_types::UnixMillis;
 use tokio::sync::Notify;
@@ -82,6 +83,12 @@
         self.lock().admission.load()
     }
 
+    /// How the slots are used now, by group.
+    #[must_use]
+    pub fn uses(&self) -> Vec<SlotUse> {
+        self.lock().admission.uses(UnixMillis::now())
+    }
+
     /// Gives up waiting turns in time, until stopped.
     pub async fn run(&self, stop: CancellationToken) {
         loop {
--- a/crates/engine/tests/admission.rs
+++ b/crates/engine/tests/admission.rs
@@ -8,7 +8,7 @@
 use hooklug_engine::admission::{
     Admission, AdmissionLimits, Decision, Outcome, ReservedSpan, Ticket, TurnAsk, reserved_spans,
 };
-use hooklug_types::{BundleVersion, UnixMillis};
+use hooklug_types::{BundleVersion, UnixMillis, WindowGroup};
 use proptest::prelude::*;
 
 const START: UnixMillis = UnixMillis(1_000_000);
@@ -262,3 +262,21 @@
         }
     }
 }
+
+#[test]
+fn uses_name_each_group_with_slots_kept_or_turns_running() {
+    let mut admission =
+        admission(8, 8, vec![span("frost", 0, 10_000, 3), span("idle", 0, 5_000, 1)]);
+    let turns = [member("a", "frost", 60_000), ask("b", 60_000)];
+    for (ticket, turn) in (1..).zip(turns) {
+        admission.request(Ticket(ticket), turn, at(1_000));
+    }
+    let told = |now| {
+        let uses = admission.uses(at(now)).into_iter();
+        let group = |group: Option<WindowGroup>| group.map(|g| g.to_string());
+        uses.map(|u| (group(u.group), u.reserved, u.running)).collect::<Vec<_>>()
+    };
+    let (frost, idle) = (Some("frost".to_owned()), Some("idle".to_owned()));
+    assert_eq!(told(1_000), [(None, 0, 1), (frost.clone(), 3, 1), (idle, 1, 0)]);
+    assert_eq!(told(20_000), [(None, 0, 1), (frost, 0, 1)], "the windows are over");
+}
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -169,6 +169,7 @@
             gateway: GatewaySettings { mode: topology.gateway_mode, ..GatewaySettings::default() },
             core: CoreSettings {
                 platform_list: is_core.then(|| format!("http://{}/engines", self.platform)),
+                ..CoreSettings::default()
             },
             operators: OperatorSettings::default(),
         })
--- a/crates/hooklug/src/command/status.rs
+++ b/crates/hooklug/src/command/status.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use hooklug_admin::answers::{
-    EngineAnswer, MemberAnswer, RolloutsAnswer, SessionsAnswer, ShardAnswer, ViewAnswer,
-    WindowAnswer,
+    EngineAnswer, MemberAnswer, RolloutsAnswer, SessionsAnswer, ShardAnswer, SlotUseAnswer,
+    ViewAnswer, WindowAnswer,
 };
 use hooklug_control::view::{revision_count, revision_epoch};
 use hooklug_types::ServiceVersion;
@@ -27,6 +27,7 @@
     sessions_by_owner: BTreeMap<String, usize>,
     unread_groups: Vec<String>,
     windows: Vec<WindowAnswer>,
+    slots: Vec<SlotUseAnswer>,
 }
 
 pub(crate) async fn run(args: &StatusArgs) -> anyhow::Result<Outcome> {
@@ -49,6 +50,7 @@
         sessions_by_owner: sessions.by_owner,
         unread_groups: sessions.unread_groups,
         windows: client.get("/admin/v1/windows").await?,
+        slots: client.get("/admin/v1/slots").await?,
     })
 }
 
@@ -72,6 +74,7 @@
         rollbacks(&status.rollouts),
         sessions(status),
         windows(&status.windows),
+        slots(&status.slots),
     ]
     .concat()
 }
@@ -215,3 +218,19 @@
     }
     table.render("windows")
 }
+
+fn slots(uses: &[SlotUseAnswer]) -> String {
+    let header = ["service", "group", "engines", "reserved", "used", "borrowed"];
+    let mut table = Table::new(&header);
+    for one in uses {
+        table.row(vec![
+            one.service.to_string(),
+            or_dash(one.group.as_ref()),
+            one.engines.to_string(),
+            one.reserved.to_string(),
+            one.used.to_string(),
+            one.borrowed.to_string(),
+        ]);
+    }
+    table.render("slots in use")
+}
--- a/crates/hooklug/tests/command_line.rs
+++ b/crates/hooklug/tests/command_line.rs
@@ -104,12 +104,23 @@
         |output: &str| ["status", "--node", &node, "--output", output].map(str::to_owned).to_vec();
     let tables = run(status("table")).await;
     assert!(tables.status.success(), "{}", text(&tables.stderr));
-    for title in ["members", "engines", "shards", "versions", "sessions by owner", "windows"] {
+    let titles = [
+        "members",
+        "engines",
+        "shards",
+        "versions",
+        "figures of the last minute",
+        "sessions by owner",
+        "windows",
+        "slots in use",
+    ];
+    for title in titles {
         assert!(text(&tables.stdout).contains(&format!("\n{title}\n")), "{title} is missing");
     }
     let json = run(status("json")).await;
     let json: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
     assert_eq!(json["members"].as_array().map(Vec::len), Some(5));
     assert_eq!(json["shards"].as_array().map(Vec::len), Some(17));
+    assert!(json["slots"].is_array());
     assert_eq!(json["unread_groups"].as_array().map(Vec::len), Some(0));
 }
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -6,7 +6,7 @@
 use hooklug_state::meta::{BundleRecord, HarmReport, MetaState};
 use hooklug_types::{
     BundleVersion, Digest, EngineId, EngineLoad, Incarnation, NodeId, NodeRole, Revision,
-    RouteName, ServiceName, ServiceVersion, ZoneName,
+    RouteName, ServiceName, ServiceVersion, WindowGroup, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -181,6 +181,46 @@
     pub load: Option<EngineLoad>,
     /// For gateways: statistics of watched versions since the last heartbeat that was answered.
     pub statistics: Vec<VersionStatistics>,
+    /// For session-host engines: how their slots are used, by group.
+    pub slot_uses: Vec<SlotUse>,
+}
+
+/// How one engine's slots are used by one group's turns. Left out for groups without slots kept and turns.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotUse {
+    /// The group; `None` for turns of no group.
+    pub group: Option<WindowGroup>,
+    /// Slots that open windows keep for it here.
+    pub reserved: u32,
+    /// Its turns that run.
+    pub running: u32,
+}
+
+/// How a service's slots are used by one group's turns, over all engines, for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceSlotUse {
+    /// The service.
+    pub service: ServiceName,
+    /// The group; `None` for turns of no group.
+    pub group: Option<WindowGroup>,
+    /// Engines that told of the group.
+    pub engines: u32,
+    /// Slots that open windows keep for it.
+    pub reserved: u32,
+    /// Its turns that run.
+    pub used: u32,
+    /// Those of them beyond what the engine that runs them keeps for the group: in slots that nobody keeps, or
+    /// that are lent by other groups.
+    pub borrowed: u32,
+}
+
+/// Asks the core leader how slots are used, for operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotUseFigures;
+
+impl Request for SlotUseFigures {
+    type Reply = Vec<ServiceSlotUse>;
+    const METHOD: Method = Method::SlotUseFigures;
 }
 
 /// Answer to a heartbeat.
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -51,6 +51,8 @@
     VersionFigures,
     /// `control::ReportProbes`.
     ReportProbes,
+    /// `control::SlotUseFigures`.
+    SlotUseFigures,
 }
 
 /// A request with one reply.
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -158,11 +158,20 @@
 }
 
 /// Settings of a core.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct CoreSettings {
     /// The platform's list of engines: `http://ip:port/path` or a file's path (none: no application engines).
     pub platform_list: Option<String>,
+    /// Time without a ready engine of a service's newest version, while an older one has some, after which the
+    /// version is rolled back, in seconds (default 300; ours: a model server takes minutes to load).
+    pub version_ready_seconds: u64,
+}
+
+impl Default for CoreSettings {
+    fn default() -> Self {
+        Self { platform_list: None, version_ready_seconds: 300 }
+    }
 }
 
 /// Operators and their keys.
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -172,6 +172,12 @@
         ("", None),
         "the platform's list of engines; none: no application engines",
     ),
+    optional(
+        "core.version_ready_seconds",
+        Kind::Integer(1, 86_400),
+        ("s", Some("300")),
+        "time without a ready engine of a newest version, while an older one has some, until it is rolled back",
+    ),
     optional("operators.keys", Kind::PublicKeys, ("", Some("{}")), "operators' public keys"),
     optional(
         "operators.required_signatures",
