--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use hooklug_bundle::Bundle;
-use hooklug_protocol::control::{
-    ClusterView, HostedEngine, LATENCY_BUCKETS, SlotUse, VersionStatistics,
-};
+use hooklug_protocol::control::{ClusterView, HostedEngine, SlotUse, VersionStatistics};
 use hooklug_rpc::{LocalIdentity, RpcClient};
 use hooklug_settings::Settings;
 use hooklug_state::meta::{BundleRecord, HarmReport};
@@ -17,6 +15,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::judge::{Counts, VersionOnRoute};
+
 /// A bundle in force at this node. Never replaced by an older one.
 #[derive(Debug, Clone, PartialEq)]
 pub struct InstalledBundle {
@@ -76,24 +76,10 @@
     }
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct StatisticsKey {
-    service: ServiceName,
-    version: ServiceVersion,
-    route: RouteName,
-}
-
-#[derive(Debug, Clone, Copy, Default)]
-struct Counts {
-    successes: u64,
-    failures: u64,
-    latency: [u64; LATENCY_BUCKETS],
-}
-
 /// What this node saw of watched versions since the last heartbeat that was answered.
 #[derive(Debug, Clone, Default)]
 pub struct Statistics {
-    counts: Arc<Mutex<BTreeMap<StatisticsKey, Counts>>>,
+    counts: Arc<Mutex<BTreeMap<VersionOnRoute, Counts>>>,
 }
 
 impl Statistics {
@@ -106,63 +92,30 @@
         success: bool,
         latency: Duration,
     ) {
-        let key = StatisticsKey {
-            service: service.clone(),
-            version: version.clone(),
-            route: route.clone(),
-        };
-        let mut counts = self.lock();
-        let entry = counts.entry(key).or_default();
-        if success {
-            entry.successes += 1;
-        } else {
-            entry.failures += 1;
-        }
-        entry.latency[latency_bucket(latency)] += 1;
+        let key = VersionOnRoute::new(service, version, route);
+        self.lock().entry(key).or_default().note(success, latency);
     }
 
     /// Takes all counts; give them back with [`Statistics::restore`] when the heartbeat was not answered.
     #[must_use]
     pub fn take(&self) -> Vec<VersionStatistics> {
         let taken = std::mem::take(&mut *self.lock());
-        taken
-            .into_iter()
-            .map(|(key, counts)| VersionStatistics {
-                service: key.service,
-                version: key.version,
-                route: key.route,
-                successes: counts.successes,
-                failures: counts.failures,
-                latency: counts.latency,
-            })
-            .collect()
+        taken.iter().map(|(key, counts)| counts.statistics(key)).collect()
     }
 
     /// Adds counts back.
     pub fn restore(&self, statistics: Vec<VersionStatistics>) {
         let mut counts = self.lock();
-        for s in statistics {
-            let key = StatisticsKey { service: s.service, version: s.version, route: s.route };
-            let entry = counts.entry(key).or_default();
-            entry.successes += s.successes;
-            entry.failures += s.failures;
-            entry.latency.iter_mut().zip(s.latency).for_each(|(a, b)| *a += b);
+        for seen in &statistics {
+            counts.entry(VersionOnRoute::from(seen)).or_default().add(&Counts::from(seen));
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<StatisticsKey, Counts>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<VersionOnRoute, Counts>> {
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// The bucket of a latency: bucket `i` holds those below `2^i` ms.
-#[must_use]
-pub fn latency_bucket(latency: Duration) -> usize {
-    let ms = u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
-    let bits = (u64::BITS - ms.leading_zeros()) as usize;
-    bits.min(LATENCY_BUCKETS - 1)
-}
-
 /// A role's handle on the cluster. Cheap to clone.
 #[derive(Debug, Clone)]
 pub struct NodeHandle {
--- a/crates/control/src/judge/counts.rs
+++ b/crates/control/src/judge/counts.rs
@@ -1,6 +1,34 @@
 //! What was seen of one version on one route, and figures drawn from it. Pure.
 
+use std::time::Duration;
+
 use hooklug_protocol::control::{LATENCY_BUCKETS, VersionStatistics};
+use hooklug_types::{RouteName, ServiceName, ServiceVersion};
+
+/// One version on one route.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct VersionOnRoute {
+    /// The service.
+    pub service: ServiceName,
+    /// The version.
+    pub version: ServiceVersion,
+    /// The route.
+    pub route: RouteName,
+}
+
+impl VersionOnRoute {
+    /// A version of a service on a route.
+    #[must_use]
+    pub fn new(service: &ServiceName, version: &ServiceVersion, route: &RouteName) -> Self {
+        Self { service: service.clone(), version: version.clone(), route: route.clone() }
+    }
+}
+
+impl From<&VersionStatistics> for VersionOnRoute {
+    fn from(seen: &VersionStatistics) -> Self {
+        Self::new(&seen.service, &seen.version, &seen.route)
+    }
+}
 
 /// Requests of one version on one route in one interval.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -24,6 +52,25 @@
 }
 
 impl Counts {
+    /// Counts one request.
+    pub fn note(&mut self, success: bool, latency: Duration) {
+        *(if success { &mut self.successes } else { &mut self.failures }) += 1;
+        self.latency[latency_bucket(latency)] += 1;
+    }
+
+    /// In the form that travels.
+    #[must_use]
+    pub fn statistics(&self, of: &VersionOnRoute) -> VersionStatistics {
+        VersionStatistics {
+            service: of.service.clone(),
+            version: of.version.clone(),
+            route: of.route.clone(),
+            successes: self.successes,
+            failures: self.failures,
+            latency: self.latency,
+        }
+    }
+
     /// Adds another interval or gateway.
     pub fn add(&mut self, other: &Self) {
         self.successes += other.successes;
@@ -123,3 +170,11 @@
     let own = share(part, whole);
     term(part, own, given) + term(whole - part, 1.0 - own, 1.0 - given)
 }
+
+/// The bucket of a latency: bucket `i` holds those below `2^i` ms.
+#[must_use]
+pub fn latency_bucket(latency: Duration) -> usize {
+    let ms = u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
+    let bits = (u64::BITS - ms.leading_zeros()) as usize;
+    bits.min(LATENCY_BUCKETS - 1)
+}
--- a/crates/control/src/judge/mod.rs
+++ b/crates/control/src/judge/mod.rs
@@ -18,10 +18,12 @@
 use hooklug_types::{RouteName, ServiceName, ServiceVersion};
 
 pub use compare::{Against, Finding, compare};
-pub use counts::{Counts, Percentile, share, standard_errors_above};
+pub use counts::{
+    Counts, Percentile, VersionOnRoute, latency_bucket, share, standard_errors_above,
+};
 pub use readiness::{ReadinessWatch, Standing, standings};
 use reason::reason;
-use window::{Key, Window, statistics};
+use window::Window;
 
 /// Intervals that are looked at, shortest first: a short one finds clear harm at once, a long one finds
 /// it where there is little traffic (ours).
@@ -69,7 +71,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Judge {
     window: Window,
-    history: BTreeMap<Key, Counts>,
+    history: BTreeMap<VersionOnRoute, Counts>,
     /// Highest load of a route, in requests a second, while the history was gathered.
     history_load: BTreeMap<(ServiceName, RouteName), f64>,
     suspected: BTreeMap<JudgedVersion, Instant>,
@@ -97,12 +99,12 @@
 }
 
 impl Pair<'_> {
-    fn new_key(&self, route: &RouteName) -> Key {
-        Key::new(self.name, self.new, route)
+    fn new_key(&self, route: &RouteName) -> VersionOnRoute {
+        VersionOnRoute::new(self.name, self.new, route)
     }
 
-    fn old_key(&self, route: &RouteName) -> Key {
-        Key::new(self.name, self.old, route)
+    fn old_key(&self, route: &RouteName) -> VersionOnRoute {
+        VersionOnRoute::new(self.name, self.old, route)
     }
 }
 
@@ -117,10 +119,9 @@
 impl Judge {
     /// Takes what a gateway saw since its last heartbeat.
     pub fn observe(&mut self, statistics: &[VersionStatistics], now: Instant) {
-        let key = |s: &VersionStatistics| Key::new(&s.service, &s.version, &s.route);
-        self.window.add(statistics.iter().map(|s| (key(s), Counts::from(s))), now);
+        self.window.add(statistics.iter().map(|s| (VersionOnRoute::from(s), Counts::from(s))), now);
         for seen in statistics {
-            let history = self.history.entry(key(seen)).or_default();
+            let history = self.history.entry(seen.into()).or_default();
             history.add(&Counts::from(seen));
             if history.total() > HISTORY_SAMPLES {
                 history.halve();
@@ -189,7 +190,7 @@
         let least = u64::from(watched.service.harm.least_samples);
         let Watched { name, service, new, older } = watched;
         let known = older.iter().find(|old| {
-            let seen = self.history.get(&Key::new(name, old, route));
+            let seen = self.history.get(&VersionOnRoute::new(name, old, route));
             seen.is_some_and(|counts| counts.total() >= least)
         });
         Some(Pair { name, service, new, old: known? })
@@ -284,7 +285,7 @@
     #[must_use]
     pub fn figures(&self, interval: Duration, now: Instant) -> Vec<VersionStatistics> {
         let sums = self.window.sums(interval, now);
-        sums.into_iter().map(statistics).collect()
+        sums.into_iter().map(|(key, counts)| counts.statistics(key)).collect()
     }
 }
 
--- a/crates/control/src/judge/window.rs
+++ b/crates/control/src/judge/window.rs
@@ -3,10 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use hooklug_protocol::control::VersionStatistics;
 use hooklug_types::{RouteName, ServiceName, ServiceVersion};
 
-use super::counts::Counts;
+use super::counts::{Counts, VersionOnRoute};
 
 /// Time that is remembered (ours).
 pub(super) const REMEMBERED: Duration = Duration::from_secs(120);
@@ -17,24 +16,10 @@
 /// Times over which load is averaged (ours).
 const LOAD_INTERVALS: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(10)];
 
-/// One version on one route.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Key {
-    pub(super) service: ServiceName,
-    pub(super) version: ServiceVersion,
-    pub(super) route: RouteName,
-}
-
-impl Key {
-    pub(super) fn new(service: &ServiceName, version: &ServiceVersion, route: &RouteName) -> Self {
-        Self { service: service.clone(), version: version.clone(), route: route.clone() }
-    }
-}
-
 #[derive(Debug, Clone)]
 struct Slot {
     at: Instant,
-    counts: BTreeMap<Key, Counts>,
+    counts: BTreeMap<VersionOnRoute, Counts>,
 }
 
 /// Counts of the last [`REMEMBERED`], in slots of [`SLOT_TIME`].
@@ -45,7 +30,11 @@
 
 impl Window {
     /// Adds counts that came in now.
-    pub(super) fn add(&mut self, seen: impl Iterator<Item = (Key, Counts)>, now: Instant) {
+    pub(super) fn add(
+        &mut self,
+        seen: impl Iterator<Item = (VersionOnRoute, Counts)>,
+        now: Instant,
+    ) {
         while self.slots.front().is_some_and(|s| now.saturating_duration_since(s.at) > REMEMBERED) {
             self.slots.pop_front();
         }
@@ -72,8 +61,12 @@
     }
 
     /// All counts of an interval, by version and route.
-    pub(super) fn sums(&self, interval: Duration, now: Instant) -> BTreeMap<&Key, Counts> {
-        let mut sums: BTreeMap<&Key, Counts> = BTreeMap::new();
+    pub(super) fn sums(
+        &self,
+        interval: Duration,
+        now: Instant,
+    ) -> BTreeMap<&VersionOnRoute, Counts> {
+        let mut sums: BTreeMap<&VersionOnRoute, Counts> = BTreeMap::new();
         for (key, counts) in self.recent(interval, now).flat_map(|slot| &slot.counts) {
             sums.entry(key).or_default().add(counts);
         }
@@ -81,7 +74,7 @@
     }
 
     /// Counts of one version on one route.
-    pub(super) fn sum(&self, key: &Key, interval: Duration, now: Instant) -> Counts {
+    pub(super) fn sum(&self, key: &VersionOnRoute, interval: Duration, now: Instant) -> Counts {
         let mut sum = Counts::default();
         for counts in self.recent(interval, now).filter_map(|slot| slot.counts.get(key)) {
             sum.add(counts);
@@ -93,7 +86,7 @@
     /// alone in time is not held against it.
     pub(super) fn sum_together(
         &self,
-        (one, other): (&Key, &Key),
+        (one, other): (&VersionOnRoute, &VersionOnRoute),
         interval: Duration,
         now: Instant,
     ) -> (Counts, Counts) {
@@ -134,15 +127,3 @@
         LOAD_INTERVALS.into_iter().map(average).fold(0.0, f64::max)
     }
 }
-
-/// Counts in the form that travels.
-pub(super) fn statistics((key, counts): (&Key, Counts)) -> VersionStatistics {
-    VersionStatistics {
-        service: key.service.clone(),
-        version: key.version.clone(),
-        route: key.route.clone(),
-        successes: counts.successes,
-        failures: counts.failures,
-        latency: counts.latency,
-    }
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,5 +14,5 @@
 pub use agent::NodeAgent;
 pub use handle::{
     InstalledBundle, NodeContext, NodeFeeds, NodeHandle, NodeReport, Reach, Readiness, Statistics,
-    latency_bucket,
 };
+pub use judge::latency_bucket;
