control: change a node's view in place, ask peers over passing connections

Change: the view changes in place unless a reader holds it; a node's list of peers follows only members that an item tells of, and has an index by role; connections to peers asked in discovery end with the round.

--- a/crates/control/src/agent/discovery.rs
+++ b/crates/control/src/agent/discovery.rs
@@ -6,6 +6,7 @@
 
 use futures::future::join_all;
 use hooklug_protocol::control::{Discover, NodeAddress};
+use hooklug_rpc::RpcClient;
 use hooklug_types::NodeRole;
 use rand::seq::IndexedRandom;
 
@@ -23,7 +24,9 @@
 pub(super) async fn run(shared: Arc<Shared>) {
     loop {
         let targets = targets(&shared);
-        join_all(targets.into_iter().map(|target| ask(&shared, target))).await;
+        let asked =
+            join_all(targets.into_iter().map(|target| ask(&shared, &shared.client, target)));
+        tokio::join!(asked, ask_others(&shared));
         shared.publish_stores();
         let pause = if found_enough(&shared) { STEADY_PAUSE } else { SEARCH_PAUSE };
         tokio::time::sleep(pause).await;
@@ -36,9 +39,8 @@
     knows(NodeRole::Core) && knows(NodeRole::Store)
 }
 
-/// Whom to ask in this round: seeds that are not known yet, a store (which tells that one is within
-/// reach), and, while no core answers, a few others at random. With a core the view tells of all nodes;
-/// asking others then would end with a connection from each node to each.
+/// Whom to ask in this round over connections that stay: seeds that are not known yet, and a store, which tells
+/// that one is within reach; all stores while no core answers.
 fn targets(shared: &Shared) -> Vec<SocketAddr> {
     let peers = shared.peers();
     let stores = peers.addresses(NodeRole::Store);
@@ -49,18 +51,26 @@
     let alone = !shared.reach.core_answers();
     let store_count = if alone { stores.len() } else { 1 };
     targets.extend(stores.sample(&mut rng, store_count));
-    if alone {
-        targets.extend(peers.sample(ASKED_IN_A_ROUND, &mut rng));
-    }
     targets.retain(|target| *target != own);
     targets.sort_unstable();
     targets.dedup();
     targets
 }
 
-async fn ask(shared: &Shared, target: SocketAddr) {
+/// While no core answers, asks a few others at random. The connections end with the round: kept, all of a
+/// cluster that has lost its cores would end with a connection from each node to each.
+async fn ask_others(shared: &Shared) {
+    if shared.reach.core_answers() {
+        return;
+    }
+    let others = shared.peers().sample(ASKED_IN_A_ROUND, &mut rand::rng());
+    let client = RpcClient::new(shared.identity.clone());
+    join_all(others.into_iter().map(|other| ask(shared, &client, other))).await;
+}
+
+async fn ask(shared: &Shared, client: &RpcClient, target: SocketAddr) {
     let request = Discover { from: shared.identity.address.clone() };
-    let Ok(answer) = shared.client.call(target, &request, shared.deadline()).await else { return };
+    let Ok(answer) = client.call(target, &request, shared.deadline()).await else { return };
     let mut peers = shared.peers();
     let answering = answer.iter().find(|a| a.rpc == target).cloned();
     answer.into_iter().for_each(|address| peers.learn(address));
--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use hooklug_protocol::control::{ClusterView, Discover, FetchSection};
+use hooklug_protocol::member_map::SharedMember;
 use hooklug_rpc::{LocalIdentity, Router, RpcClient};
 use hooklug_settings::Settings;
 use hooklug_state::meta::BundleRecord;
@@ -78,22 +79,14 @@
         });
     }
 
-    /// Changes the view; readers are woken only by a real change.
-    fn change_view(&self, change: impl FnOnce(&mut ClusterView) -> bool) {
-        let changed = self.view.send_if_modified(|view| {
-            let mut next = ClusterView::clone(view);
-            let changed = change(&mut next);
-            if changed {
-                *view = Arc::new(next);
-            }
-            changed
-        });
-        if changed {
-            self.view_changed();
-        }
+    /// Changes the view; readers are woken only by a real change. The view is changed in place unless a reader
+    /// holds it; then the reader's copy shares all that stays the same.
+    fn change_view(&self, change: impl FnOnce(&mut ClusterView) -> bool) -> bool {
+        self.view.send_if_modified(|view| change(Arc::make_mut(view)))
     }
 
-    fn view_changed(&self) {
+    /// Acts on a changed view, of which these members came or changed.
+    fn view_changed(&self, members: &[SharedMember]) {
         let view = self.view.borrow().clone();
         if view.meta.cluster != 0 {
             self.identity.set_cluster(view.meta.cluster);
@@ -101,7 +94,10 @@
         if let Some(record) = &view.meta.bundle {
             self.heard_of(record);
         }
-        self.peers().follow_view(&view);
+        let mut peers = self.peers();
+        peers.follow_members(members.iter().map(|member| &**member));
+        peers.follow_stores(&view.meta.stores);
+        drop(peers);
         self.publish_stores();
         let leader = view.meta.leader.as_ref().filter(|l| !l.expired).map(|l| l.address);
         if leader.is_some() {
--- a/crates/control/src/agent/peers.rs
+++ b/crates/control/src/agent/peers.rs
@@ -1,11 +1,10 @@
 //! Which other processes a node knows. Pure.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use hooklug_protocol::control::{ClusterView, MemberHealth, NodeAddress};
-use hooklug_protocol::member_map::MemberMap;
-use hooklug_state::meta::StoreState;
+use hooklug_protocol::control::{Member, MemberHealth, NodeAddress};
+use hooklug_state::meta::{StoreRecord, StoreState};
 use hooklug_types::{NodeId, NodeRole};
 use rand::Rng;
 use rand::seq::{IndexedRandom, IteratorRandom};
@@ -20,10 +19,10 @@
     known: BTreeMap<NodeId, NodeAddress>,
     /// Who listens at an address; the same nodes as in `known`.
     by_address: BTreeMap<SocketAddr, NodeId>,
+    /// Rpc addresses of the processes of each role; the same nodes again.
+    by_role: BTreeMap<NodeRole, BTreeSet<SocketAddr>>,
     /// Stores that the meta group lists; they may not have been met yet.
     listed_stores: Vec<SocketAddr>,
-    /// Members of the view that was followed last; what is the same in the next is not looked at again.
-    followed: MemberMap,
 }
 
 impl Peers {
@@ -35,7 +34,7 @@
             known: BTreeMap::new(),
             by_address: BTreeMap::new(),
             listed_stores: Vec::new(),
-            followed: MemberMap::default(),
+            by_role: BTreeMap::new(),
         }
     }
 
@@ -61,20 +60,20 @@
             self.remove(outdated);
         }
         self.by_address.insert(address.rpc, address.node);
+        self.by_role.entry(address.role).or_default().insert(address.rpc);
         self.known.insert(address.node, address);
     }
 
     fn remove(&mut self, node: NodeId) {
         if let Some(removed) = self.known.remove(&node) {
             self.by_address.remove(&removed.rpc);
+            self.by_role.entry(removed.role).or_default().remove(&removed.rpc);
         }
     }
 
-    /// Follows the cluster view: learns its members, forgets those that are given up. Costs what changed since
-    /// the last view.
-    pub fn follow_view(&mut self, view: &ClusterView) {
-        let followed = std::mem::replace(&mut self.followed, view.members.clone());
-        for (_, member) in view.members.changed_since(&followed) {
+    /// Follows members of the view that came or changed: learns them, forgets those that are given up.
+    pub fn follow_members<'a>(&mut self, members: impl IntoIterator<Item = &'a Member>) {
+        for member in members {
             let address = &member.address;
             if member.health == MemberHealth::Dead {
                 let same = |k: &NodeAddress| k.incarnation <= address.incarnation;
@@ -85,12 +84,14 @@
                 self.learn(address.clone());
             }
         }
-        let stores = view.meta.stores.iter();
-        self.listed_stores =
-            stores.filter(|s| s.state != StoreState::Removed).map(|s| s.address).collect();
-        for removed in view.meta.stores.iter().filter(|s| s.state == StoreState::Removed) {
-            self.remove(removed.node);
-        }
+    }
+
+    /// Follows the stores that the meta group lists.
+    pub fn follow_stores(&mut self, stores: &[StoreRecord]) {
+        let (removed, listed): (Vec<&StoreRecord>, Vec<&StoreRecord>) =
+            stores.iter().partition(|s| s.state == StoreState::Removed);
+        self.listed_stores = listed.into_iter().map(|s| s.address).collect();
+        removed.into_iter().for_each(|store| self.remove(store.node));
     }
 
     /// What a node that asks is told: this node, all stores and cores, and a few others at random. The rest
@@ -129,7 +130,7 @@
     /// Rpc addresses of all processes of a role, this one included if it has the role; sorted.
     #[must_use]
     pub fn addresses(&self, role: NodeRole) -> Vec<SocketAddr> {
-        let met = self.known.values().filter(|a| a.role == role).map(|a| a.rpc);
+        let met = self.by_role.get(&role).into_iter().flatten().copied();
         let own = (self.own.role == role).then_some(self.own.rpc);
         let mut addresses: Vec<SocketAddr> = met.chain(own).collect();
         if role == NodeRole::Store {
--- a/crates/control/src/agent/watch.rs
+++ b/crates/control/src/agent/watch.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hooklug_protocol::control::{ViewItem, WatchView};
+use hooklug_protocol::control::{ViewChange, ViewItem, WatchView};
+use hooklug_protocol::member_map::SharedMember;
 use hooklug_state::meta::{MetaAnswer, MetaQuery, MetaState};
 use hooklug_types::NodeRole;
 use rand::seq::SliceRandom;
@@ -76,14 +77,30 @@
     if matches!(&item, ViewItem::Changes { to, .. } if *to <= shared.view.borrow().revision) {
         return true;
     }
+    let members = members_of(&item);
     let mut applied = Applied::Old;
-    shared.change_view(|view| {
+    let changed = shared.change_view(|view| {
         applied = apply_item(view, item);
         applied == Applied::Changed
     });
+    if changed {
+        shared.view_changed(&members);
+    }
     applied != Applied::Gap
 }
 
+/// Members that an item tells of.
+fn members_of(item: &ViewItem) -> Vec<SharedMember> {
+    let of_change = |change: &ViewChange| match change {
+        ViewChange::Member(member) => Some(member.clone()),
+        _ => None,
+    };
+    match item {
+        ViewItem::Whole(view) => view.members.iter().map(|(_, member)| member.clone()).collect(),
+        ViewItem::Changes { changes, .. } => changes.iter().filter_map(of_change).collect(),
+    }
+}
+
 async fn poll_stores(shared: &Shared) {
     loop {
         if !shared.reach.core_answers() {
@@ -98,13 +115,16 @@
     let answer = shared.state.query_meta(&MetaQuery::State, shared.deadline()).await;
     let Ok(MetaAnswer::State(state)) = answer else { return };
     shared.reach.store_answered();
-    shared.change_view(|view| {
+    let changed = shared.change_view(|view| {
         let changed = is_later(&state, &view.meta) && *view.meta != *state;
         if changed {
             view.meta = (*state).into();
         }
         changed
     });
+    if changed {
+        shared.view_changed(&[]);
+    }
 }
 
 /// Whether a state read from a quorum is not older than one heard of before.
