--- a/crates/control/src/agent/heartbeat.rs
+++ b/crates/control/src/agent/heartbeat.rs
@@ -51,7 +51,7 @@
             Err(_) => {}
         }
     }
-    shared.statistics.restore(heartbeat.statistics);
+    shared.statistics.restore(&heartbeat.statistics);
 }
 
 fn answered(shared: &Shared, core: SocketAddr, reply: &HeartbeatReply) {
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -104,9 +104,9 @@
     }
 
     /// Adds counts back.
-    pub fn restore(&self, statistics: Vec<VersionStatistics>) {
+    pub fn restore(&self, statistics: &[VersionStatistics]) {
         let mut counts = self.lock();
-        for seen in &statistics {
+        for seen in statistics {
             counts.entry(VersionOnRoute::from(seen)).or_default().add(&Counts::from(seen));
         }
     }
