--- a/crates/control/src/agent/heartbeat.rs
+++ b/crates/control/src/agent/heartbeat.rs
@@ -38,6 +38,7 @@
         engine: report.engine,
         load: report.load,
         statistics: shared.statistics.take(),
+        slot_uses: report.slot_uses,
     };
     for core in cores_in_order(shared) {
         match shared.client.call(core, &heartbeat, shared.deadline()).await {
@@ -50,7 +51,7 @@
             Err(_) => {}
         }
     }
-    shared.statistics.restore(heartbeat.statistics);
+    shared.statistics.restore(&heartbeat.statistics);
 }
 
 fn answered(shared: &Shared, core: SocketAddr, reply: &HeartbeatReply) {
--- a/crates/control/src/agent/peers.rs
+++ b/crates/control/src/agent/peers.rs
@@ -1,13 +1,13 @@
 //! Which other processes a node knows. Pure.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use hooklug_protocol::control::{ClusterView, MemberHealth, NodeAddress};
-use hooklug_state::meta::StoreState;
+use hooklug_protocol::control::{Member, MemberHealth, NodeAddress};
+use hooklug_state::meta::{StoreRecord, StoreState};
 use hooklug_types::{NodeId, NodeRole};
 use rand::Rng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 
 /// Gateways and engines that a node that asks is told of, beside all stores and cores (ours).
 const OTHERS_INTRODUCED: usize = 8;
@@ -19,6 +19,8 @@
     known: BTreeMap<NodeId, NodeAddress>,
     /// Who listens at an address; the same nodes as in `known`.
     by_address: BTreeMap<SocketAddr, NodeId>,
+    /// Rpc addresses of the processes of each role; the same nodes again.
+    by_role: BTreeMap<NodeRole, BTreeSet<SocketAddr>>,
     /// Stores that the meta group lists; they may not have been met yet.
     listed_stores: Vec<SocketAddr>,
 }
@@ -27,7 +29,13 @@
     /// Only the node itself.
     #[must_use]
     pub fn new(own: NodeAddress) -> Self {
-        Self { own, known: BTreeMap::new(), by_address: BTreeMap::new(), listed_stores: Vec::new() }
+        Self {
+            own,
+            known: BTreeMap::new(),
+            by_address: BTreeMap::new(),
+            listed_stores: Vec::new(),
+            by_role: BTreeMap::new(),
+        }
     }
 
     /// Learns of a process. An earlier run changes nothing; a process at the same address that started
@@ -52,18 +60,20 @@
             self.remove(outdated);
         }
         self.by_address.insert(address.rpc, address.node);
+        self.by_role.entry(address.role).or_default().insert(address.rpc);
         self.known.insert(address.node, address);
     }
 
     fn remove(&mut self, node: NodeId) {
         if let Some(removed) = self.known.remove(&node) {
             self.by_address.remove(&removed.rpc);
+            self.by_role.entry(removed.role).or_default().remove(&removed.rpc);
         }
     }
 
-    /// Follows the cluster view: learns its members, forgets those that are given up.
-    pub fn follow_view(&mut self, view: &ClusterView) {
-        for member in view.members.values() {
+    /// Follows members of the view that came or changed: learns them, forgets those that are given up.
+    pub fn follow_members<'a>(&mut self, members: impl IntoIterator<Item = &'a Member>) {
+        for member in members {
             let address = &member.address;
             if member.health == MemberHealth::Dead {
                 let same = |k: &NodeAddress| k.incarnation <= address.incarnation;
@@ -74,19 +84,14 @@
                 self.learn(address.clone());
             }
         }
-        let stores = view.meta.stores.iter();
-        self.listed_stores =
-            stores.filter(|s| s.state != StoreState::Removed).map(|s| s.address).collect();
-        for removed in view.meta.stores.iter().filter(|s| s.state == StoreState::Removed) {
-            self.remove(removed.node);
-        }
     }
 
-    /// Forgets a process that did not answer, unless it started anew since.
-    pub fn forget(&mut self, gone: &NodeAddress) {
-        if self.known.get(&gone.node).is_some_and(|k| k.incarnation <= gone.incarnation) {
-            self.remove(gone.node);
-        }
+    /// Follows the stores that the meta group lists.
+    pub fn follow_stores(&mut self, stores: &[StoreRecord]) {
+        let (removed, listed): (Vec<&StoreRecord>, Vec<&StoreRecord>) =
+            stores.iter().partition(|s| s.state == StoreState::Removed);
+        self.listed_stores = listed.into_iter().map(|s| s.address).collect();
+        removed.into_iter().for_each(|store| self.remove(store.node));
     }
 
     /// What a node that asks is told: this node, all stores and cores, and a few others at random. The rest
@@ -104,16 +109,28 @@
         self.known.len() as u64
     }
 
-    /// All other processes.
+    /// Whether a process other than this one is known to listen at an address.
+    #[must_use]
+    pub fn is_known(&self, address: SocketAddr) -> bool {
+        self.by_address.contains_key(&address)
+    }
+
+    /// All other processes, each copied.
     #[must_use]
     pub fn others(&self) -> Vec<NodeAddress> {
         self.known.values().cloned().collect()
     }
 
+    /// Rpc addresses of a few others at random.
+    #[must_use]
+    pub fn sample(&self, count: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        self.by_address.keys().copied().sample(rng, count)
+    }
+
     /// Rpc addresses of all processes of a role, this one included if it has the role; sorted.
     #[must_use]
     pub fn addresses(&self, role: NodeRole) -> Vec<SocketAddr> {
-        let met = self.known.values().filter(|a| a.role == role).map(|a| a.rpc);
+        let met = self.by_role.get(&role).into_iter().flatten().copied();
         let own = (self.own.role == role).then_some(self.own.rpc);
         let mut addresses: Vec<SocketAddr> = met.chain(own).collect();
         if role == NodeRole::Store {
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -6,10 +6,12 @@
 use hooklug_state::meta::{BundleRecord, HarmReport, MetaState};
 use hooklug_types::{
     BundleVersion, Digest, EngineId, EngineLoad, Incarnation, NodeId, NodeRole, Revision,
-    RouteName, ServiceName, ServiceVersion, ZoneName,
+    RouteName, ServiceName, ServiceVersion, WindowGroup, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::copy_on_write::CopyOnWrite;
+use crate::member_map::{MemberMap, SharedMember};
 use crate::{Method, Request, StreamRequest};
 
 /// Asks any process which others it knows. The answer names it, the stores and cores, and a few others.
@@ -103,24 +105,24 @@
     pub healthy: bool,
 }
 
-/// The whole cluster as a core sees it.
+/// The whole cluster as a core sees it. Its parts are shared by all copies that did not change them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ClusterView {
     /// Grows with every change, across cores (higher half: fencing epoch of the core leader).
     pub revision: Revision,
     /// Nodes by id.
-    pub members: BTreeMap<NodeId, Member>,
+    pub members: MemberMap,
     /// Application engines by id.
-    pub engines: BTreeMap<EngineId, ApplicationEngine>,
+    pub engines: CopyOnWrite<BTreeMap<EngineId, ApplicationEngine>>,
     /// Stores, placements, core leader, newest bundle's record.
-    pub meta: MetaState,
+    pub meta: CopyOnWrite<MetaState>,
 }
 
 /// Something that changed in the view.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ViewChange {
     /// A node came or changed.
-    Member(Member),
+    Member(SharedMember),
     /// Nodes of which only the installed bundle changed; a bundle change makes one of these, not a `Member` a node.
     Installed {
         /// The version that they have in force now.
@@ -135,7 +137,7 @@
     /// An application engine left.
     EngineGone(EngineId),
     /// Something in the meta state changed.
-    Meta(Box<MetaState>),
+    Meta(CopyOnWrite<MetaState>),
 }
 
 /// Follows the view.
@@ -179,6 +181,46 @@
     pub load: Option<EngineLoad>,
     /// For gateways: statistics of watched versions since the last heartbeat that was answered.
     pub statistics: Vec<VersionStatistics>,
+    /// For session-host engines: how their slots are used, by group.
+    pub slot_uses: Vec<SlotUse>,
+}
+
+/// How one engine's slots are used by one group's turns. Left out for groups without slots kept and turns.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotUse {
+    /// The group; `None` for turns of no group.
+    pub group: Option<WindowGroup>,
+    /// Slots that open windows keep for it here.
+    pub reserved: u32,
+    /// Its turns that run.
+    pub running: u32,
+}
+
+/// How a service's slots are used by one group's turns, over all engines, for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceSlotUse {
+    /// The service.
+    pub service: ServiceName,
+    /// The group; `None` for turns of no group.
+    pub group: Option<WindowGroup>,
+    /// Engines that told of the group.
+    pub engines: u32,
+    /// Slots that open windows keep for it.
+    pub reserved: u32,
+    /// Its turns that run.
+    pub used: u32,
+    /// Those of them beyond what the engine that runs them keeps for the group: in slots that nobody keeps, or
+    /// that are lent by other groups.
+    pub borrowed: u32,
+}
+
+/// Asks the core leader how slots are used, for operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotUseFigures;
+
+impl Request for SlotUseFigures {
+    type Reply = Vec<ServiceSlotUse>;
+    const METHOD: Method = Method::SlotUseFigures;
 }
 
 /// Answer to a heartbeat.
