fleet: a caller asks again after 504 in the test of dying gateways; silences side by side; four fleets at once on eight processors

Cause: the test of a gateway that dies at any moment of a call failed once (load 41 to 50): the second gateway answered 504 deadline_exceeded, outcome unknown, which claims nothing (API.md); the test took each answer for final. Fleets mostly wait: 0.65 processors on average for one.

Change: the test asks on until the call is settled, which has to be answered or call_unknown within a minute; the two silences of twenty seconds are two tests; a fleet for each two processors.

--- a/crates/fleet/tests/suite/at_most_once_calls.rs
+++ b/crates/fleet/tests/suite/at_most_once_calls.rs
@@ -4,6 +4,7 @@
 //! Catches a gateway that dispatches again after a lost or damaged answer, a second gateway that does
 //! not respect the first one's claim, and a claim that does not outlive its shard's leader.
 
+use std::sync::Mutex;
 use std::time::Duration;
 
 use crate::support::{
@@ -11,6 +12,7 @@
     shard_leader, slow, start,
 };
 use hooklug_emulator::{FaultKind, FaultRule, Faults};
+use hooklug_fleet::caller::{CallAnswer, CallerError};
 use hooklug_fleet::http::Ask;
 use hooklug_fleet::{Caller, Fleet, ProcessKind};
 use http::Method;
@@ -129,6 +131,26 @@
     println!("{call} again: {first:?}, {second:?}");
 }
 
+/// What a caller is told in the end that sends its call again while the answer claims nothing: "no recorded
+/// answer in time" is such an answer, as long as the dead gateway's claim is not known to be given up.
+async fn settled(fleet: &Fleet, caller: &Caller, call: &str) -> Result<CallAnswer, CallerError> {
+    let told = Mutex::new(None);
+    let look = || async {
+        let answer = caller.call(1, PROGRAM, call, &alarm(3)).await;
+        let claims_nothing =
+            |e: &CallerError| e.is_passing() || e.code() == Some("deadline_exceeded");
+        match answer {
+            Err(error) if claims_nothing(&error) => Err(error.to_string()),
+            settled => {
+                *told.lock().unwrap() = Some(settled);
+                Ok(())
+            }
+        }
+    };
+    fleet.wait_until("a call is settled", PATIENCE, look).await.unwrap();
+    told.into_inner().unwrap().unwrap()
+}
+
 /// How long after its sending a call's gateway is killed: before the claim, while it runs (20 ms), between
 /// its record and its answer, and after.
 const KILLED_AFTER_MS: [u64; 7] = [0, 4, 8, 16, 24, 28, 40];
@@ -144,7 +166,7 @@
             fleet.kill(name("gateway:0")).unwrap();
         };
         let (first, ()) = tokio::join!(caller.ask_once(0, &ask), dying);
-        let again = caller.call(1, PROGRAM, &call, &alarm(3)).await;
+        let again = settled(&fleet, &caller, &call).await;
         println!("{call}: first {}, then {again:?}", first.is_ok());
         match &again {
             Ok(answer) => {
--- a/crates/fleet/tests/suite/single_owner.rs
+++ b/crates/fleet/tests/suite/single_owner.rs
@@ -63,51 +63,55 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn an_engine_silent_for_twenty_seconds_owns_and_releases_nothing_more() {
-    for how in [Silence::Frozen, Silence::CutOff] {
-        let fleet = start(data_topology(2, 1)).await;
-        let caller = caller(&fleet);
-        put_program(&caller, PROGRAM, 100_000).await;
-        let silenced = silence(&fleet, &caller, "s", how).await;
-        let began = tokio::time::Instant::now();
-        // Another engine takes the session and seals the turn where its committed events end.
-        let Silenced { session, turn, mut seen, mut stream, owner: silent, epoch } = silenced;
-        let session = &session;
-        let taken = caller.follow_turn(1, session, &turn, Transcript::default()).await.unwrap();
-        taken.check("t1").unwrap();
-        assert_eq!(taken.end(), "interrupted");
-        println!("{how:?}: taken after {:?}", began.elapsed());
-        let next = TurnRequest::new("t2", Some("t1"), "[tokens 5]", 8);
-        finish(&caller, session, &next).await;
-        let view: SessionView = caller.session(0, session).await.unwrap();
-        assert_ne!(view.owner, Some(silent.word()));
-        assert!(view.epoch > epoch);
-        let before = history(&caller, session).await;
-        // The silence itself is what is tested; the clock runs from its beginning.
-        tokio::time::sleep_until(began + SILENCE).await;
-        match how {
-            Silence::Frozen => fleet.wake(silent).unwrap(),
-            Silence::CutOff => fleet.heal().await.unwrap(),
-        }
-        // All that the old owner ever sent to its client lies within what is committed.
-        while let Ok(Some(event)) = stream.next().await {
-            seen.events.push(event);
-        }
-        for event in &seen.events {
-            assert!(
-                taken.events.contains(event),
-                "{how:?}: released though not committed: {event:?}"
-            );
-        }
-        fleet.wait_ready(silent, PATIENCE).await.unwrap();
-        let after: SessionView = caller.session(0, session).await.unwrap();
-        assert_eq!(after, view, "{how:?}: the returned engine changed the session");
-        assert_eq!(history(&caller, session).await, before);
-        let last = TurnRequest::new("t3", Some("t2"), "[tokens 5]", 8);
-        let last = finish(&caller, session, &last).await;
-        check_text(&fleet, session, "t3", &last).await;
-        assert_eq!(caller.session(1, session).await.unwrap().epoch, view.epoch);
+async fn an_engine_frozen_for_twenty_seconds_owns_and_releases_nothing_more() {
+    nothing_more_from_a_silent_engine(Silence::Frozen).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_cut_off_for_twenty_seconds_owns_and_releases_nothing_more() {
+    nothing_more_from_a_silent_engine(Silence::CutOff).await;
+}
+
+async fn nothing_more_from_a_silent_engine(how: Silence) {
+    let fleet = start(data_topology(2, 1)).await;
+    let caller = caller(&fleet);
+    put_program(&caller, PROGRAM, 100_000).await;
+    let silenced = silence(&fleet, &caller, "s", how).await;
+    let began = tokio::time::Instant::now();
+    // Another engine takes the session and seals the turn where its committed events end.
+    let Silenced { session, turn, mut seen, mut stream, owner: silent, epoch } = silenced;
+    let session = &session;
+    let taken = caller.follow_turn(1, session, &turn, Transcript::default()).await.unwrap();
+    taken.check("t1").unwrap();
+    assert_eq!(taken.end(), "interrupted");
+    println!("{how:?}: taken after {:?}", began.elapsed());
+    let next = TurnRequest::new("t2", Some("t1"), "[tokens 5]", 8);
+    finish(&caller, session, &next).await;
+    let view: SessionView = caller.session(0, session).await.unwrap();
+    assert_ne!(view.owner, Some(silent.word()));
+    assert!(view.epoch > epoch);
+    let before = history(&caller, session).await;
+    // The silence itself is what is tested; the clock runs from its beginning.
+    tokio::time::sleep_until(began + SILENCE).await;
+    match how {
+        Silence::Frozen => fleet.wake(silent).unwrap(),
+        Silence::CutOff => fleet.heal().await.unwrap(),
+    }
+    // All that the old owner ever sent to its client lies within what is committed.
+    while let Ok(Some(event)) = stream.next().await {
+        seen.events.push(event);
+    }
+    for event in &seen.events {
+        assert!(taken.events.contains(event), "{how:?}: released though not committed: {event:?}");
     }
+    fleet.wait_ready(silent, PATIENCE).await.unwrap();
+    let after: SessionView = caller.session(0, session).await.unwrap();
+    assert_eq!(after, view, "{how:?}: the returned engine changed the session");
+    assert_eq!(history(&caller, session).await, before);
+    let last = TurnRequest::new("t3", Some("t2"), "[tokens 5]", 8);
+    let last = finish(&caller, session, &last).await;
+    check_text(&fleet, session, "t3", &last).await;
+    assert_eq!(caller.session(1, session).await.unwrap().epoch, view.epoch);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/fleet/tests/suite/support/fleet.rs
+++ b/crates/fleet/tests/suite/support/fleet.rs
@@ -8,8 +8,8 @@
 use hooklug_fleet::{Fleet, FleetError, ProcessName, Topology};
 use tokio::sync::{Semaphore, SemaphorePermit};
 
-/// Processors that a fleet of about fifteen processes needs, so that its timers run on time.
-const PROCESSORS_PER_FLEET: usize = 4;
+/// Processors for a fleet of some fifteen processes. Measured: 0.65 of one on average; starts and elections take more.
+const PROCESSORS_PER_FLEET: usize = 2;
 
 /// How many fleets run at once.
 static SHARES: LazyLock<usize> = LazyLock::new(|| {
