--- a/crates/store/examples/commit_bench.rs
+++ b/crates/store/examples/commit_bench.rs
@@ -230,6 +230,8 @@
     while applied(cluster).await < target {
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
-    let (time, commands) = (started.elapsed(), target - before);
-    println!("replay of {commands} commands (and what went before): {} ms", time.as_millis());
+    let (time, entries) = (started.elapsed().as_millis(), target - before);
+    println!(
+        "replay of {REPLAYED_COMMANDS} commands in {entries} entries (and what went before): {time} ms"
+    );
 }
