--- a/crates/replication/src/rounds.rs
+++ b/crates/replication/src/rounds.rs
@@ -40,7 +40,7 @@
                 }
                 self.do_round(group, round, &mut records);
             }
-            self.ask_for_snapshot(group, self.settings.snapshot_entries);
+            self.ask_for_snapshot(group, self.settings.snapshot_commands);
         }
         self.transport.flush();
         if !records.is_empty() && self.failure.borrow().is_none() {
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -20,7 +20,7 @@
     /// Ticks between heartbeats (ours: 2).
     pub heartbeat_ticks: u32,
     /// Applied commands after which a group takes a snapshot.
-    pub snapshot_entries: u64,
+    pub snapshot_commands: u64,
     /// Closed log segments after which the groups that hold the oldest take a snapshot (ours: 8).
     pub max_segments: usize,
     /// How the log behaves.
@@ -39,7 +39,7 @@
             tick: Duration::from_millis(50),
             election_ticks: 10,
             heartbeat_ticks: 2,
-            snapshot_entries: 20_000,
+            snapshot_commands: 20_000,
             max_segments: 8,
             wal: WalOptions::default(),
             seed: node.0,
@@ -49,7 +49,7 @@
     /// Applied entries that stay in memory behind a snapshot, so that a replica that lags a little
     /// gets entries and not the whole state.
     pub(crate) fn trailing_entries(&self) -> u64 {
-        self.snapshot_entries / 4
+        self.snapshot_commands / 4
     }
 
     pub(crate) fn raft_config(&self, group: hooklug_types::GroupId) -> hooklug_raft::Config {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -87,8 +87,8 @@
     pub tick_ms: u64,
     /// Ticks without a leader before an election, drawn from one to two times this (default 10; ours).
     pub election_ticks: u32,
-    /// Log entries of a group after which it is compacted into a snapshot (default 20,000; ours).
-    pub snapshot_entries: u64,
+    /// Commands of a group after which its log is compacted into a snapshot (default 20,000; ours).
+    pub snapshot_commands: u64,
     /// How long finished turns, calls and forgotten programs are kept, in seconds (default 86,400; ours).
     pub keep_seconds: u64,
 }
@@ -99,7 +99,7 @@
             expect_stores: 3,
             tick_ms: 50,
             election_ticks: 10,
-            snapshot_entries: 20_000,
+            snapshot_commands: 20_000,
             keep_seconds: 86_400,
         }
     }
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -115,10 +115,10 @@
         "ticks without a leader before an election, drawn from one to two times this",
     ),
     optional(
-        "store.snapshot_entries",
+        "store.snapshot_commands",
         Kind::Integer(16, 100_000_000),
-        ("entries", Some("20000")),
-        "log entries of a group after which it is compacted into a snapshot",
+        ("commands", Some("20000")),
+        "commands of a group after which its log is compacted into a snapshot",
     ),
     optional(
         "store.keep_seconds",
--- a/crates/store/examples/commit_bench.rs
+++ b/crates/store/examples/commit_bench.rs
@@ -196,7 +196,7 @@
 
 /// Time for one store to open its folder and apply a log of that many commands, without a snapshot.
 async fn replay(cluster: &mut TestCluster) {
-    cluster.options.snapshot_entries = u64::MAX;
+    cluster.options.snapshot_commands = u64::MAX;
     for number in 0..3 {
         cluster.kill(number).await;
         cluster.start(number).await;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -216,7 +216,7 @@
     let replication = ReplicationSettings {
         tick: Duration::from_millis(settings.store.tick_ms),
         election_ticks: settings.store.election_ticks,
-        snapshot_entries: settings.store.snapshot_entries,
+        snapshot_commands: settings.store.snapshot_commands,
         ..ReplicationSettings::new(node, folder.groups())
     };
     let keep = Duration::from_secs(settings.store.keep_seconds);
--- a/crates/store/tests/disks.rs
+++ b/crates/store/tests/disks.rs
@@ -102,7 +102,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_store_whose_snapshot_thread_panics_acknowledges_nothing_and_the_others_go_on() {
-    let options = StoreSettings { snapshot_entries: 20, ..fast_options() };
+    let options = StoreSettings { snapshot_commands: 20, ..fast_options() };
     let mut cluster = TestCluster::new(3, options).await;
     let disk = TestDisk::default();
     cluster.stores[0].files = Arc::new(disk.clone());
--- a/crates/store/tests/failures.rs
+++ b/crates/store/tests/failures.rs
@@ -146,7 +146,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn the_log_and_snapshots_stay_bounded_and_replicas_agree() {
-    let options = hooklug_settings::StoreSettings { snapshot_entries: 150, ..fast_options() };
+    let options = hooklug_settings::StoreSettings { snapshot_commands: 150, ..fast_options() };
     let mut cluster = TestCluster::formed(3, options).await;
     let client = cluster.client();
     let group = shard_of("program");
