bench: scenes overload application engines too, by calls of devices at a fixed rate

Cause: the baseline mode was as fast as full mode at three times the load, because the scenes never overloaded what the modes differ in.

The oracle's reader knows the call state 'refused'.

--- a/crates/bench/src/scenario/scene.rs
+++ b/crates/bench/src/scenario/scene.rs
@@ -19,7 +19,7 @@
 use crate::faults::{ChaosProgress, recover};
 use crate::oracle::evidence::{Disturbance, DrainRecord};
 use crate::workload::{
-    Client, Profile, Recorder, now, observe, operate, read_finally, run_programs,
+    CallStream, Client, Profile, Recorder, now, observe, operate, read_finally, run_programs,
 };
 
 /// Time for late work to show before everything is read (ours).
@@ -57,6 +57,10 @@
     pub async fn run(&self, progress: &dyn ChaosProgress) -> Result<Outcome, FleetError> {
         let mut topology = self.topology.clone();
         topology.gateway_mode = self.specification.mode;
+        let load = self.specification.scene.load();
+        for group in &mut topology.applications {
+            (group.run_ms, group.slots) = (load.run.as_millis() as u64, load.application_slots);
+        }
         let options = FleetOptions { data: self.data.clone() };
         let fleet = Arc::new(Fleet::start_with(topology, options).await?);
         lift_tenant_limits(&fleet).await?;
@@ -96,6 +100,7 @@
     profile: Profile,
     load: Load,
     slots: f64,
+    scale: f64,
     part: Duration,
     seed: u64,
     stop: CancellationToken,
@@ -122,6 +127,7 @@
             profile,
             load,
             slots: slots as f64 * run.specification.scale,
+            scale: run.specification.scale,
             part: run.part,
             seed: run.seed,
             stop: CancellationToken::new(),
@@ -143,12 +149,14 @@
             tasks.spawn(observe(self.fleet.clone(), recorder, self.stop.clone()));
         }
         self.add_programs(self.load.steady, self.part / 4, 1).await;
+        self.add_device_calls(self.load.device_calls.0, 1).await;
         let kills = self.kill_until(Instant::now() + self.part * 2, progress);
         let parts = async {
             sleep(self.part).await;
             let burst = now();
             progress.say("all users of a zone arrive");
             self.add_programs(self.load.burst, BURST_TIME, 2).await;
+            self.add_device_calls(self.load.device_calls.1, 2).await;
             let end = Instant::now() + self.part;
             if self.load.replace_engines {
                 self.restart_engines(end, progress).await?;
@@ -171,6 +179,22 @@
         });
     }
 
+    /// Adds calls of devices, at a share of what each service's engines run, by the scale.
+    async fn add_device_calls(&self, share: f64, part: u64) {
+        for (place, group) in self.fleet.topology().applications.iter().enumerate() {
+            let at_once = group.engines as f64 * f64::from(group.slots);
+            let capacity = at_once / self.load.run.as_secs_f64();
+            let stream = CallStream {
+                name: format!("devices-{part}-{}", group.service),
+                tools: group.tools.clone(),
+                per_second: capacity * share * self.scale,
+            };
+            let seed = self.seed.wrapping_mul(37).wrapping_add(part * 100 + place as u64);
+            let running = stream.run(self.client.clone(), seed, self.stop.clone());
+            self.tasks.lock().await.spawn(running);
+        }
+    }
+
     /// Engines are replaced one after another, as the platform does it.
     async fn restart_engines(
         &self,
--- a/crates/bench/src/scenario/specification.rs
+++ b/crates/bench/src/scenario/specification.rs
@@ -35,6 +35,13 @@
     pub steady: f64,
     /// Programs that arrive in one second.
     pub burst: f64,
+    /// Calls of devices a second, as a share of what application engines can run: all along, and on top
+    /// of it once all of a zone's users have come.
+    pub device_calls: (f64, f64),
+    /// Time that an application engine runs a call.
+    pub run: Duration,
+    /// Calls that an application engine runs at once: few enough for one machine to ask for more.
+    pub application_slots: u32,
     /// Share of calls that may not be repeated.
     pub once_share: f64,
     /// Most calls between two turns.
@@ -64,6 +71,9 @@
         let frost = Load {
             steady: 0.5,
             burst: 2.0,
+            device_calls: (0.3, 0.5),
+            run: Duration::from_millis(160),
+            application_slots: 16,
             once_share: 0.6,
             calls: 3,
             turn_tokens: (8, 40),
--- /dev/null
+++ b/crates/bench/src/workload/call_stream.rs
@@ -0,0 +1,84 @@
+//! Calls that come at a fixed rate, whether or not earlier ones are answered: alarms and readings of
+//! devices. Programs make their calls one after another, so they alone never ask for more than engines run.
+
+use std::time::Duration;
+
+use hooklug_fleet::Tool;
+use hooklug_fleet::caller::CallRequest;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+
+use super::calls::PlannedCall;
+use super::client::Client;
+
+/// How long a device waits for its call (ours): a late answer is of no use to it.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// How often the calls that are due are sent (ours).
+const STEP: Duration = Duration::from_millis(10);
+/// Programs that the calls of a stream belong to (ours): they spread over the shards.
+const PROGRAMS: u64 = 16;
+/// Budget of the devices' programs; calls stream no tokens.
+const BUDGET: u64 = 1;
+
+/// Calls of one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallStream {
+    /// First part of the names of the devices' programs.
+    pub name: String,
+    /// Tools that are called, at random.
+    pub tools: Vec<Tool>,
+    /// Calls a second.
+    pub per_second: f64,
+}
+
+impl CallStream {
+    /// Makes the calls until told to stop, and waits for those under way.
+    pub async fn run(self, client: Client, seed: u64, stop: CancellationToken) {
+        for number in 0..PROGRAMS {
+            if client.declare(0, &self.program(number), BUDGET, BUDGET).await.is_err() {
+                return;
+            }
+        }
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut calls = JoinSet::new();
+        let (begun, mut sent) = (Instant::now(), 0_u64);
+        let mut steps = interval(STEP);
+        steps.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        while stop.run_until_cancelled(steps.tick()).await.is_some() {
+            let due = (begun.elapsed().as_secs_f64() * self.per_second) as u64;
+            for number in sent..due {
+                let Some(planned) = self.plan(number, &mut random) else { return };
+                let (client, gateway) = (client.clone(), random.random_range(0..64));
+                calls.spawn(async move { client.run_call(gateway, &planned).await });
+            }
+            sent = sent.max(due);
+            while calls.try_join_next().is_some() {}
+        }
+        while calls.join_next().await.is_some() {}
+    }
+
+    fn program(&self, number: u64) -> String {
+        format!("{}-{}", self.name, number % PROGRAMS)
+    }
+
+    fn plan(&self, number: u64, random: &mut ChaCha8Rng) -> Option<PlannedCall> {
+        let tool = self.tools.choose(random)?;
+        let call = format!("c{number}");
+        let arguments = json!({"of": self.name, "call": call});
+        let mut request = CallRequest::new(&tool.name, arguments);
+        request.deadline_ms = PATIENCE.as_millis() as u64;
+        Some(PlannedCall {
+            program: self.program(number),
+            call,
+            request,
+            may_repeat: tool.may_repeat,
+            send_again: false,
+            patience: PATIENCE,
+        })
+    }
+}
--- a/crates/bench/src/workload/calls.rs
+++ b/crates/bench/src/workload/calls.rs
@@ -11,8 +11,8 @@
 use super::now;
 use crate::oracle::evidence::{CallClaim, CallRecord};
 
-/// Longest time in which a call is sent again (ours).
-const CALL_TIME: Duration = Duration::from_secs(20);
+/// Longest time in which a program sends a call again (ours).
+pub(super) const CALL_TIME: Duration = Duration::from_secs(20);
 /// Longest time for a question about a call (ours).
 const QUESTION_TIME: Duration = Duration::from_secs(10);
 
@@ -29,6 +29,8 @@
     pub may_repeat: bool,
     /// Whether to send it once more at another gateway after its answer.
     pub send_again: bool,
+    /// How long it is sent again while the answers claim nothing.
+    pub patience: Duration,
 }
 
 impl PlannedCall {
@@ -42,12 +44,12 @@
     pub async fn run_call(&self, gateway: usize, planned: &PlannedCall) -> Option<Value> {
         let begun = now();
         let ask = Ask::json(Method::PUT, planned.path(), &planned.request);
-        let mut claims = vec![self.claim(gateway, &ask, CALL_TIME).await];
+        let mut claims = vec![self.claim(gateway, &ask, planned.patience).await];
         let ended = now();
         if !planned.may_repeat {
             match &claims[0] {
                 CallClaim::Answered { .. } if planned.send_again => {
-                    claims.push(self.claim(gateway + 1, &ask, CALL_TIME).await);
+                    claims.push(self.claim(gateway + 1, &ask, planned.patience).await);
                 }
                 CallClaim::Unknown => claims.push(self.state(gateway + 1, planned).await),
                 CallClaim::Nothing(_) => claims.push(self.seal(gateway + 1, planned).await),
@@ -113,7 +115,7 @@
             status: view["status"].as_u64().and_then(|s| s.try_into().ok()).unwrap_or(0),
             body: view["body"].clone(),
         },
-        Some("not_run") => CallClaim::NotRun("not_run".to_owned()),
+        Some(state @ ("not_run" | "refused")) => CallClaim::NotRun(state.to_owned()),
         Some("unknown") => CallClaim::Unknown,
         other => CallClaim::Nothing(other.unwrap_or("no state").to_owned()),
     }
--- a/crates/bench/src/workload/mod.rs
+++ b/crates/bench/src/workload/mod.rs
@@ -1,5 +1,6 @@
 //! Callers, operators and observers that write down all that they are told.
 
+mod call_stream;
 mod calls;
 mod client;
 mod final_reading;
@@ -11,6 +12,7 @@
 mod sessions;
 mod turns;
 
+pub use call_stream::CallStream;
 pub use calls::PlannedCall;
 pub use client::Client;
 pub use final_reading::read_finally;
--- a/crates/bench/src/workload/programs.rs
+++ b/crates/bench/src/workload/programs.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use super::calls::PlannedCall;
+use super::calls::{CALL_TIME, PlannedCall};
 use super::client::Client;
 use super::profile::Profile;
 use crate::oracle::evidence::{TurnClaim, TurnRecord};
@@ -197,6 +197,7 @@
             request,
             may_repeat,
             send_again,
+            patience: CALL_TIME,
         })
     }
 }
--- a/crates/bench/tests/end_to_end.rs
+++ b/crates/bench/tests/end_to_end.rs
@@ -82,7 +82,9 @@
         let call = format!("c{number}");
         let request = CallRequest::new(&tool, json!({"call": call}));
         let program = "p".to_owned();
-        let planned = PlannedCall { program, call, request, may_repeat: false, send_again: false };
+        let patience = Duration::from_secs(20);
+        let (may_repeat, send_again) = (false, false);
+        let planned = PlannedCall { program, call, request, may_repeat, send_again, patience };
         client.run_call(number, &planned).await;
     }
     read_finally(&fleet, &client).await.unwrap();
--- a/crates/fleet/src/bundle.rs
+++ b/crates/fleet/src/bundle.rs
@@ -10,9 +10,6 @@
 
 use crate::topology::{ApplicationGroup, ModelGroup, Topology};
 
-/// Slots that an application engine counts for (ours).
-const APPLICATION_SLOTS: u32 = 64;
-
 impl Topology {
     /// A bundle with all services, versions and tools of the topology.
     ///
@@ -50,7 +47,7 @@
 fn add_application(bundle: &mut Bundle, group: &ApplicationGroup) -> Result<(), IdError> {
     let engines = u32::try_from(group.engines).unwrap_or(u32::MAX);
     let service = entry(&mut bundle.services, &group.service, ServiceKind::Application);
-    service.slots += APPLICATION_SLOTS * engines;
+    service.slots += group.slots * engines;
     add_version(service, &group.version);
     for tool in &group.tools {
         let matches = RouteMatch::Tool { tool: tool.name.clone() };
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -195,6 +195,7 @@
                 line.word("application-engine");
                 line.identity(plan, &group.service, &group.version, folder)?;
                 line.option("--run-ms", &group.run_ms);
+                line.option("--slots", &group.slots);
             }
             _ => {
                 line.word("platform");
--- a/crates/fleet/src/topology.rs
+++ b/crates/fleet/src/topology.rs
@@ -78,6 +78,9 @@
     pub engines: usize,
     /// Time that a call takes, in milliseconds.
     pub run_ms: u64,
+    /// Calls that each runs at once.
+    #[serde(default = "default_application_slots")]
+    pub slots: u32,
     /// Tools that it serves.
     pub tools: Vec<Tool>,
 }
@@ -114,6 +117,10 @@
     }
 }
 
+fn default_application_slots() -> u32 {
+    64
+}
+
 fn default_lag_ms() -> u64 {
     1_000
 }
