gateway: a suspected owner's sessions are looked up, a held call is told unknown before its time is over

Apart from that, a resend of a call whose gateway has gone waited for its whole time, and was told 504 when a look-up spanned its end, though what is known (unknown) was known before. Ruled out: shortening the silence of connections (a paused machine would look dead) or the wait for a connection. Change: a connection that fails under a stream makes its engine suspect as a failed message does; a suspect owner's entry is not used, the record is read, and its lease ended if it has run out; a live owner keeps its session. Waiting for another gateway's attempt ends a second, at most a quarter of the time, before the deadline. Tests: a call held by a gateway that is gone while the look-up hangs (504 before).

--- a/crates/gateway/src/calls/once.rs
+++ b/crates/gateway/src/calls/once.rs
@@ -28,6 +28,10 @@
 /// Wait between look-ups of a call that another gateway runs, or ran (ours).
 const LOOK_UP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Left of a call's time when its record is no longer waited for, but a quarter of it at most (ours): its caller is
+/// told what is known, and not that the time is over.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
 /// How long a claim of unknown fate is followed up after its caller was told to try again (ours).
 const CLAIM_FOLLOW_UP_TIME: Duration = Duration::from_secs(60);
 
@@ -252,6 +256,8 @@
         mut record: CallRecord,
     ) -> Result<Settled, Problem> {
         let digest = request.digest();
+        let left = request.deadline.saturating_duration_since(Instant::now());
+        let until = Instant::now() + left.saturating_sub(ANSWER_TIME.min(left / 4));
         let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
         let mut look_up_at = Instant::now() + LOOK_UP_INTERVAL;
         loop {
@@ -260,18 +266,19 @@
             }
             let is_unknown = record.outcome == Some(CallOutcome::Unknown);
             if is_unknown || (record.outcome.is_none() && Instant::now() >= look_up_at) {
-                record = self.refreshed(&request.program, record).await;
+                let refreshed = self.refreshed(&request.program, record.clone());
+                record = timeout_at(until, refreshed).await.unwrap_or(record);
                 look_up_at = Instant::now() + LOOK_UP_INTERVAL;
             }
             if let Some(outcome) = record.outcome.clone() {
                 return Ok(Settled::of(outcome));
             }
             let wait = backoff.next_wait();
-            if Instant::now() + wait >= request.deadline {
+            if Instant::now() + wait >= until {
                 return Ok(Settled::Unknown);
             }
             sleep(wait).await;
-            let read = self.shards.call(&request.program, &request.call, request.deadline).await?;
+            let read = self.shards.call(&request.program, &request.call, until).await?;
             record = read.ok_or_else(|| unknown("the call's keep time is over"))?;
         }
     }
--- a/crates/gateway/src/sessions/follower.rs
+++ b/crates/gateway/src/sessions/follower.rs
@@ -7,7 +7,7 @@
 use hooklug_protocol::engine::{EngineRefusal, Join, JoinItem, TurnItem};
 use hooklug_rpc::{ItemStream, RpcError};
 use hooklug_state::shard::{Event, EventBody};
-use hooklug_types::{EventSeq, SessionKey, TurnId};
+use hooklug_types::{EngineIncarnation, EventSeq, SessionKey, TurnId};
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{debug, warn};
 
@@ -101,7 +101,7 @@
         loop {
             if let Some((entry, feed)) = feed.take() {
                 let routed = self.owners.engines.load.route(&entry.owner);
-                match self.relay(feed, routed).await {
+                match self.relay(&entry.owner, feed, routed).await {
                     Ended::Whole => return self.sink.finish(),
                     Ended::ClientGone => return self.abandon("its caller has gone"),
                     Ended::Doubt(why) => return self.abandon(why),
@@ -122,7 +122,12 @@
         metrics::counter!("hooklug_gateway_streams_cut_total").increment(1);
     }
 
-    async fn relay(&mut self, mut feed: Feed, _routed: RoutedStream) -> Ended {
+    async fn relay(
+        &mut self,
+        owner: &EngineIncarnation,
+        mut feed: Feed,
+        _routed: RoutedStream,
+    ) -> Ended {
         loop {
             let item = tokio::select! {
                 item = next_item(&mut feed) => item,
@@ -135,7 +140,7 @@
                 }
             };
             let passed = match item {
-                Err(fault) => return Ended::Broken(fault),
+                Err(broken) => return Ended::Broken(self.fault(owner, broken)),
                 Ok(FeedItem::Left(refusal)) => return left(refusal),
                 Ok(FeedItem::Nothing) => Ok(false),
                 Ok(FeedItem::Sync(history)) => self.take_sync(&history).await,
@@ -150,6 +155,14 @@
         }
     }
 
+    /// What a broken feed says about the owner. One whose connection failed is suspected from now on.
+    fn fault(&self, owner: &EngineIncarnation, broken: FeedBroken) -> OwnerFault {
+        if let FeedBroken::Rpc(error @ RpcError::ConnectionLost) = broken {
+            self.owners.engines.failed(owner, error);
+        }
+        OwnerFault::Interrupted
+    }
+
     /// A sync in the middle of a stream only serves to close a gap.
     async fn take_sync(&mut self, history: &[Event]) -> Result<bool, Ended> {
         for event in history {
@@ -309,27 +322,37 @@
     Ended::Broken(fault.unwrap_or(OwnerFault::Interrupted))
 }
 
-async fn next_item(feed: &mut Feed) -> Result<FeedItem, OwnerFault> {
+/// Why a feed gives no more.
+enum FeedBroken {
+    /// The owner ended it, as it does with a client that is too slow.
+    Ended,
+    /// Its connection failed.
+    Rpc(RpcError),
+}
+
+impl From<RpcError> for FeedBroken {
+    fn from(error: RpcError) -> Self {
+        Self::Rpc(error)
+    }
+}
+
+async fn next_item(feed: &mut Feed) -> Result<FeedItem, FeedBroken> {
     match feed {
-        Feed::Turn(items) => Ok(match items.next().await.map_err(fault)? {
+        Feed::Turn(items) => Ok(match items.next().await? {
             Some(TurnItem::Event(event)) => FeedItem::Event(event),
             Some(TurnItem::Accepted { .. }) => FeedItem::Nothing,
             Some(TurnItem::Refused { refusal, .. }) => FeedItem::Left(refusal),
-            None => return Err(OwnerFault::Interrupted),
+            None => return Err(FeedBroken::Ended),
         }),
-        Feed::Session(items) => Ok(match items.next().await.map_err(fault)? {
+        Feed::Session(items) => Ok(match items.next().await? {
             Some(JoinItem::Event(event)) => FeedItem::Event(event),
             Some(JoinItem::Sync { history, .. }) => FeedItem::Sync(history),
             Some(JoinItem::Refused(refusal)) => FeedItem::Left(refusal),
-            None => return Err(OwnerFault::Interrupted),
+            None => return Err(FeedBroken::Ended),
         }),
     }
 }
 
-fn fault(_error: RpcError) -> OwnerFault {
-    OwnerFault::Interrupted
-}
-
 /// The next item of a stream within a time, for first answers.
 pub async fn first_item<T: serde::de::DeserializeOwned>(
     items: &mut ItemStream<T>,
--- a/crates/gateway/src/sessions/owners.rs
+++ b/crates/gateway/src/sessions/owners.rs
@@ -157,7 +157,9 @@
         if matches!(fault, Some(OwnerFault::Gone)) || !self.is_listed(&entry.owner) {
             return self.replace(record, &entry, Waiting::ForLease, deadline).await;
         }
-        if matches!(fault, Some(OwnerFault::Interrupted)) {
+        let is_in_doubt =
+            matches!(fault, Some(OwnerFault::Interrupted)) || self.engines.is_suspect(&entry.owner);
+        if is_in_doubt {
             return self.replace(record, &entry, Waiting::Not, deadline).await;
         }
         self.learn(record);
@@ -176,9 +178,12 @@
         super::placement::address_of(&self.node.view.borrow(), engine).is_some()
     }
 
+    /// The entry of the table, unless its owner is gone or failed just now: then the record is read, since a frozen
+    /// engine stays listed for seconds, and each message sent to it would wait for a connection in vain.
     fn known(&self, key: &SessionKey) -> Option<OwnerEntry> {
         let entry = self.lock().get(key)?;
-        self.is_listed(&entry.owner).then_some(entry)
+        let is_sound = self.is_listed(&entry.owner) && !self.engines.is_suspect(&entry.owner);
+        is_sound.then_some(entry)
     }
 
     fn drop_failed(&self, key: &SessionKey, failed: &FailedOwner) {
--- a/crates/gateway/tests/calls_record.rs
+++ b/crates/gateway/tests/calls_record.rs
@@ -101,3 +101,16 @@
     assert_eq!((answer.status, &answer.json), (200, &json!({"ok": true})), "{answer:?}");
     assert_eq!((engines[0].received(), other.runs("p1/c1")), (0, 1));
 }
+
+#[tokio::test]
+async fn a_call_held_by_a_gateway_that_is_gone_is_told_unknown_while_a_look_up_hangs() {
+    let (world, engines) = world_with(1, 1).await;
+    world.begin_call("p1", "c1", "gone", &alarm()).await;
+    engines[0].script(|script| script.stall_look_ups = true);
+    let mut body = alarm();
+    body["deadline_ms"] = json!(1_600);
+    let answer = call(&world, 0, "c1", &body).await;
+    assert_eq!((answer.status, answer.code()), (502, "call_unknown"), "{answer:?}");
+    assert_eq!(answer.json["outcome"], "unknown");
+    assert_eq!(runs(&engines, "c1"), 0);
+}
--- a/crates/gateway/tests/support/app_engine.rs
+++ b/crates/gateway/tests/support/app_engine.rs
@@ -58,6 +58,8 @@
     pub deadlines: Vec<u64>,
     /// Answers to look-ups tell what ran.
     pub look_up: bool,
+    /// Look-ups are never answered.
+    pub stall_look_ups: bool,
     /// Identity that is told in place of its own.
     pub pretend: Option<String>,
 }
@@ -195,10 +197,13 @@
         received: &Received,
         call: &str,
     ) -> std::io::Result<()> {
-        let (known, ran) = {
+        let (known, ran, stalled) = {
             let script = self.script.lock().expect("no panic under the lock");
-            (script.look_up, script.ran.contains_key(call))
+            (script.look_up, script.ran.contains_key(call), script.stall_look_ups)
         };
+        if stalled {
+            std::future::pending::<()>().await;
+        }
         let headers = self.own_headers(received);
         match (known, ran) {
             (false, _) => write(stream, 404, &headers, "{}").await,
