gateway: a call whose turn comes too late is refused, not sent

Cause: a call that waited was sent whenever room came, however little time was left. Change: a waiting call needs one and a half of its route's average time when its turn comes; one that finds room at once goes as before.

--- a/crates/gateway/src/calls/room.rs
+++ b/crates/gateway/src/calls/room.rs
@@ -16,6 +16,10 @@
 use crate::backend::table::{Found, Outstanding, Wanted};
 use crate::backend::{EngineRun, Target};
 
+/// Time that a call must have left when its turn comes, by its route's average (ours): about half of the calls take
+/// longer than the average, and one that ends late has cost an engine's time for nothing.
+const TIME_NEEDED: f64 = 1.5;
+
 /// Why a call gets no engine. Nothing was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum NoRoom {
@@ -67,6 +71,11 @@
                 Found::None => return Err(NoRoom::NoEngine),
                 // A newcomer goes behind those who wait; the room that it gives back wakes one of them.
                 Found::Engine(room) if crowded && !request.urgent => drop(room),
+                Found::Engine(room) if in_turn && !self.can_end_in_time(request) => {
+                    // The room wakes the next one.
+                    drop(room);
+                    return Err(shed(RETRY_SOON));
+                }
                 Found::Engine(room) => return Ok(room),
                 Found::Full => {}
             }
@@ -75,6 +84,13 @@
         }
     }
 
+    /// Whether a call that has waited has time enough left. One that finds room at once goes whatever the average
+    /// says, so that the average can fall again.
+    fn can_end_in_time(&self, request: &CallRequest) -> bool {
+        let needed = self.backends.average(&request.route).mul_f64(TIME_NEEDED);
+        self.mode == GatewayMode::Plain || Instant::now() + needed <= request.deadline
+    }
+
     fn look(&self, request: &CallRequest, tried: &[EngineRun]) -> Found {
         let Some(bundle) = self.node.bundle.borrow().clone() else { return Found::None };
         let Some(service) = bundle.bundle.services.get(&request.service) else {
@@ -99,11 +115,11 @@
         // Room that is found and given back wakes the first in the queue.
         let look_again = || drop(self.look(request, tried));
         let waited = self.backends.gates.wait(&request.service, waiter, crowd, look_again).await;
-        waited.map_err(|shed| {
-            metrics::counter!("hooklug_gateway_calls_shed_total").increment(1);
-            match shed {
-                Shed::Refused { after } => NoRoom::Shed(after),
-                Shed::TimedOut => NoRoom::TimedOut,
+        waited.map_err(|refused| match refused {
+            Shed::Refused { after } => shed(after),
+            Shed::TimedOut => {
+                metrics::counter!("hooklug_gateway_calls_shed_total").increment(1);
+                NoRoom::TimedOut
             }
         })
     }
@@ -154,3 +170,8 @@
         self.evidence.record(&target.service, &target.version, &request.route, success, latency);
     }
 }
+
+fn shed(after: Duration) -> NoRoom {
+    metrics::counter!("hooklug_gateway_calls_shed_total").increment(1);
+    NoRoom::Shed(after)
+}
--- a/crates/gateway/tests/calls_overload.rs
+++ b/crates/gateway/tests/calls_overload.rs
@@ -155,6 +155,40 @@
     held.abort();
 }
 
+#[tokio::test]
+async fn a_call_whose_turn_comes_too_late_is_not_sent() {
+    // A waiting call is also looked at now and then, and refused then already; several rounds make sure that
+    // its turn comes first in some of them.
+    for _ in 0..6 {
+        late_turn().await;
+    }
+}
+
+async fn late_turn() {
+    let mut small = bundle();
+    small.services.get_mut(&id("farm")).unwrap().concurrency_per_engine = 1;
+    small.routes.get_mut(&id::<RouteName>("sensors")).unwrap().deadline_ms = 60_000;
+    let mut world = World::with(small, GatewayMode::Full, 1).await;
+    let engine = AppEngine::start("a1", 1).await;
+    world.list_app(&engine, "v1", "z1");
+    world.put_program("p1").await;
+    // The route's calls take 200 ms of late; this one takes longer.
+    engine.next(Behaviour::Slow(Duration::from_millis(200)));
+    assert_eq!(call(&world, 0, "c0", &sensor()).await.status, 200);
+    engine.next(Behaviour::Slow(Duration::from_millis(750)));
+    let (http, body) = (world.url(0), sensor());
+    let long =
+        tokio::spawn(async move { http::put(http, "/v1/programs/p1/calls/c1", &body).await });
+    engine.wait_received(2).await;
+    // It may wait, and has 250 ms left when its turn comes.
+    let mut short = sensor();
+    short["deadline_ms"] = json!(1_000);
+    let shed = call(&world, 0, "c2", &short).await;
+    assert_eq!(shed.json["outcome"], "try_again", "{shed:?}");
+    assert_eq!(long.await.unwrap().status, 200);
+    assert_eq!(engine.received(), 2);
+}
+
 #[tokio::test]
 async fn a_deadline_ends_a_slow_call() {
     let (world, engines) = world_with(1, 1).await;
