bench: the end of faults is noted in one place

Cause: the rounds of chaos and the takeover scenario each closed disturbances and drains with the same lines. Change: Evidence::all_over.

--- a/crates/bench/src/faults/rounds.rs
+++ b/crates/bench/src/faults/rounds.rs
@@ -91,7 +91,7 @@
         sleep(hold).await;
         self.end(draw, released).await?;
         let healed = now();
-        self.note_end(healed);
+        self.client.recorder().lock().all_over(healed);
         let recovery = probe::recover(self.fleet, self.profile, names, healed).await;
         let took = recovery.served.map_or(-1.0, |at| at.saturating_sub(healed) as f64 / 1e3);
         self.progress.say(&format!("round {number}: served again after {took:.1} s"));
@@ -150,15 +150,4 @@
             evidence.drains.push(drain);
         }
     }
-
-    fn note_end(&self, healed: u64) {
-        let recorder = self.client.recorder();
-        let mut evidence = recorder.lock();
-        for disturbance in &mut evidence.disturbances {
-            disturbance.until.get_or_insert(healed);
-        }
-        for drain in &mut evidence.drains {
-            drain.until.get_or_insert(healed);
-        }
-    }
 }
--- a/crates/bench/src/oracle/evidence.rs
+++ b/crates/bench/src/oracle/evidence.rs
@@ -45,6 +45,18 @@
     pub models: Vec<LedgerLine>,
 }
 
+impl Evidence {
+    /// Notes that all machines are back and all drains over, for those that were not before.
+    pub fn all_over(&mut self, at: Millis) {
+        for disturbance in &mut self.disturbances {
+            disturbance.until.get_or_insert(at);
+        }
+        for drain in &mut self.drains {
+            drain.until.get_or_insert(at);
+        }
+    }
+}
+
 /// A program as declared and as its ledger stands at the end.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ProgramRecord {
--- a/crates/bench/src/scenario/takeover.rs
+++ b/crates/bench/src/scenario/takeover.rs
@@ -165,7 +165,7 @@
             Loss::Drain => self.fleet.restart(engine).await?,
         }
         let healed = now();
-        self.end(healed);
+        self.client.recorder().lock().all_over(healed);
         let recovery = recover(self.fleet, self.profile, fault, healed).await;
         self.client.recorder().lock().recoveries.push(recovery);
         Ok(())
@@ -181,17 +181,6 @@
             evidence.drains.push(drain);
         }
     }
-
-    fn end(&self, healed: Millis) {
-        let recorder = self.client.recorder();
-        let mut evidence = recorder.lock();
-        for disturbance in &mut evidence.disturbances {
-            disturbance.until.get_or_insert(healed);
-        }
-        for drain in &mut evidence.drains {
-            drain.until.get_or_insert(healed);
-        }
-    }
 }
 
 /// Times from losses whose fault begins with a word to the first token of a next turn that came to its end,
