control: a core whose lease ran out by its own clock no longer spins for ever

Cause: when the lease had run out by the core's clock and its epoch was not given up yet, lead() ended at once and run() began it again without ever waiting; leadership's renewal, a branch of the same task, never ran again, so the core burned a processor and never followed another leader. Ruled out: waiting for a change of the epoch alone, as a renewal under the same epoch changes nothing and the controllers would not come back. Change: a pause of 100 ms after lead() has ended.

--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -68,6 +68,10 @@
     }
 }
 
+/// Pause after the lease has run out by this core's clock and before its epoch is given up (ours). The lease may yet be
+/// renewed under the same epoch; without a pause this task would run in circles, and the renewal in it never.
+const LAPSE_PAUSE: Duration = Duration::from_millis(100);
+
 /// Leads whenever this core holds the lease.
 pub(super) async fn run(shared: &Arc<Shared>) {
     let mut epochs = shared.leadership.watch_epoch();
@@ -75,7 +79,7 @@
         let epoch = *epochs.borrow_and_update();
         if let Some(epoch) = epoch {
             tokio::select! {
-                () = lead(shared, epoch) => {}
+                () = lead_and_pause(shared, epoch) => {}
                 _ = epochs.changed() => {}
             }
         } else if epochs.changed().await.is_err() {
@@ -84,6 +88,11 @@
     }
 }
 
+async fn lead_and_pause(shared: &Arc<Shared>, epoch: FencingEpoch) {
+    lead(shared, epoch).await;
+    tokio::time::sleep(LAPSE_PAUSE).await;
+}
+
 /// Runs all controllers under one epoch, until the lease is lost.
 async fn lead(shared: &Arc<Shared>, epoch: FencingEpoch) {
     let now = Instant::now();
