--- a/crates/bundle/src/canonical.rs
+++ b/crates/bundle/src/canonical.rs
@@ -15,6 +15,7 @@
 /// Name of the section that holds the routes.
 pub const ROUTES_SECTION: &str = "routes";
 const WINDOWS: &str = "windows";
+const HTTP: &str = "http";
 const TENANTS_PREFIX: &str = "tenants/";
 
 /// Bytes or sections that are no bundle.
@@ -97,6 +98,7 @@
     ]);
     let chunks = bundle.tenants.chunks();
     sections.extend(chunks.map(|(number, chunk)| (chunk_section(number), to_json(chunk))));
+    sections.extend(bundle.http.as_ref().map(|http| (HTTP.to_owned(), to_json(http))));
     sections
 }
 
@@ -135,6 +137,7 @@
             SERVICES => bundle.services = section(name, bytes)?,
             ROUTES_SECTION => bundle.routes = section(name, bytes)?,
             WINDOWS => bundle.windows = section(name, bytes)?,
+            HTTP => bundle.http = section(name, bytes)?,
             _ => bundle.tenants.set_chunk(chunk_number(name)?, section(name, bytes)?),
         }
     }
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod canonical;
 mod diff;
+pub mod http;
 pub mod model;
 mod parse;
 mod signature;
--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::TenantTable;
+use crate::http::HttpRouting;
 
 /// One whole bundle.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -30,6 +31,9 @@
     /// Tenants by id.
     #[serde(default)]
     pub tenants: TenantTable,
+    /// Requests that are passed through by host and path.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub http: Option<HttpRouting>,
 }
 
 /// What a service's back ends are.
--- a/crates/bundle/src/validate/mod.rs
+++ b/crates/bundle/src/validate/mod.rs
@@ -1,5 +1,6 @@
 //! Checks a bundle as a whole and reports every fault at once, each with its path.
 
+mod http;
 mod routes;
 mod services;
 mod tenants;
@@ -56,5 +57,6 @@
     routes::check(bundle, &mut faults);
     windows::check(bundle, &mut faults);
     tenants::check(bundle, &mut faults);
+    http::check(bundle, &mut faults);
     if faults.0.is_empty() { Ok(()) } else { Err(faults.0) }
 }
--- a/crates/control/src/core/repair.rs
+++ b/crates/control/src/core/repair.rs
@@ -8,6 +8,7 @@
 use hooklug_protocol::control::MemberHealth;
 use hooklug_protocol::store::{ChangeReplicas, GroupStatus};
 use hooklug_state::meta::{MetaCommand, MetaReply, MetaState, StoreRecord, StoreState};
+use hooklug_store::placement::wanted::is_superseded;
 use hooklug_store::placement::{PlannedChange, StoreReport, plan};
 use hooklug_types::NodeId;
 use tokio::time::Instant;
@@ -80,8 +81,8 @@
             signs.note(member.address.node, now);
         }
     }
-    let alive: BTreeSet<NodeId> =
-        meta.stores.iter().map(|s| s.node).filter(|node| signs.is_alive(*node, now)).collect();
+    let is_alive = |s: &&StoreRecord| signs.is_alive(s.node, now) && !is_superseded(meta, s);
+    let alive: BTreeSet<NodeId> = meta.stores.iter().filter(is_alive).map(|s| s.node).collect();
     let changes = plan(meta, &reports, &alive);
     if changes.is_empty() {
         return CALM_PAUSE;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod agent;
+pub mod backends;
 pub mod core;
 mod figures;
 pub mod handle;
--- a/crates/gateway/src/api/refusals.rs
+++ b/crates/gateway/src/api/refusals.rs
@@ -41,6 +41,8 @@
         | ShardRefusal::ReservationExceeded { .. }
         | ShardRefusal::CallHeld { .. }
         | ShardRefusal::LeaseExpired
+        | ShardRefusal::UnknownTurn
+        | ShardRefusal::Superseded
         | ShardRefusal::LeaseRenewed => Problem::try_again(detail, RETRY_SOON),
     }
 }
--- a/crates/hooklug/src/main.rs
+++ b/crates/hooklug/src/main.rs
@@ -6,7 +6,6 @@
 mod cli;
 mod command;
 mod logging;
-mod node;
 mod operator_client;
 mod table;
 
@@ -69,7 +68,7 @@
         }
     };
     logging::start(args.log_format);
-    node::run(role, settings)?;
+    hooklug_node::run(role, settings, hooklug_node::roles::usual)?;
     Ok(Outcome::Done)
 }
 
--- a/crates/hooklug/src/node/mod.rs
+++ b/crates/hooklug/src/node.rs
@@ -1,8 +1,5 @@
 //! Runs one process: identity, listeners, the node agent and the role, until it is told to stop.
 
-mod role;
-mod signals;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,7 +19,8 @@
 use tokio_util::task::TaskTracker;
 use tracing::{info, warn};
 
-use role::{Ended, RoleProcess};
+use crate::roles::{Ended, RoleProcess};
+use crate::signals;
 
 /// Most threads of a process (ours: machines are small and many).
 const MOST_THREADS: usize = 4;
@@ -33,26 +31,46 @@
 /// Longest time for the last connections to close once the role has ended (ours).
 const CLOSE_TIME: Duration = Duration::from_millis(500);
 
+/// Makes the process of a role; called anew for each run.
+pub trait BuildRole: Fn(NodeRole, &NodeContext) -> anyhow::Result<Box<dyn RoleProcess>> {}
+
+impl<F> BuildRole for F where F: Fn(NodeRole, &NodeContext) -> anyhow::Result<Box<dyn RoleProcess>> {}
+
 /// Runs a role until the process is stopped.
-pub(crate) fn run(role: NodeRole, settings: Settings) -> anyhow::Result<()> {
-    let threads = std::thread::available_parallelism().map_or(MOST_THREADS, std::num::NonZero::get);
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(threads.min(MOST_THREADS))
-        .enable_all()
-        .build()?;
-    let ended = runtime.block_on(serve(role, Arc::new(settings)));
+///
+/// # Errors
+/// When the process cannot start, or its role cannot go on.
+pub fn run(role: NodeRole, settings: Settings, build: impl BuildRole) -> anyhow::Result<()> {
+    let runtime = runtime()?;
+    let ended = runtime.block_on(serve(role, Arc::new(settings), &build));
     // Tasks that outlived the grace period end with the process.
     runtime.shutdown_background();
     ended
 }
 
-async fn serve(role: NodeRole, settings: Arc<Settings>) -> anyhow::Result<()> {
+/// One thread where there is one processor: tasks then never wait for another thread to be woken.
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    let threads = std::thread::available_parallelism().map_or(MOST_THREADS, std::num::NonZero::get);
+    if threads == 1 {
+        return tokio::runtime::Builder::new_current_thread().enable_all().build();
+    }
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads.min(MOST_THREADS))
+        .enable_all()
+        .build()
+}
+
+async fn serve(
+    role: NodeRole,
+    settings: Arc<Settings>,
+    build: &impl BuildRole,
+) -> anyhow::Result<()> {
     let stop = signals::listen()?;
     let metrics = hooklug_admin::install_metrics().context("metrics cannot be gathered")?;
     tokio::spawn(keep_up(metrics.clone()));
     loop {
         let run = Run { role, settings: settings.clone(), stop: stop.child_token() };
-        match run.execute(metrics.clone()).await? {
+        match run.execute(metrics.clone(), build).await? {
             Ended::Stopped => return Ok(()),
             Ended::Anew => info!("starting anew as another run"),
         }
@@ -74,7 +92,11 @@
 }
 
 impl Run {
-    async fn execute(self, metrics: PrometheusHandle) -> anyhow::Result<Ended> {
+    async fn execute(
+        self,
+        metrics: PrometheusHandle,
+        build: &impl BuildRole,
+    ) -> anyhow::Result<Ended> {
         let rpc = bind("rpc", self.settings.rpc).await?;
         let http = bind("http", self.settings.http).await?;
         let identity = self.identity()?;
@@ -89,7 +111,7 @@
             node: node.clone(),
             stop: self.stop.clone(),
         };
-        let process = RoleProcess::new(self.role, &context)?;
+        let process = build(self.role, &context)?;
         let agent = NodeAgent::new(
             &self.settings,
             identity.clone(),
@@ -141,7 +163,11 @@
     }
 
     /// Runs the role to its end; once the process is told to stop, for the grace period at most.
-    async fn run_role(&self, process: RoleProcess, context: &NodeContext) -> anyhow::Result<Ended> {
+    async fn run_role(
+        &self,
+        process: Box<dyn RoleProcess>,
+        context: &NodeContext,
+    ) -> anyhow::Result<Ended> {
         let running = process.run(self.stop.clone());
         tokio::pin!(running);
         tokio::select! {
--- /dev/null
+++ b/crates/ingress/src/backends.rs
@@ -0,0 +1,267 @@
+//! The back ends as this gateway knows them: the platform's list joined with what came of its own requests.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hooklug_control::backends::BackendList;
+use hooklug_protocol::backends::ListedBackend;
+use hooklug_types::{EngineId, ServiceName, ServiceVersion};
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::LoadReport;
+use crate::choice::{self, Candidate};
+use crate::load::LoadEstimate;
+use crate::versions::AllowedVersions;
+
+/// First pause after a failure in which a back end is passed over (ours); it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest such pause (ours).
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// Pause after a back end said that it has no room (ours).
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(30);
+
+/// Most of a service's back ends that may be passed over for failures (ours): beyond it the fault is likelier to be
+/// here or on the way.
+const MOST_PASSED_OVER: f64 = 0.5;
+
+/// Weight of the newest answer in the average time (ours).
+const LATENCY_WEIGHT: f64 = 0.1;
+
+/// How one request at a back end ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered well, after so long.
+    Answered(Duration),
+    /// It was answered with a failure of the back end's own.
+    Failed,
+    /// The back end had no room.
+    NoRoom,
+    /// Another back end answers at the address.
+    Stale,
+    /// No connection could be had, or the answer was lost.
+    Broken,
+    /// Its caller left, or its time was over; this says nothing of the back end.
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Backend {
+    listed: Arc<ListedBackend>,
+    load: LoadEstimate,
+    latency_ms: f64,
+    failures: u32,
+    passed_over_until: Option<Instant>,
+    no_room_until: Option<Instant>,
+    /// Another back end answered at its address.
+    stale: bool,
+}
+
+impl Backend {
+    fn new(listed: Arc<ListedBackend>) -> Self {
+        Self {
+            listed,
+            load: LoadEstimate::default(),
+            latency_ms: 0.0,
+            failures: 0,
+            passed_over_until: None,
+            no_room_until: None,
+            stale: false,
+        }
+    }
+
+    fn is_passed_over(&self, now: Instant) -> bool {
+        self.passed_over_until.is_some_and(|until| now < until)
+    }
+
+    fn has_room(&self, now: Instant) -> bool {
+        self.no_room_until.is_none_or(|until| now >= until)
+    }
+
+    fn candidate(&self, now: Instant) -> Candidate<'_> {
+        Candidate {
+            id: &self.listed.id,
+            zone: &self.listed.zone,
+            load: self.load.share(self.listed.slots, now),
+            latency_ms: self.latency_ms,
+        }
+    }
+
+    fn note(&mut self, outcome: Outcome, now: Instant) {
+        match outcome {
+            Outcome::Answered(time) => {
+                let time_ms = time.as_secs_f64() * 1_000.0;
+                let known = if self.latency_ms > 0.0 { self.latency_ms } else { time_ms };
+                self.latency_ms = known + LATENCY_WEIGHT * (time_ms - known);
+                (self.failures, self.passed_over_until) = (0, None);
+            }
+            Outcome::NoRoom => self.no_room_until = Some(now + NO_ROOM_PAUSE),
+            Outcome::Stale => self.stale = true,
+            Outcome::Failed | Outcome::Broken => {
+                let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(8));
+                self.passed_over_until = Some(now + pause.min(LONGEST_PAUSE));
+                self.failures += 1;
+            }
+            Outcome::Unknown => {}
+        }
+    }
+}
+
+/// What a back end is wanted for.
+#[derive(Debug, Clone, Copy)]
+pub enum Purpose<'a> {
+    /// A call: any will do.
+    Call,
+    /// A prompt: one that holds its prefix is better.
+    Prompt {
+        /// The first part of the prompt.
+        prefix: &'a str,
+        /// Where the session's last turn ran.
+        last: Option<&'a EngineId>,
+    },
+}
+
+/// Which back end is wanted.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Versions that may take the request.
+    pub versions: &'a AllowedVersions,
+    /// Those that have been tried already.
+    pub tried: &'a [EngineId],
+    /// What it is wanted for.
+    pub purpose: Purpose<'a>,
+}
+
+/// A chosen back end.
+#[derive(Debug, Clone)]
+pub struct Picked {
+    /// Its id.
+    pub id: EngineId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its version.
+    pub version: ServiceVersion,
+}
+
+/// All back ends that this gateway knows.
+#[derive(Debug, Default)]
+pub struct BackendTable {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    backends: HashMap<EngineId, Backend>,
+    by_service: HashMap<ServiceName, Vec<EngineId>>,
+}
+
+impl BackendTable {
+    /// Follows the platform's list. What is known of back ends that stay is kept.
+    pub fn follow(&self, list: &BackendList) {
+        let mut inner = self.lock();
+        inner.backends.retain(|id, backend| list.get(id).is_some() || backend.load.in_flight > 0);
+        inner.by_service.clear();
+        for listed in list.iter() {
+            let known = inner.backends.entry(listed.id.clone());
+            known.or_insert_with(|| Backend::new(listed.clone())).listed = listed.clone();
+            inner.by_service.entry(listed.service.clone()).or_default().push(listed.id.clone());
+        }
+    }
+
+    /// Whether the list names a back end, draining or not.
+    #[must_use]
+    pub fn is_listed(&self, id: &EngineId) -> bool {
+        self.lock().backends.contains_key(id)
+    }
+
+    /// Chooses a back end and counts the request there.
+    pub fn pick(self: &Arc<Self>, wanted: &Wanted<'_>, rng: &mut impl Rng) -> Option<Reserved> {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let id = inner.choose(wanted, now, rng)?;
+        let backend = inner.backends.get_mut(&id)?;
+        backend.load.in_flight += 1;
+        let listed = &backend.listed;
+        let picked = Picked {
+            id,
+            address: listed.address,
+            service: listed.service.clone(),
+            version: listed.version.clone(),
+        };
+        drop(inner);
+        Some(Reserved { table: self.clone(), picked, outcome: Outcome::Unknown })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn choose(&self, wanted: &Wanted<'_>, now: Instant, rng: &mut impl Rng) -> Option<EngineId> {
+        let ids = self.by_service.get(wanted.service)?;
+        let usable: Vec<&Backend> = ids
+            .iter()
+            .filter_map(|id| self.backends.get(id))
+            .filter(|b| !b.listed.draining && !b.stale)
+            .filter(|b| wanted.versions.allows(&b.listed.version))
+            .collect();
+        let untried = |b: &&&Backend| !wanted.tried.contains(&b.listed.id) && b.has_room(now);
+        let sound: Vec<&&Backend> = usable.iter().filter(|b| !b.is_passed_over(now)).collect();
+        let passed_over = (usable.len() - sound.len()) as f64;
+        let mut eligible: Vec<&Backend> =
+            sound.into_iter().copied().filter(|b| untried(&b)).collect();
+        let many_passed_over = passed_over > MOST_PASSED_OVER * usable.len() as f64;
+        if eligible.is_empty() || many_passed_over {
+            eligible = usable.iter().copied().filter(|b| untried(&b)).collect();
+        }
+        let candidates: Vec<Candidate<'_>> = eligible.iter().map(|b| b.candidate(now)).collect();
+        let chosen = match wanted.purpose {
+            Purpose::Call => choice::of_two(&candidates, rng),
+            Purpose::Prompt { prefix, last } => choice::by_prefix(&candidates, prefix, last, rng),
+        };
+        chosen.map(|candidate| candidate.id.clone())
+    }
+}
+
+/// A request's place at a back end; given up when dropped, with what came of the request.
+#[derive(Debug)]
+pub struct Reserved {
+    table: Arc<BackendTable>,
+    /// The back end.
+    pub picked: Picked,
+    outcome: Outcome,
+}
+
+impl Reserved {
+    /// Takes the back end's word on its load.
+    pub fn note_load(&self, report: LoadReport) {
+        let mut inner = self.table.lock();
+        if let Some(backend) = inner.backends.get_mut(&self.picked.id) {
+            backend.load.note(report, Instant::now());
+        }
+    }
+
+    /// Notes how the request ended; the place is given up.
+    pub fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        let mut inner = self.table.lock();
+        if let Some(backend) = inner.backends.get_mut(&self.picked.id) {
+            backend.load.in_flight = backend.load.in_flight.saturating_sub(1);
+            backend.note(self.outcome, Instant::now());
+        }
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod backends;
 pub mod control;
 pub mod copy_on_write;
 pub mod engine;
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -53,6 +53,8 @@
     ReportProbes,
     /// `control::SlotUseFigures`.
     SlotUseFigures,
+    /// `backends::WatchBackends`.
+    WatchBackends,
 }
 
 /// A request with one reply.
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -81,8 +81,14 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct StoreSettings {
+    /// Name that operators know the machine by (none: only its node id).
+    pub name: Option<String>,
     /// Empty stores that must see each other before they form a cluster (default 3; ours).
     pub expect_stores: u32,
+    /// Whether an empty store may form a cluster with others; if not, it only joins one (default true; ours).
+    pub may_form: bool,
+    /// Voters of each group: 2f + 1 bear the loss of f stores at once (default 3; brief).
+    pub voters: u32,
     /// Raft tick, in milliseconds (default 50; ours).
     pub tick_ms: u64,
     /// Ticks without a leader before an election, drawn from one to two times this (default 10; ours).
@@ -96,7 +102,10 @@
 impl Default for StoreSettings {
     fn default() -> Self {
         Self {
+            name: None,
             expect_stores: 3,
+            may_form: true,
+            voters: 3,
             tick_ms: 50,
             election_ticks: 10,
             snapshot_commands: 20_000,
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -107,6 +107,19 @@
         ("stores", Some("3")),
         "empty stores that must see each other before they form a cluster",
     ),
+    optional(
+        "store.may_form",
+        Kind::Switch,
+        ("", Some("true")),
+        "whether an empty store may form a cluster; if not, it only joins one",
+    ),
+    optional("store.name", Kind::Name, ("", None), "name that operators know the machine by"),
+    optional(
+        "store.voters",
+        Kind::Integer(1, 9),
+        ("voters", Some("3")),
+        "voters of each group; 2f + 1 bear the loss of f stores at once",
+    ),
     optional("store.tick_ms", Kind::Integer(5, 10_000), ("ms", Some("50")), "one Raft tick"),
     optional(
         "store.election_ticks",
--- a/crates/state/src/meta/command.rs
+++ b/crates/state/src/meta/command.rs
@@ -4,13 +4,14 @@
 
 use hooklug_types::{
     BundleVersion, Digest, FencingEpoch, GroupId, Incarnation, NodeId, OperatorName, Renewal,
-    UnixMillis,
+    ServiceName, ServiceVersion, UnixMillis,
 };
 use serde::{Deserialize, Serialize};
 
 use super::record::{
     BundleRecord, CoreLeader, GroupPlacement, HarmReport, MetaState, StoreRecord, StoreState,
 };
+use super::rollouts::RolloutPhase;
 
 /// A bundle that operators submit. Checked and its signatures verified by the node that forwards it,
 /// and checked again by the machine as far as versions go.
@@ -97,6 +98,40 @@
         /// The new time.
         now: UnixMillis,
     },
+    /// An operator orders that a service's requests move to a version.
+    BeginRollout {
+        /// The service.
+        service: ServiceName,
+        /// The version.
+        target: ServiceVersion,
+        /// Time in which it should be settled, in milliseconds.
+        duration_ms: u64,
+    },
+    /// Moves a roll-out on.
+    MoveRollout {
+        /// Epoch of the core leader.
+        epoch: FencingEpoch,
+        /// The service.
+        service: ServiceName,
+        /// Number of the order that was judged.
+        number: u64,
+        /// How far it is now.
+        phase: RolloutPhase,
+    },
+    /// A store tells the name that operators know its machine by.
+    NameStore {
+        /// The store.
+        node: NodeId,
+        /// The name.
+        name: String,
+    },
+    /// An operator asks for a store to be emptied; refused when too few would be left.
+    RetireStore {
+        /// The store.
+        node: NodeId,
+        /// Stores that must be left.
+        least_left: u32,
+    },
 }
 
 /// Reply to a [`MetaCommand`].
@@ -165,6 +200,15 @@
         /// What is wrong.
         reason: String,
     },
+    /// No such roll-out, or a later order took its place.
+    #[error("no such roll-out")]
+    NoRollout,
+    /// Too few stores would be left.
+    #[error("too few stores would be left: {left}")]
+    TooFewStores {
+        /// How many.
+        left: usize,
+    },
     /// Nothing to roll back: the version is not sound, or it is the only sound one.
     #[error("nothing to roll back: {reason}")]
     NothingToRollBack {
--- a/crates/state/src/meta/machine.rs
+++ b/crates/state/src/meta/machine.rs
@@ -74,6 +74,15 @@
                 self.check_fencing(epoch)?;
                 self.roll_back(harm)
             }
+            MetaCommand::BeginRollout { service, target, duration_ms } => {
+                self.begin_rollout(service, target, duration_ms)
+            }
+            MetaCommand::MoveRollout { epoch, service, number, phase } => {
+                self.check_fencing(epoch)?;
+                self.move_rollout(&service, number, phase)
+            }
+            MetaCommand::NameStore { node, name } => Ok(self.name_store(node, name)),
+            MetaCommand::RetireStore { node, least_left } => self.retire_store(node, least_left),
         }
     }
 
--- a/crates/state/src/meta/mod.rs
+++ b/crates/state/src/meta/mod.rs
@@ -9,6 +9,7 @@
 mod placement;
 pub mod record;
 mod rollback;
+mod rollouts;
 mod stores;
 
 pub use archive::KEPT_VERSIONS;
@@ -19,3 +20,4 @@
     StoreRecord, StoreState,
 };
 pub use rollback::KEPT_ROLLBACKS;
+pub use rollouts::{RolloutPhase, RolloutRecord};
--- a/crates/state/src/meta/record.rs
+++ b/crates/state/src/meta/record.rs
@@ -9,6 +9,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use super::rollouts::RolloutRecord;
+
 /// What a store is to the cluster.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreState {
@@ -126,4 +128,10 @@
     pub bundle: Option<BundleRecord>,
     /// Roll-backs that the system made, newest last, at most the last 64.
     pub rollbacks: Vec<RollbackRecord>,
+    /// Stores by the name that operators know their machines by.
+    pub store_names: BTreeMap<String, NodeId>,
+    /// The last roll-out that was ordered of each service.
+    pub rollouts: BTreeMap<ServiceName, RolloutRecord>,
+    /// Number of the last order.
+    pub last_rollout: u64,
 }
--- a/crates/state/src/meta/stores.rs
+++ b/crates/state/src/meta/stores.rs
@@ -21,6 +21,28 @@
         Ok(MetaReply::Done)
     }
 
+    /// Notes the name of a store's machine; a machine with an empty disk is a new store under the same name.
+    pub(super) fn name_store(&mut self, node: NodeId, name: String) -> MetaReply {
+        self.state.meta.store_names.insert(name, node);
+        MetaReply::Done
+    }
+
+    /// Begins to empty a store at an operator's word. Asked again it changes nothing.
+    pub(super) fn retire_store(&mut self, node: NodeId, least_left: u32) -> Outcome {
+        let stores = &mut self.state.meta.stores;
+        let left = stores.iter().filter(|s| s.state == StoreState::Active && s.node != node);
+        let left = left.count();
+        let store = stores.iter_mut().find(|s| s.node == node).ok_or(MetaRefusal::NoStore)?;
+        if store.state != StoreState::Active {
+            return Ok(MetaReply::Done);
+        }
+        if left < least_left as usize {
+            return Err(MetaRefusal::TooFewStores { left });
+        }
+        store.state = StoreState::Retiring;
+        Ok(MetaReply::Done)
+    }
+
     /// Changes what a store is to the cluster; removal is for ever.
     pub(super) fn set_store_state(&mut self, node: NodeId, state: StoreState) -> Outcome {
         let stores = &mut self.state.meta.stores;
--- /dev/null
+++ b/crates/state/src/shard/chains.rs
@@ -0,0 +1,253 @@
+//! Chained sessions: a turn may go on from any kept turn, of any session, so the turns of a program form a tree.
+//!
+//! What the ordinary sessions of this shard promise event by event is promised here turn by turn: a turn's most
+//! tokens are reserved before it runs, and it counts as kept only once its whole output is committed under the
+//! epoch that it was begun with. The host that begins a turn owns the session from then on; the epoch that moves
+//! with each beginning fences every earlier turn of the session.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use hooklug_types::{NodeId, ProgramId, SessionEpoch, SessionId, TokenCount, TurnId, UnixMillis};
+use serde::{Deserialize, Serialize};
+
+use super::command::{EndTurn, ShardRefusal, ShardReply, StartTurn, StartedTurn};
+use super::expiry::ExpiryItem;
+use super::machine::{Outcome, ShardMachine};
+
+/// All chained programs of a shard. A copy shares the programs.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(super) struct ChainedPrograms {
+    programs: BTreeMap<ProgramId, Arc<ChainedProgram>>,
+    /// Which program keeps a turn, for turns that go on from another program's.
+    keepers: BTreeMap<TurnId, ProgramId>,
+}
+
+/// One program: its ledger, its sessions' owners, its open and its ended turns.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+struct ChainedProgram {
+    /// Tokens given to the caller by ended turns.
+    spent: TokenCount,
+    sessions: BTreeMap<SessionId, Ownership>,
+    open: BTreeMap<TurnId, OpenTurn>,
+    ended: BTreeMap<TurnId, EndedTurn>,
+    /// When it is forgotten, unless it is used again.
+    forgotten_at: UnixMillis,
+    keep_ms: u64,
+}
+
+/// Who holds a session.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Ownership {
+    owner: NodeId,
+    epoch: SessionEpoch,
+}
+
+/// A turn that may be running.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct OpenTurn {
+    session: SessionId,
+    epoch: SessionEpoch,
+    reserved: TokenCount,
+    /// From here on it cannot run any more.
+    ends_by: UnixMillis,
+    after: Option<TurnId>,
+    input: Option<Bytes>,
+}
+
+/// A turn that has ended.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct EndedTurn {
+    after: Option<TurnId>,
+    /// Its input and output; `None` when it is not kept.
+    text: Option<Bytes>,
+}
+
+impl ChainedProgram {
+    /// Whether a turn may begin. The sum of what is spent and reserved stays below the budget before each
+    /// beginning, so that all turns together overdraw it by less than the most of one.
+    fn check_budget(&self, budget: TokenCount, now: UnixMillis) -> Result<(), ShardRefusal> {
+        let (over, running): (Vec<_>, Vec<_>) = self.open.values().partition(|t| t.ends_by <= now);
+        let sum = |turns: &[&OpenTurn]| turns.iter().map(|turn| turn.reserved.0).sum::<u64>();
+        let spent = self.spent.0.saturating_add(sum(&over));
+        if spent >= budget.0 {
+            return Err(ShardRefusal::BudgetSpent);
+        }
+        if spent.saturating_add(sum(&running)) >= budget.0 {
+            return Err(ShardRefusal::BudgetReserved);
+        }
+        Ok(())
+    }
+
+    /// The history up to and with a turn; `None` when it is not kept.
+    fn history(&self, turn: &TurnId) -> Option<Bytes> {
+        let mut texts = vec![self.kept(turn)?];
+        let mut earlier = self.ended[turn].after.as_ref();
+        while let Some(id) = earlier {
+            texts.push(self.kept(id)?);
+            earlier = self.ended[id].after.as_ref();
+        }
+        if let [only] = texts.as_slice() {
+            return Some((*only).clone());
+        }
+        let mut whole = BytesMut::with_capacity(texts.iter().map(|text| text.len()).sum());
+        texts.iter().rev().for_each(|text| whole.extend_from_slice(text));
+        Some(whole.freeze())
+    }
+
+    fn kept(&self, turn: &TurnId) -> Option<&Bytes> {
+        self.ended.get(turn)?.text.as_ref()
+    }
+
+    fn is_current(&self, open: &OpenTurn) -> bool {
+        self.sessions.get(&open.session).is_some_and(|s| s.epoch == open.epoch)
+    }
+
+    /// Moves the session to the host that begins a turn, under a new epoch.
+    fn take_session(
+        &mut self,
+        session: &SessionId,
+        host: NodeId,
+        floor: SessionEpoch,
+    ) -> SessionEpoch {
+        let epoch = self.sessions.get(session).map_or(floor, |s| s.epoch).next();
+        self.sessions.insert(session.clone(), Ownership { owner: host, epoch });
+        epoch
+    }
+}
+
+impl ChainedPrograms {
+    /// The history up to and with a kept turn of any program here.
+    pub(super) fn history(&self, turn: &TurnId) -> Option<Bytes> {
+        self.programs.get(self.keepers.get(turn)?)?.history(turn)
+    }
+
+    /// Ends a turn. Asked again it changes nothing.
+    pub(super) fn end_turn(&mut self, end: EndTurn, now: UnixMillis) -> Outcome {
+        let program = self.programs.get_mut(&end.key.program).ok_or(ShardRefusal::NoProgram)?;
+        let program = Arc::make_mut(program);
+        let Some(open) = program.open.remove(&end.turn) else {
+            return match program.ended.get(&end.turn) {
+                Some(ended) if ended.text.is_some() || end.output.is_none() => Ok(ShardReply::Done),
+                Some(_) => Err(ShardRefusal::Superseded),
+                None => Err(ShardRefusal::NoOpenTurn),
+            };
+        };
+        program.spent.0 = program.spent.0.saturating_add(end.tokens.0);
+        program.forgotten_at = program.forgotten_at.max(now.plus_millis(program.keep_ms));
+        let current = program.is_current(&open) && open.epoch == end.epoch;
+        let whole = current && end.output.is_some();
+        let text = match (open.input, &end.output) {
+            (Some(input), Some(output)) if whole => Some(joined(&input, output)),
+            _ => None,
+        };
+        if text.is_some() {
+            self.keepers.insert(end.turn.clone(), end.key.program);
+        }
+        program.ended.insert(end.turn, EndedTurn { after: open.after, text });
+        match whole || end.output.is_none() {
+            true => Ok(ShardReply::Done),
+            false => Err(ShardRefusal::Superseded),
+        }
+    }
+}
+
+fn joined(first: &[u8], second: &[u8]) -> Bytes {
+    let mut whole = BytesMut::with_capacity(first.len() + second.len());
+    whole.extend_from_slice(first);
+    whole.extend_from_slice(second);
+    whole.freeze()
+}
+
+impl ShardMachine {
+    /// Begins a turn. The same turn again gets the same epoch, as long as no later one has begun.
+    pub(super) fn start_turn(&mut self, start: StartTurn) -> Outcome {
+        let (now, floor) = (self.state.clock, self.state.epoch_floor);
+        let key = start.key.program.clone();
+        let chained = &mut self.state.chained;
+        let is_new = !chained.programs.contains_key(&key);
+        // A refusal must not leave an empty program behind.
+        let mut fresh = ChainedProgram::default();
+        let program = match chained.programs.get_mut(&key) {
+            Some(program) => Arc::make_mut(program),
+            None => &mut fresh,
+        };
+        let started = begin(program, start, now, floor)?;
+        let forgotten_at = program.forgotten_at;
+        if is_new {
+            chained.programs.insert(key.clone(), fresh.into());
+            self.schedule(forgotten_at, ExpiryItem::ChainedProgram(key));
+        }
+        Ok(ShardReply::Started(started))
+    }
+
+    /// Forgets a program that has not been used since its expiry was scheduled.
+    pub(super) fn forget_chained_program(&mut self, id: ProgramId) {
+        let Some(program) = self.state.chained.programs.get(&id) else { return };
+        if program.forgotten_at > self.state.clock {
+            self.schedule(program.forgotten_at, ExpiryItem::ChainedProgram(id));
+            return;
+        }
+        let Some(program) = self.state.chained.programs.remove(&id) else { return };
+        let highest = program.sessions.values().map(|session| session.epoch).max();
+        self.state.epoch_floor = self.state.epoch_floor.max(highest.unwrap_or_default());
+        for turn in program.ended.keys() {
+            if self.state.chained.keepers.get(turn) == Some(&id) {
+                self.state.chained.keepers.remove(turn);
+            }
+        }
+    }
+}
+
+fn begin(
+    program: &mut ChainedProgram,
+    start: StartTurn,
+    now: UnixMillis,
+    floor: SessionEpoch,
+) -> Result<StartedTurn, ShardRefusal> {
+    if program.ended.contains_key(&start.turn) {
+        return Err(ShardRefusal::TurnDiffers);
+    }
+    if let Some(open) = program.open.get(&start.turn) {
+        let epoch = open.epoch;
+        if !program.is_current(open) {
+            return Err(ShardRefusal::Superseded);
+        }
+        return Ok(StartedTurn { epoch, history: wanted_history(program, &start)? });
+    }
+    if let (Some(after), Some(imported)) = (&start.after, &start.imported) {
+        let import = || EndedTurn { after: None, text: Some(imported.clone()) };
+        program.ended.entry(after.clone()).or_insert_with(import);
+    }
+    let history = wanted_history(program, &start)?;
+    if let Some(budget) = start.token_budget {
+        program.check_budget(budget, now)?;
+    }
+    let epoch = program.take_session(&start.key.session, start.host, floor);
+    program.keep_ms = program.keep_ms.max(start.keep_ms);
+    program.forgotten_at =
+        program.forgotten_at.max(now.plus_millis(program.keep_ms + start.time_limit_ms));
+    let open = OpenTurn {
+        session: start.key.session,
+        epoch,
+        reserved: start.max_tokens,
+        ends_by: now.plus_millis(start.time_limit_ms),
+        after: start.after,
+        input: start.input,
+    };
+    program.open.insert(start.turn, open);
+    Ok(StartedTurn { epoch, history })
+}
+
+/// The history that a turn goes on from, if its host asks for it; the turn named must be kept either way.
+fn wanted_history(
+    program: &ChainedProgram,
+    start: &StartTurn,
+) -> Result<Option<Bytes>, ShardRefusal> {
+    let Some(after) = &start.after else { return Ok(None) };
+    if !start.wants_history {
+        return program.kept(after).map(|_| None).ok_or(ShardRefusal::UnknownTurn);
+    }
+    program.history(after).map(Some).ok_or(ShardRefusal::UnknownTurn)
+}
--- a/crates/state/src/shard/command.rs
+++ b/crates/state/src/shard/command.rs
@@ -1,8 +1,9 @@
 //! Commands of a shard and their replies (design section 3).
 
+use bytes::Bytes;
 use hooklug_types::{
     CallAttempt, CallId, CallOutcome, Digest, EndReason, EngineId, EngineIncarnation, EventSeq,
-    Incarnation, PrefixId, ProgramId, Renewal, RouteName, ServiceName, ServiceVersion,
+    Incarnation, NodeId, PrefixId, ProgramId, Renewal, RouteName, ServiceName, ServiceVersion,
     SessionEpoch, SessionKey, TenantId, TokenCount, TurnId, UnixMillis, WindowGroup,
 };
 use serde::{Deserialize, Serialize};
@@ -100,6 +101,49 @@
     pub route: RouteName,
 }
 
+/// Begins a turn of a chained session. The program and the session are opened by their first turn, the asking host
+/// becomes the session's owner, and the budget is reserved: one command, so one sync.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartTurn {
+    /// Which session.
+    pub key: SessionKey,
+    /// The turn; each attempt of a caller has an id of its own.
+    pub turn: TurnId,
+    /// The session host that asks, and owns the session from here on.
+    pub host: NodeId,
+    /// The kept turn that it goes on from.
+    pub after: Option<TurnId>,
+    /// Tokens that all turns of the program may generate; `None` without a limit.
+    pub token_budget: Option<TokenCount>,
+    /// The most that this turn generates; reserved until it ends.
+    pub max_tokens: TokenCount,
+    /// The new input, on routes that keep turns.
+    pub input: Option<Bytes>,
+    /// Whether the reply should carry the history up to `after`.
+    pub wants_history: bool,
+    /// The history up to `after`, when another program keeps that turn.
+    pub imported: Option<Bytes>,
+    /// Time after which the turn cannot run any more, in milliseconds from the commit.
+    pub time_limit_ms: u64,
+    /// How long the program and its turns are kept after its last use, in milliseconds.
+    pub keep_ms: u64,
+}
+
+/// Ends a turn that [`StartTurn`] began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndTurn {
+    /// Which session.
+    pub key: SessionKey,
+    /// The turn.
+    pub turn: TurnId,
+    /// Epoch that the turn was begun under.
+    pub epoch: SessionEpoch,
+    /// Tokens that were given to the caller.
+    pub tokens: TokenCount,
+    /// The whole output, for a turn to be kept; `None` for one that was cut or whose route keeps nothing.
+    pub output: Option<Bytes>,
+}
+
 /// A command of a shard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ShardCommand {
@@ -184,6 +228,19 @@
     },
     /// Several commands in one log entry; replied to one by one.
     Batch(Vec<ShardCommand>),
+    /// Begins a turn of a chained session. Reply: `Started`.
+    StartTurn(StartTurn),
+    /// Ends a turn of a chained session and settles its reservation. Reply: `Done`.
+    EndTurn(EndTurn),
+}
+
+/// A turn of a chained session that may run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartedTurn {
+    /// Epoch of the session; its end must name it.
+    pub epoch: SessionEpoch,
+    /// The history up to the turn that it goes on from, when asked for.
+    pub history: Option<Bytes>,
 }
 
 /// What a begun turn may do.
@@ -223,6 +280,8 @@
     Refused(ShardRefusal),
     /// Replies to a batch, in its order.
     Batch(Vec<ShardReply>),
+    /// The turn of a chained session may run.
+    Started(StartedTurn),
 }
 
 /// Why a command was refused.
@@ -305,6 +364,12 @@
     /// A renewal came after the one that was judged.
     #[error("the lease was renewed since")]
     LeaseRenewed,
+    /// The turn to go on from is not kept in this shard.
+    #[error("no such turn is kept")]
+    UnknownTurn,
+    /// A later turn of the session was begun; this one can no longer be kept.
+    #[error("a later turn of the session has begun")]
+    Superseded,
 }
 
 /// Keys used by the leader's lease timers.
--- a/crates/state/src/shard/expiry.rs
+++ b/crates/state/src/shard/expiry.rs
@@ -27,6 +27,8 @@
     Session(SessionKey),
     /// A program past its end, with all that is left of it.
     Program(ProgramId),
+    /// A chained program that has not been used for its keep time.
+    ChainedProgram(ProgramId),
 }
 
 /// What is forgotten and when, in order. A copy shares its slots.
@@ -97,6 +99,7 @@
                 }
             }
             ExpiryItem::Program(program) => self.forget_program(program),
+            ExpiryItem::ChainedProgram(program) => self.forget_chained_program(program),
         }
     }
 
--- a/crates/state/src/shard/machine.rs
+++ b/crates/state/src/shard/machine.rs
@@ -10,6 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use super::chains::ChainedPrograms;
 use super::command::{ShardCommand, ShardRefusal, ShardReply};
 use super::event_log::EventLog;
 use super::expiry::{ExpiryItem, ExpiryQueue};
@@ -59,6 +60,8 @@
     pub expiry: ExpiryQueue,
     /// Highest epoch of any forgotten session: one that is opened anew never repeats an epoch.
     pub epoch_floor: SessionEpoch,
+    /// Programs whose sessions are chains of kept turns.
+    pub chained: ChainedPrograms,
 }
 
 /// The state machine of one shard (design section 3).
@@ -111,6 +114,8 @@
             ShardCommand::ExpireLease { holder, renewal } => self.expire_lease(holder, renewal),
             ShardCommand::AdvanceClock { now } => Ok(self.advance_clock(now)),
             ShardCommand::Batch(commands) => Ok(self.apply_command(ShardCommand::Batch(commands))),
+            ShardCommand::StartTurn(start) => self.start_turn(start),
+            ShardCommand::EndTurn(end) => self.state.chained.end_turn(end, self.state.clock),
         }
     }
 
@@ -140,6 +145,7 @@
                 ShardAnswer::OpenSessions(self.open_sessions(after.as_ref(), *limit))
             }
             ShardQuery::Clock => ShardAnswer::Clock(self.state.clock),
+            ShardQuery::History(turn) => ShardAnswer::History(self.state.chained.history(turn)),
         }
     }
 
--- a/crates/state/src/shard/mod.rs
+++ b/crates/state/src/shard/mod.rs
@@ -1,6 +1,7 @@
 //! The shard: programs with their budgets, sessions, turns, calls and engine leases.
 
 mod calls;
+mod chains;
 pub mod command;
 pub mod event;
 mod event_log;
@@ -14,8 +15,8 @@
 mod turns;
 
 pub use command::{
-    BeginCall, BeginTurn, FinishTurn, OpenSession, PutProgram, ShardCommand, ShardRefusal,
-    ShardReply, TakeSession, TurnGrant,
+    BeginCall, BeginTurn, EndTurn, FinishTurn, OpenSession, PutProgram, ShardCommand, ShardRefusal,
+    ShardReply, StartTurn, StartedTurn, TakeSession, TurnGrant,
 };
 pub use event::{Event, EventBody};
 pub use event_log::EventLog;
--- a/crates/state/src/shard/query.rs
+++ b/crates/state/src/shard/query.rs
@@ -1,5 +1,6 @@
 //! Reads of a shard and the records that they return.
 
+use bytes::Bytes;
 use hooklug_types::{
     CallAttempt, CallId, CallOutcome, Digest, EndReason, EngineIncarnation, EventSeq, PrefixId,
     ProgramId, Renewal, RouteName, ServiceName, ServiceVersion, SessionEpoch, SessionKey, TenantId,
@@ -156,6 +157,8 @@
     },
     /// The group's clock.
     Clock,
+    /// The history up to and with a kept turn of a chained session, whichever program keeps it.
+    History(TurnId),
 }
 
 /// Answer to a [`ShardQuery`]; `None` means that there is no such record.
@@ -182,4 +185,6 @@
     OpenSessions(Vec<SessionRecord>),
     /// The group's clock.
     Clock(UnixMillis),
+    /// A history.
+    History(Option<Bytes>),
 }
--- a/crates/store/src/begin.rs
+++ b/crates/store/src/begin.rs
@@ -75,6 +75,9 @@
     if until_done(shared, &MetaCommand::RegisterStore(shared.record())).await {
         info!(node = %shared.node(), "registered with the cluster");
     }
+    if let Some(name) = shared.settings.store.name.clone() {
+        until_done(shared, &MetaCommand::NameStore { node: shared.node(), name }).await;
+    }
 }
 
 /// Sends a command until the meta group says that it is done, or refuses it for good.
--- a/crates/store/src/formation.rs
+++ b/crates/store/src/formation.rs
@@ -14,7 +14,7 @@
 use hooklug_types::{Incarnation, NodeId};
 
 use crate::data_folder::Membership;
-use crate::placement::initial;
+use crate::placement::{VOTERS, initial};
 
 /// How long an answer counts.
 const SEEN_TIME: Duration = Duration::from_secs(1);
@@ -34,6 +34,8 @@
 pub struct FormationView {
     own: StoreRecord,
     expect_stores: usize,
+    voters: usize,
+    may_form: bool,
     empty: BTreeMap<NodeId, Seen>,
     changed: Instant,
 }
@@ -42,7 +44,26 @@
     /// Nothing heard yet.
     #[must_use]
     pub fn new(own: StoreRecord, expect_stores: usize, now: Instant) -> Self {
-        Self { own, expect_stores, empty: BTreeMap::new(), changed: now }
+        Self {
+            own,
+            expect_stores,
+            voters: VOTERS,
+            may_form: true,
+            empty: BTreeMap::new(),
+            changed: now,
+        }
+    }
+
+    /// The same with this many voters in each group.
+    #[must_use]
+    pub fn with_voters(self, voters: usize) -> Self {
+        Self { voters, ..self }
+    }
+
+    /// The same, forming no cluster if not allowed: such a store only joins one.
+    #[must_use]
+    pub fn with_forming(self, may_form: bool) -> Self {
+        Self { may_form, ..self }
     }
 
     /// Notes an answer of another store that is a member of no cluster.
@@ -75,13 +96,13 @@
     pub fn plan(&self, cluster: u64, now: Instant) -> Option<FormationPlan> {
         let enough = self.empty.len() + 1 >= self.expect_stores;
         let settled = now.saturating_duration_since(self.changed) >= SETTLE_TIME;
-        if !enough || !settled || !self.is_lowest(self.own.node) {
+        if !self.may_form || !enough || !settled || !self.is_lowest(self.own.node) {
             return None;
         }
         let others = self.empty.values().map(|seen| seen.record.clone());
         let mut stores: Vec<StoreRecord> = others.chain([self.own.clone()]).collect();
         stores.sort_by_key(|store| store.node);
-        let placements = initial::placements(&stores);
+        let placements = initial::placements(&stores, self.voters);
         Some(FormationPlan { cluster, coordinator: self.own.node, stores, placements })
     }
 
@@ -90,7 +111,7 @@
     pub fn may_promise(&self, plan: &FormationPlan) -> bool {
         let takes_part = plan.stores.iter().any(|store| store.node == self.own.node);
         let enough = plan.stores.len() >= self.expect_stores;
-        takes_part && enough && self.is_lowest(plan.coordinator)
+        self.may_form && takes_part && enough && self.is_lowest(plan.coordinator)
     }
 
     fn is_lowest(&self, node: NodeId) -> bool {
--- a/crates/store/src/placement/initial.rs
+++ b/crates/store/src/placement/initial.rs
@@ -3,22 +3,22 @@
 use hooklug_state::meta::{GroupPlacement, StoreRecord};
 use hooklug_types::GroupId;
 
+use super::LEARNERS;
 use super::choice::{Loads, best_store};
-use super::{LEARNERS, VOTERS};
 
 /// Placements of all groups over the stores that form a cluster: voters in different zones as far as
 /// there are so many, a learner on a further store, evenly spread.
 #[must_use]
-pub fn placements(stores: &[StoreRecord]) -> Vec<(GroupId, GroupPlacement)> {
+pub fn placements(stores: &[StoreRecord], voters: usize) -> Vec<(GroupId, GroupPlacement)> {
     let mut loads = Loads::default();
-    GroupId::all().map(|group| (group, place(stores, &mut loads))).collect()
+    GroupId::all().map(|group| (group, place(stores, voters, &mut loads))).collect()
 }
 
-fn place(stores: &[StoreRecord], loads: &mut Loads) -> GroupPlacement {
+fn place(stores: &[StoreRecord], voters: usize, loads: &mut Loads) -> GroupPlacement {
     let mut placement = GroupPlacement::default();
     let mut zones = Vec::new();
-    for slot in 0..VOTERS + LEARNERS {
-        let is_voter = slot < VOTERS;
+    for slot in 0..voters + LEARNERS {
+        let is_voter = slot < voters;
         let taken = |store: &&StoreRecord| {
             !placement.voters.contains(&store.node) && !placement.learners.contains(&store.node)
         };
--- a/crates/store/src/placement/mod.rs
+++ b/crates/store/src/placement/mod.rs
@@ -16,7 +16,7 @@
 use hooklug_state::meta::{GroupPlacement, MetaState};
 use hooklug_types::{GroupId, NodeId};
 
-/// Voters of each group (design section 3).
+/// Fewest voters of each group (design section 3). A group that began with more keeps as many.
 pub const VOTERS: usize = 3;
 
 /// Learners of each group.
--- a/crates/store/src/placement/wanted.rs
+++ b/crates/store/src/placement/wanted.rs
@@ -83,13 +83,14 @@
         }
     }
     placement.learners.retain(|node| scene.is_usable(*node));
-    while placement.voters.len() + placement.learners.len() < VOTERS + LEARNERS {
+    let voters = VOTERS.max(current.voters.len());
+    while placement.voters.len() + placement.learners.len() < voters + LEARNERS {
         let Some(store) = free_store(scene, &placement, loads) else { break };
         placement.learners.push(store);
         loads.add_learner(store);
     }
     // A group that began with fewer stores grows to its full number of voters.
-    if placement.voters.len() < VOTERS
+    if placement.voters.len() < voters
         && let Some(learner) = successor(scene, group, &placement, NodeId::default())
     {
         placement.learners.retain(|node| *node != learner);
@@ -223,7 +224,9 @@
     leaving.map(|store| store.node).filter(move |node| !is_in_use(meta, reports, *node))
 }
 
-fn is_superseded(meta: &MetaState, store: &StoreRecord) -> bool {
+/// Whether a newer node has taken a store's address: its disk is lost, and it will not come back.
+#[must_use]
+pub fn is_superseded(meta: &MetaState, store: &StoreRecord) -> bool {
     meta.stores.iter().any(|other| {
         other.node != store.node
             && other.address == store.address
--- a/crates/store/src/shared.rs
+++ b/crates/store/src/shared.rs
@@ -151,5 +151,8 @@
 /// Nothing heard yet.
 pub(crate) fn empty_view(settings: &Settings, identity: &LocalIdentity) -> FormationView {
     let expected = usize::try_from(settings.store.expect_stores).unwrap_or(usize::MAX);
+    let voters = usize::try_from(settings.store.voters).unwrap_or(usize::MAX);
     FormationView::new(own_record(identity), expected, Instant::now())
+        .with_voters(voters)
+        .with_forming(settings.store.may_form)
 }
--- a/crates/store/tests/placement.rs
+++ b/crates/store/tests/placement.rs
@@ -5,7 +5,7 @@
 use hooklug_protocol::store::{MemberProgress, ReplicaStatus};
 use hooklug_raft::{ConfChange, ConfState, Role};
 use hooklug_state::meta::{GroupPlacement, MetaState, StoreRecord, StoreState};
-use hooklug_store::placement::{PlannedChange, StoreReport, initial, plan};
+use hooklug_store::placement::{PlannedChange, StoreReport, VOTERS, initial, plan};
 use hooklug_types::{GroupId, Incarnation, NodeId, ZoneName};
 use proptest::prelude::*;
 
@@ -32,7 +32,7 @@
 impl Model {
     fn new(zones: &[u64]) -> Self {
         let stores: Vec<_> = zones.iter().zip(1..).map(|(zone, n)| store(n, *zone)).collect();
-        let placements: BTreeMap<_, _> = initial::placements(&stores).into_iter().collect();
+        let placements: BTreeMap<_, _> = initial::placements(&stores, VOTERS).into_iter().collect();
         let conf = |p: &GroupPlacement| ConfState {
             voters: p.voters.iter().copied().collect(),
             learners: p.learners.iter().copied().collect(),
--- a/crates/types/src/counters.rs
+++ b/crates/types/src/counters.rs
@@ -67,6 +67,12 @@
         Self(self.0.saturating_add(u64::try_from(span.as_millis()).unwrap_or(u64::MAX)))
     }
 
+    /// This instant moved on by milliseconds.
+    #[must_use]
+    pub fn plus_millis(self, millis: u64) -> Self {
+        Self(self.0.saturating_add(millis))
+    }
+
     /// The span until a later instant, zero when it has passed.
     #[must_use]
     pub fn until(self, later: Self) -> std::time::Duration {
