--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -14,7 +14,7 @@
 
 use super::engines::EngineTable;
 use super::members::MemberTable;
-use super::{Shared, repair, rollout};
+use super::{Shared, orders, repair, rollout};
 use crate::figures;
 use crate::judge::JudgedVersion;
 use crate::view::first_revision;
@@ -108,6 +108,7 @@
         tokio::join!(
             refresh_meta(shared, &leading),
             rollout::run(shared, &leading),
+            orders::run(shared, &leading),
             repair::run(shared, &leading),
         );
     };
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod leader;
 pub mod leadership;
 pub mod members;
+pub mod orders;
 pub mod platform;
 pub mod probe;
 mod published;
--- /dev/null
+++ b/crates/control/tests/orders.rs
@@ -0,0 +1,128 @@
+//! Ordered roll-outs step by step: good versions are completed in time, bad ones are turned back early.
+
+use hooklug_control::core::orders::{Evidence, evidence, next_phase};
+use hooklug_protocol::control::{LATENCY_BUCKETS, VersionStatistics};
+use hooklug_state::meta::{RolloutPhase, RolloutRecord};
+use hooklug_types::{RouteName, ServiceName, ServiceVersion, UnixMillis};
+
+fn service() -> ServiceName {
+    ServiceName::new("advisor").unwrap()
+}
+
+fn record() -> RolloutRecord {
+    RolloutRecord {
+        number: 1,
+        target: ServiceVersion::new("v2").unwrap(),
+        phase: RolloutPhase::Trial { share_permille: 0 },
+        begun: UnixMillis(0),
+        due: UnixMillis(12_000),
+    }
+}
+
+fn seen(
+    version: &str,
+    route: &str,
+    successes: u64,
+    failures: u64,
+    bucket: usize,
+) -> VersionStatistics {
+    let mut latency = [0; LATENCY_BUCKETS];
+    latency[bucket] = successes + failures;
+    VersionStatistics {
+        service: service(),
+        version: ServiceVersion::new(version).unwrap(),
+        route: RouteName::new(route).unwrap(),
+        successes,
+        failures,
+        latency,
+    }
+}
+
+const GOOD: Evidence = Evidence { samples: 100, is_harmful: false };
+
+/// Runs a roll-out with a look every fiftieth of its time.
+fn run(evidence: impl Fn(f64) -> Evidence) -> Vec<(f64, RolloutPhase)> {
+    let mut phase = record().phase;
+    let mut phases = Vec::new();
+    for look in 0..50 {
+        let part = f64::from(look) / 50.0;
+        phase = next_phase(phase, part, evidence(part));
+        phases.push((part, phase));
+    }
+    phases
+}
+
+fn share(phase: RolloutPhase) -> f64 {
+    match phase {
+        RolloutPhase::Trial { share_permille } => f64::from(share_permille) / 1_000.0,
+        RolloutPhase::Shifted | RolloutPhase::Completed => 1.0,
+        RolloutPhase::RolledBack => 0.0,
+    }
+}
+
+#[test]
+fn a_good_version_is_completed_before_its_time_is_over() {
+    let phases = run(|_| GOOD);
+    assert_eq!(phases.last().map(|(_, phase)| *phase), Some(RolloutPhase::Completed));
+    let shifted = phases.iter().filter(|(_, phase)| *phase == RolloutPhase::Shifted).count();
+    assert!(shifted >= 5, "older engines need time to end what they run");
+}
+
+#[test]
+fn less_than_a_tenth_of_all_requests_goes_to_the_target_before_it_gets_all() {
+    let phases = run(|_| GOOD);
+    let before = phases.iter().take_while(|(_, phase)| *phase != RolloutPhase::Shifted);
+    let exposed: f64 = before.map(|(_, phase)| share(*phase) / 50.0).sum();
+    assert!(exposed < 0.1, "{exposed}");
+}
+
+#[test]
+fn harm_at_any_time_turns_it_back_for_good() {
+    for begins in 0..45 {
+        let begins = f64::from(begins) / 50.0;
+        let phases = run(|part| Evidence { samples: 100, is_harmful: part == begins });
+        assert_eq!(phases.last().map(|(_, phase)| *phase), Some(RolloutPhase::RolledBack));
+    }
+}
+
+#[test]
+fn a_version_that_nobody_has_met_stays_on_trial() {
+    let phases = run(|_| Evidence::default());
+    assert!(phases.iter().all(|(_, phase)| share(*phase) <= 0.05));
+}
+
+#[test]
+fn errors_on_one_route_are_harm() {
+    let figures = [
+        seen("v1", "ask", 200, 1, 7),
+        seen("v2", "ask", 12, 0, 7),
+        seen("v1", "plan", 100, 0, 7),
+        seen("v2", "plan", 3, 5, 7),
+    ];
+    assert!(evidence(&service(), &record(), &figures).is_harmful);
+}
+
+#[test]
+fn answers_that_come_several_times_slower_are_harm() {
+    let figures = [seen("v1", "ask", 200, 0, 7), seen("v2", "ask", 12, 0, 10)];
+    assert!(evidence(&service(), &record(), &figures).is_harmful);
+}
+
+#[test]
+fn the_same_errors_and_times_as_before_are_no_harm() {
+    let figures = [
+        seen("v1", "ask", 200, 20, 7),
+        seen("v2", "ask", 18, 2, 7),
+        seen("v1", "plan", 100, 0, 10),
+        seen("v2", "plan", 9, 0, 10),
+    ];
+    let found = evidence(&service(), &record(), &figures);
+    assert_eq!(found, Evidence { samples: 29, is_harmful: false });
+}
+
+#[test]
+fn another_services_figures_say_nothing() {
+    let mut other = seen("v2", "ask", 0, 50, 7);
+    other.service = ServiceName::new("other").unwrap();
+    assert!(!evidence(&service(), &record(), &[seen("v1", "ask", 100, 0, 7), other]).is_harmful);
+}
--- /dev/null
+++ b/crates/ingress/tests/pure.rs
@@ -0,0 +1,177 @@
+//! The pure parts: routes, events, choice of back ends, loads.
+
+use std::time::Duration;
+
+use hooklug_bundle::http::{HttpRoute, HttpRouting, RepeatRule, WeightedService};
+use hooklug_ingress::LoadReport;
+use hooklug_ingress::choice::{Candidate, by_prefix, of_two};
+use hooklug_ingress::load::LoadEstimate;
+use hooklug_ingress::routes::{RouteTable, pick_service};
+use hooklug_ingress::sse::EventReader;
+use hooklug_types::{EngineId, RouteName, ServiceName, ZoneName};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+const SEED: u64 = 7;
+
+fn service(name: &str, weight: u32) -> WeightedService {
+    WeightedService { service: ServiceName::new(name).unwrap(), weight }
+}
+
+fn route(host: &str, path_prefix: &str) -> HttpRoute {
+    HttpRoute {
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        repeat: RepeatRule::Once,
+        streaming: false,
+        keep_ms: None,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        priority: 0,
+        max_attempts: 1,
+        sticky: false,
+        backends: vec![service("one", 1)],
+    }
+}
+
+fn routing(routes: &[(&str, &str, &str)]) -> HttpRouting {
+    let named = |(name, host, prefix): &(&str, &str, &str)| {
+        (RouteName::new(name).unwrap(), route(host, prefix))
+    };
+    HttpRouting { routes: routes.iter().map(named).collect(), ..HttpRouting::default() }
+}
+
+fn found(table: &RouteTable, host: &str, path: &str) -> Option<String> {
+    table.find(host, path).map(|route| route.name.to_string())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new(&routing(&[
+        ("short", "a.example", "/x/"),
+        ("long", "a.example", "/x/y/"),
+        ("other", "b.example", "/x/"),
+    ]));
+    assert_eq!(found(&table, "a.example", "/x/1").as_deref(), Some("short"));
+    assert_eq!(found(&table, "A.example:80", "/x/y/1").as_deref(), Some("long"));
+    assert_eq!(found(&table, "b.example", "/x/y/1").as_deref(), Some("other"));
+    assert_eq!(found(&table, "a.example", "/y/"), None);
+    assert_eq!(found(&table, "c.example", "/x/1"), None);
+}
+
+#[test]
+fn pools_are_drawn_by_weight_and_those_of_no_weight_never() {
+    println!("seed {SEED}");
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let backends = vec![service("none", 0), service("some", 1), service("most", 9)];
+    let weighted = HttpRoute { backends, ..route("a", "/") };
+    let draws: Vec<_> = (0..1_000).filter_map(|_| pick_service(&weighted, &mut rng)).collect();
+    let of = |name: &str| draws.iter().filter(|drawn| drawn.as_str() == name).count();
+    assert_eq!(of("none"), 0);
+    assert!((50..200).contains(&of("some")), "{}", of("some"));
+    assert_eq!(of("some") + of("most"), 1_000);
+}
+
+#[test]
+fn events_are_read_whatever_the_line_ends() {
+    let mut reader = EventReader::default();
+    let events =
+        reader.read(b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata:c\r\n\r\n: note\n\ndata: d");
+    assert_eq!(events, ["a", "b\nc"]);
+    assert_eq!(reader.read(b"\n\n"), ["d"]);
+}
+
+proptest! {
+    #[test]
+    fn events_do_not_depend_on_how_the_bytes_arrive(cuts in prop::collection::vec(1_usize..9, 1..40)) {
+        let stream = b"id: 1\ndata: first\n\nid: 2\r\ndata: sec\r\ndata: ond\r\n\r\ndata\n\ndata: x\n\n";
+        let whole = EventReader::default().read(stream);
+        let (mut reader, mut events, mut rest) = (EventReader::default(), Vec::new(), &stream[..]);
+        for cut in cuts.into_iter().cycle() {
+            let (piece, left) = rest.split_at(cut.min(rest.len()));
+            events.extend(reader.read(piece));
+            rest = left;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        prop_assert_eq!(events, whole);
+    }
+}
+
+struct Fleet {
+    ids: Vec<EngineId>,
+    zone: ZoneName,
+}
+
+impl Fleet {
+    fn of(count: usize) -> Self {
+        let ids = (0..count).map(|number| EngineId::new(format!("e{number}")).unwrap()).collect();
+        Self { ids, zone: ZoneName::new("z").unwrap() }
+    }
+
+    fn candidates(&self, load: impl Fn(usize) -> f64) -> Vec<Candidate<'_>> {
+        let candidate = |(number, id)| Candidate {
+            id,
+            zone: &self.zone,
+            load: load(number),
+            latency_ms: 100.0,
+        };
+        self.ids.iter().enumerate().map(candidate).collect()
+    }
+}
+
+#[test]
+fn the_same_prefix_meets_the_same_engine_while_it_has_room() {
+    println!("seed {SEED}");
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let fleet = Fleet::of(9);
+    let calm = fleet.candidates(|_| 0.1);
+    let first = by_prefix(&calm, "shared", None, &mut rng).unwrap().id.clone();
+    for _ in 0..20 {
+        assert_eq!(*by_prefix(&calm, "shared", None, &mut rng).unwrap().id, first);
+    }
+    let place = fleet.ids.iter().position(|id| *id == first).unwrap();
+    let busy = fleet.candidates(|number| if number == place { 0.9 } else { 0.1 });
+    assert_ne!(*by_prefix(&busy, "shared", None, &mut rng).unwrap().id, first);
+}
+
+#[test]
+fn a_session_stays_at_its_engine_while_it_has_room() {
+    println!("seed {SEED}");
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let fleet = Fleet::of(9);
+    for last in &fleet.ids {
+        let calm = fleet.candidates(|_| 0.7);
+        assert_eq!(by_prefix(&calm, "shared", Some(last), &mut rng).unwrap().id, last);
+        let full = fleet.candidates(|_| 0.95);
+        assert!(by_prefix(&full, "shared", Some(last), &mut rng).is_some());
+    }
+}
+
+#[test]
+fn of_two_engines_the_one_with_room_is_chosen() {
+    println!("seed {SEED}");
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let fleet = Fleet::of(2);
+    let candidates = fleet.candidates(|number| if number == 0 { 1.2 } else { 0.4 });
+    for _ in 0..20 {
+        assert_eq!(*of_two(&candidates, &mut rng).unwrap().id, fleet.ids[1]);
+    }
+    assert!(of_two(&[], &mut rng).is_none());
+    assert!(by_prefix(&[], "shared", None, &mut rng).is_none());
+}
+
+#[test]
+fn what_others_sent_to_an_engine_fades_with_the_age_of_its_report() {
+    let began = Instant::now();
+    let mut load = LoadEstimate { in_flight: 2, ..LoadEstimate::default() };
+    load.note(LoadReport { running: 6, waiting: 1, slots: 8 }, began);
+    assert!((load.requests(began) - 7.0).abs() < 1e-9);
+    load.in_flight = 3;
+    assert!((load.requests(began) - 8.0).abs() < 1e-9);
+    assert!((load.share(64, began) - 1.0).abs() < 1e-9, "the engine's own word on its slots");
+    assert!((load.requests(began + Duration::from_secs(60)) - 3.0).abs() < 1e-9);
+}
--- /dev/null
+++ b/crates/state/tests/shard_chains.rs
@@ -0,0 +1,262 @@
+//! Chained sessions: trees of turns, budgets over all turns of a program, ownership that moves with each turn.
+
+mod common;
+
+use bytes::Bytes;
+use common::{at, key, program, turn};
+use hooklug_state::StateMachine;
+use hooklug_state::shard::{
+    EndTurn, ShardAnswer, ShardCommand, ShardMachine, ShardQuery, ShardRefusal, ShardReply,
+    StartTurn, StartedTurn,
+};
+use hooklug_types::{NodeId, SessionEpoch, TokenCount};
+use proptest::prelude::*;
+
+const TIME_LIMIT_MS: u64 = 5_000;
+const KEEP_MS: u64 = 60_000;
+
+fn start(session: &str, name: &str) -> StartTurn {
+    StartTurn {
+        key: key(session),
+        turn: turn(name),
+        host: NodeId(1),
+        after: None,
+        token_budget: Some(TokenCount(100)),
+        max_tokens: TokenCount(40),
+        input: Some(Bytes::from(format!("[{name} asks]"))),
+        wants_history: true,
+        imported: None,
+        time_limit_ms: TIME_LIMIT_MS,
+        keep_ms: KEEP_MS,
+    }
+}
+
+fn after(session: &str, name: &str, earlier: &str) -> StartTurn {
+    StartTurn { after: Some(turn(earlier)), ..start(session, name) }
+}
+
+fn end(session: &str, name: &str, epoch: u64, tokens: u64) -> EndTurn {
+    EndTurn {
+        key: key(session),
+        turn: turn(name),
+        epoch: SessionEpoch(epoch),
+        tokens: TokenCount(tokens),
+        output: Some(Bytes::from(format!("({name} says)"))),
+    }
+}
+
+fn machine() -> ShardMachine {
+    ShardMachine::new(common::KEEP)
+}
+
+fn begun(shard: &mut ShardMachine, command: StartTurn) -> StartedTurn {
+    match shard.apply_command(ShardCommand::StartTurn(command)) {
+        ShardReply::Started(started) => started,
+        other => panic!("not started: {other:?}"),
+    }
+}
+
+fn refused(shard: &mut ShardMachine, command: ShardCommand) -> ShardRefusal {
+    match shard.apply_command(command) {
+        ShardReply::Refused(refusal) => refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+fn ended(shard: &mut ShardMachine, command: EndTurn) {
+    assert_eq!(shard.apply_command(ShardCommand::EndTurn(command)), ShardReply::Done);
+}
+
+fn text(history: Option<Bytes>) -> String {
+    String::from_utf8(history.expect("a history").to_vec()).expect("text")
+}
+
+#[test]
+fn several_turns_may_go_on_from_one_and_each_gets_its_own_history() {
+    let mut shard = machine();
+    let first = begun(&mut shard, start("s", "t1"));
+    assert_eq!(first.history, None);
+    ended(&mut shard, end("s", "t1", first.epoch.0, 10));
+    let second = begun(&mut shard, after("s", "t2", "t1"));
+    assert_eq!(text(second.history), "[t1 asks](t1 says)");
+    ended(&mut shard, end("s", "t2", second.epoch.0, 10));
+    // A sub-agent, in a session of its own, goes on from the first turn too.
+    let other = begun(&mut shard, after("x", "t3", "t1"));
+    assert_eq!(text(other.history), "[t1 asks](t1 says)");
+    let third = begun(&mut shard, after("s", "t4", "t2"));
+    assert_eq!(text(third.history), "[t1 asks](t1 says)[t2 asks](t2 says)");
+}
+
+#[test]
+fn a_turn_that_is_not_kept_cannot_be_gone_on_from() {
+    let mut shard = machine();
+    let unknown = ShardCommand::StartTurn(after("s", "t2", "t1"));
+    assert_eq!(refused(&mut shard, unknown.clone()), ShardRefusal::UnknownTurn);
+    let first = begun(&mut shard, start("s", "t1"));
+    // Not before its end,
+    assert_eq!(refused(&mut shard, unknown.clone()), ShardRefusal::UnknownTurn);
+    let cut = EndTurn { output: None, ..end("s", "t1", first.epoch.0, 10) };
+    ended(&mut shard, cut);
+    // and not when it was cut.
+    assert_eq!(refused(&mut shard, unknown), ShardRefusal::UnknownTurn);
+}
+
+#[test]
+fn a_later_turn_of_the_session_fences_the_earlier_one() {
+    let mut shard = machine();
+    let former = begun(&mut shard, start("s", "t1"));
+    let present = begun(&mut shard, StartTurn { host: NodeId(2), ..start("s", "t2") });
+    assert!(present.epoch > former.epoch);
+    let late = ShardCommand::EndTurn(end("s", "t1", former.epoch.0, 10));
+    assert_eq!(refused(&mut shard, late.clone()), ShardRefusal::Superseded);
+    assert_eq!(refused(&mut shard, late), ShardRefusal::Superseded, "asked again");
+    let on = ShardCommand::StartTurn(after("s", "t3", "t1"));
+    assert_eq!(refused(&mut shard, on), ShardRefusal::UnknownTurn);
+    ended(&mut shard, end("s", "t2", present.epoch.0, 10));
+}
+
+#[test]
+fn commands_may_be_repeated() {
+    let mut shard = machine();
+    let first = begun(&mut shard, start("s", "t1"));
+    assert_eq!(begun(&mut shard, start("s", "t1")), first);
+    let whole = end("s", "t1", first.epoch.0, 90);
+    ended(&mut shard, whole.clone());
+    ended(&mut shard, whole);
+    // The tokens were booked once: 10 are left, and one more turn may begin.
+    begun(&mut shard, start("s", "t2"));
+    let again = ShardCommand::StartTurn(start("s", "t1"));
+    assert_eq!(refused(&mut shard, again), ShardRefusal::TurnDiffers, "an ended turn never runs");
+}
+
+#[test]
+fn a_budget_counts_running_turns_at_their_most() {
+    let mut shard = machine();
+    for name in ["t1", "t2", "t3"] {
+        begun(&mut shard, start(name, name));
+    }
+    let fourth = ShardCommand::StartTurn(start("t4", "t4"));
+    assert_eq!(refused(&mut shard, fourth.clone()), ShardRefusal::BudgetReserved);
+    // A turn whose host died has run for its whole time: it counts at its most, for good.
+    shard.apply_command(at(TIME_LIMIT_MS));
+    assert_eq!(refused(&mut shard, fourth), ShardRefusal::BudgetSpent);
+}
+
+#[test]
+fn what_a_cut_turn_gave_is_booked_and_the_rest_is_free_again() {
+    let mut shard = machine();
+    let first = begun(&mut shard, start("s", "t1"));
+    ended(&mut shard, EndTurn { output: None, ..end("s", "t1", first.epoch.0, 4) });
+    for name in ["t2", "t3", "t4"] {
+        begun(&mut shard, start(name, name));
+    }
+    let fifth = ShardCommand::StartTurn(start("t5", "t5"));
+    assert_eq!(refused(&mut shard, fifth), ShardRefusal::BudgetReserved);
+}
+
+#[test]
+fn another_programs_turn_is_found_and_brought_in() {
+    let mut shard = machine();
+    let first = begun(&mut shard, start("s", "t1"));
+    ended(&mut shard, end("s", "t1", first.epoch.0, 10));
+    let ShardAnswer::History(history) = shard.answer(&ShardQuery::History(turn("t1"))) else {
+        panic!("no history");
+    };
+    assert_eq!(text(history.clone()), "[t1 asks](t1 says)");
+    let mut other = machine();
+    let imported = StartTurn { imported: history, ..after("z", "t2", "t1") };
+    assert_eq!(text(begun(&mut other, imported).history), "[t1 asks](t1 says)");
+}
+
+#[test]
+fn a_program_is_forgotten_after_its_keep_time_but_not_while_it_is_used() {
+    let mut shard = machine();
+    let first = begun(&mut shard, start("s", "t1"));
+    ended(&mut shard, end("s", "t1", first.epoch.0, 10));
+    shard.apply_command(at(KEEP_MS - 1));
+    let second = begun(&mut shard, after("s", "t2", "t1"));
+    ended(&mut shard, end("s", "t2", second.epoch.0, 10));
+    shard.apply_command(at(2 * KEEP_MS - 2));
+    assert!(matches!(
+        shard.answer(&ShardQuery::History(turn("t1"))),
+        ShardAnswer::History(Some(_))
+    ));
+    shard.apply_command(at(3 * KEEP_MS + TIME_LIMIT_MS));
+    assert_eq!(shard.answer(&ShardQuery::History(turn("t1"))), ShardAnswer::History(None));
+    // An epoch is never given twice.
+    assert!(begun(&mut shard, start("s", "t9")).epoch > second.epoch);
+}
+
+fn commands() -> impl Strategy<Value = ShardCommand> {
+    let name = || prop::sample::select(&["t1", "t2", "t3", "t4", "t5", "t6"][..]);
+    let session = || prop::sample::select(&["s", "x"][..]);
+    let earlier = prop::option::of(name());
+    prop_oneof![
+        3 => (session(), name(), earlier, 1_u64..60).prop_map(|(s, t, a, most)| {
+            let max_tokens = TokenCount(most);
+            let after = a.map(turn);
+            ShardCommand::StartTurn(StartTurn { max_tokens, after, ..start(s, t) })
+        }),
+        3 => (session(), name(), 0_u64..8, any::<bool>()).prop_map(|(s, t, epoch, whole)| {
+            let command = end(s, t, epoch, 0);
+            let output = command.output.clone().filter(|_| whole);
+            ShardCommand::EndTurn(EndTurn { output, ..command })
+        }),
+        1 => (0_u64..3 * KEEP_MS).prop_map(at),
+    ]
+}
+
+proptest! {
+    /// Whatever runs, in whatever order: tokens that went to callers stay below the budget plus one turn's most.
+    #[test]
+    fn a_budget_is_overdrawn_by_less_than_one_turn(commands in prop::collection::vec(commands(), 1..80)) {
+        let mut shard = machine();
+        let mut most_of = std::collections::BTreeMap::new();
+        let (mut given, mut clock) = (0, 0);
+        for command in commands {
+            match command {
+                ShardCommand::StartTurn(start) => {
+                    let (name, most) = (start.turn.clone(), start.max_tokens.0);
+                    let reply = shard.apply_command(ShardCommand::StartTurn(start));
+                    if matches!(reply, ShardReply::Started(_)) {
+                        most_of.entry(name).or_insert((most, clock));
+                    }
+                }
+                ShardCommand::EndTurn(end) => {
+                    // Each turn gives its most, once, inside its time.
+                    let (most, _) = most_of.remove(&end.turn).unwrap_or((0, 0));
+                    given += most;
+                    let tokens = TokenCount(most);
+                    shard.apply_command(ShardCommand::EndTurn(EndTurn { tokens, ..end }));
+                }
+                other => {
+                    if let ShardCommand::AdvanceClock { now } = &other {
+                        clock = now.0;
+                    }
+                    // The program must not be forgotten between: its budget would begin anew.
+                    if clock < KEEP_MS {
+                        shard.apply_command(other);
+                    }
+                }
+            }
+        }
+        let running: u64 = most_of.values().map(|(most, _)| most).sum();
+        prop_assert!(given + running < 100 + 60, "{given} given, {running} running");
+    }
+
+    /// Replicas that apply the same commands, one of them from a snapshot, agree.
+    #[test]
+    fn a_snapshot_holds_all_of_it(commands in prop::collection::vec(commands(), 1..60), cut in 0_usize..60) {
+        let (mut one, mut two) = (machine(), machine());
+        for (number, command) in commands.into_iter().enumerate() {
+            if number == cut {
+                two.restore(&one.snapshot()).expect("a snapshot");
+            }
+            let reply = one.apply_command(command.clone());
+            if number >= cut {
+                prop_assert_eq!(reply, two.apply_command(command));
+            }
+        }
+        let _ = program();
+    }
+}
