--- a/crates/control/src/agent/discovery.rs
+++ b/crates/control/src/agent/discovery.rs
@@ -51,6 +51,10 @@
     let alone = !shared.reach.core_answers();
     let store_count = if alone { stores.len() } else { 1 };
     targets.extend(stores.sample(&mut rng, store_count));
+    if stores.is_empty() {
+        // A core that was asked before it knew a store will know one soon.
+        targets.extend(peers.addresses(NodeRole::Core));
+    }
     targets.retain(|target| *target != own);
     targets.sort_unstable();
     targets.dedup();
--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -15,7 +15,7 @@
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use tokio::sync::Semaphore;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use super::Shared;
 use super::sections::Section;
@@ -77,7 +77,12 @@
 
 /// The newest bundle by a linearizable read; `None` when no quorum answered.
 async fn ask_quorum(shared: &Shared) -> Option<Option<BundleRecord>> {
-    let answer = shared.state.query_meta(&MetaQuery::NewestBundle, shared.deadline()).await.ok()?;
+    let answer = shared.state.query_meta(&MetaQuery::NewestBundle, shared.deadline()).await;
+    if let Err(error) = &answer {
+        let stores = shared.stores.borrow().len();
+        debug!(%error, stores, "no quorum tells the newest bundle");
+    }
+    let answer = answer.ok()?;
     let MetaAnswer::NewestBundle(newest) = answer else { return None };
     shared.reach.store_answered();
     if let Some(record) = &newest {
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -7,10 +7,10 @@
 
 use common::{Cluster, Node, bundle, eventually};
 use hooklug_control::view::revision_epoch;
-use hooklug_protocol::control::MemberHealth;
+use hooklug_protocol::control::{Discover, MemberHealth};
 use hooklug_rpc::{LinkFault, RpcServer};
 use hooklug_state::meta::{MetaRefusal, MetaReply};
-use hooklug_types::{BundleVersion, NodeRole, Revision};
+use hooklug_types::{BundleVersion, NodeId, NodeRole, Revision};
 
 fn sees_alive(observer: &Node, other: &Node) -> bool {
     let view = observer.view();
@@ -46,6 +46,25 @@
     }
 }
 
+/// All start together, and the core that a node asks first knows no store yet. Without a leader there is no view to
+/// learn from.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_that_met_a_core_before_the_stores_did_goes_on_asking() {
+    let cluster = Cluster::new(19).await;
+    let core = cluster.start(NodeRole::Core, &[]).await;
+    core.state.set_cut(true);
+    let early = cluster.start(NodeRole::Gateway, &[core.rpc()]).await;
+    early.state.set_cut(true);
+    eventually("the core answers", || early.context.node.reach.borrow().core).await;
+    // A store that asks nobody but the core.
+    let mut store = early.context.identity.address.clone();
+    (store.node, store.role) = (NodeId(1), NodeRole::Store);
+    store.rpc = "127.19.0.200:7".parse().expect("an address");
+    let asked = Discover { from: store.clone() };
+    core.context.client.call(core.rpc(), &asked, common::deadline()).await.expect("an answer");
+    eventually("the store is known", || *early.context.node.stores.borrow() == [store.rpc]).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_node_at_a_reused_address_replaces_the_one_before() {
     let cluster = Cluster::new(12).await;
--- a/crates/store/src/data_folder.rs
+++ b/crates/store/src/data_folder.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use hooklug_protocol::store::FormationPlan;
+use hooklug_state::meta::StoreRecord;
 use hooklug_types::NodeId;
 use hooklug_wal::{Files, OsFiles, WalError, replace_file};
 use rand::RngExt;
@@ -17,6 +18,7 @@
 
 const IDENTITY_FILE: &str = "identity";
 const MEMBERSHIP_FILE: &str = "membership";
+const STORES_FILE: &str = "stores";
 const LOCK_FILE: &str = "lock";
 const GROUPS_FOLDER: &str = "groups";
 const CHECKSUM_BYTES: usize = 4;
@@ -121,6 +123,18 @@
         self.files.clone()
     }
 
+    /// The cluster's stores as last known here; none when that cannot be read, since they can be learnt again.
+    pub(crate) fn known_stores(&self) -> Vec<StoreRecord> {
+        let path = self.folder.join(STORES_FILE);
+        load(self.files.as_ref(), &path).ok().flatten().unwrap_or_default()
+    }
+
+    /// Notes the cluster's stores, so that after a loss of all power they find each other before any group has a
+    /// leader to tell them.
+    pub(crate) fn note_stores(&self, stores: &[StoreRecord]) -> Result<(), StoreError> {
+        save(self.files.as_ref(), &self.folder.join(STORES_FILE), &stores)
+    }
+
     /// What the store is to the cluster.
     pub(crate) fn membership(&self) -> Result<Membership, StoreError> {
         let path = self.folder.join(MEMBERSHIP_FILE);
--- a/crates/store/src/meta_watch.rs
+++ b/crates/store/src/meta_watch.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hooklug_state::meta::{MetaAnswer, MetaQuery, MetaState};
+use hooklug_state::meta::{MetaAnswer, MetaQuery, MetaState, StoreRecord};
 use hooklug_state::{decode, encode};
 use hooklug_types::META_GROUP;
 use tokio::time::Instant;
+use tracing::warn;
 
 use crate::StateAccess;
 use crate::shared::Shared;
@@ -24,12 +25,12 @@
     loop {
         let pause = match local(&shared).await {
             Some(meta) => {
-                publish(&shared, meta);
+                publish(&shared, meta).await;
                 LOCAL_INTERVAL
             }
             None => {
                 if let Some(meta) = remote(&shared).await {
-                    publish(&shared, meta);
+                    publish(&shared, meta).await;
                 }
                 REMOTE_INTERVAL
             }
@@ -60,10 +61,13 @@
     }
 }
 
-fn publish(shared: &Shared, meta: MetaState) {
+async fn publish(shared: &Arc<Shared>, meta: MetaState) {
     for store in &meta.stores {
         shared.addresses.note(store.node, store.incarnation, store.address);
     }
+    if shared.meta.borrow().stores != meta.stores {
+        note_stores(shared, meta.stores.clone()).await;
+    }
     shared.meta.send_if_modified(|known| {
         let differs = **known != meta;
         if differs {
@@ -73,6 +77,15 @@
     });
 }
 
+/// Writes the cluster's stores to the disk, which blocks.
+async fn note_stores(shared: &Arc<Shared>, stores: Vec<StoreRecord>) {
+    let shared = shared.clone();
+    let writing = tokio::task::spawn_blocking(move || shared.folder.note_stores(&stores));
+    if let Ok(Err(error)) = writing.await {
+        warn!(%error, "the cluster's stores are not noted on the disk");
+    }
+}
+
 /// Tells the client which stores may be asked: this one first.
 fn publish_stores(shared: &Shared) {
     let own = shared.identity.address.rpc;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -71,6 +71,9 @@
         }
         let (addresses, notes) = (AddressBook::default(), Notes::new());
         addresses.note(node, identity.address.incarnation, identity.address.rpc);
+        for store in folder.known_stores() {
+            addresses.note(store.node, store.incarnation, store.address);
+        }
         let replicator = start_groups(&settings, &folder, &client, &addresses, &notes, node)?;
         let (stores, watch_stores) = watch::channel(initial_stores(&settings, &identity));
         let access = StoreClient::new(client.clone(), watch_stores);
--- a/crates/store/tests/failures.rs
+++ b/crates/store/tests/failures.rs
@@ -188,3 +188,20 @@
     };
     entries.map(size).sum()
 }
+
+/// After a loss of all power no replica has applied anything yet, and the processes that are the seeds may come back
+/// last.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn stores_that_start_again_together_find_each_other_without_any_seed() {
+    let mut cluster = TestCluster::formed(3, fast_options()).await;
+    put_program(&cluster.client(), "program").await;
+    for number in 0..3 {
+        cluster.kill(number).await;
+    }
+    cluster.seeds.clear();
+    for number in 0..3 {
+        cluster.start(number).await;
+    }
+    assert!(has_program(&cluster.client(), "program").await);
+    cluster.until_formed().await;
+}
