--- a/crates/ingress/tests/pure.rs
+++ b/crates/ingress/tests/pure.rs
@@ -167,7 +167,8 @@
 #[test]
 fn what_others_sent_to_an_engine_fades_with_the_age_of_its_report() {
     let began = Instant::now();
-    let mut load = LoadEstimate { in_flight: 2, ..LoadEstimate::default() };
+    let mut load = LoadEstimate::default();
+    load.in_flight = 2;
     load.note(LoadReport { running: 6, waiting: 1, slots: 8 }, began);
     assert!((load.requests(began) - 7.0).abs() < 1e-9);
     load.in_flight = 3;
--- /dev/null
+++ b/crates/ingress/tests/support/mod.rs
@@ -0,0 +1,273 @@
+//! An ingress over state in memory, with stand-in back ends on loopback that misbehave as told.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+mod stand_in;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hooklug_bundle::Bundle;
+use hooklug_bundle::http::{
+    HttpRoute, HttpRouting, HttpService, ModelPool, RepeatRule, WeightedService,
+};
+use hooklug_control::backends::BackendList;
+use hooklug_control::{InstalledBundle, NodeContext, NodeFeeds, NodeHandle};
+use hooklug_ingress::{
+    AnswerBody, BackendDialect, BackendHead, Cut, Ingress, IngressAnswer, IngressContext,
+    IngressRequest, LoadReport, Outgoing, TurnRequest, Verdict,
+};
+use hooklug_protocol::backends::ListedBackend;
+use hooklug_protocol::control::NodeAddress;
+use hooklug_rpc::{LocalIdentity, RpcClient};
+use hooklug_settings::{
+    CoreSettings, GatewaySettings, OperatorSettings, Secret, Settings, StoreSettings,
+};
+use hooklug_state::meta::{BundleOrigin, BundleRecord};
+use hooklug_store::MemoryState;
+use hooklug_types::{
+    BundleVersion, EngineId, Incarnation, NodeId, NodeRole, ProgramId, RegionName, RouteName,
+    ServiceName, ServiceVersion, SessionId, TokenCount, TurnId, UnixMillis, ZoneName,
+};
+use http::response::Parts;
+use http::{HeaderMap, Method, Request, Uri};
+use http_body_util::{BodyExt, Full};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+pub use stand_in::{Behaviour, StandIn};
+
+/// Longest wait for a condition; generous, since it bounds no promise.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+pub const HOST: &str = "app.example";
+pub const TOKENS_PER_EVENT: u64 = 3;
+const SECRET: &str = "a secret of the tests";
+
+/// Header of a request's id, in requests and answers.
+pub const ID: &str = "test-id";
+/// Header of the back end that is meant.
+pub const MEANT: &str = "test-meant";
+/// Header of a back end's refusal: `full` or `other`.
+pub const NOT_RUN: &str = "test-not-run";
+
+/// The dialect of the stand-ins.
+pub struct TestDialect;
+
+impl BackendDialect for TestDialect {
+    fn request(&self, outgoing: &Outgoing<'_>) -> Request<Full<Bytes>> {
+        Request::builder()
+            .method(outgoing.request.method.clone())
+            .uri(outgoing.request.uri.clone())
+            .header("host", &outgoing.request.host)
+            .header(ID, &outgoing.request.id)
+            .header(MEANT, outgoing.backend.as_str())
+            .body(Full::new(outgoing.body.clone()))
+            .expect("a request")
+    }
+
+    fn read_head(&self, head: &Parts, request_id: &str) -> BackendHead {
+        let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let verdict = match (text(ID), text(NOT_RUN)) {
+            (id, _) if id != Some(request_id) => Verdict::Foreign,
+            (_, Some("full")) => Verdict::NoRoom,
+            (_, Some(_)) => Verdict::NotExecuted { stale: true },
+            _ => Verdict::Answer,
+        };
+        let load = Some(LoadReport { running: 0, waiting: 0, slots: 8 });
+        BackendHead { verdict, load, idle_time: None, closes: false }
+    }
+}
+
+pub struct World {
+    pub ingress: Arc<Ingress>,
+    pub state: MemoryState,
+    pub list: watch::Sender<Option<Arc<BackendList>>>,
+    pub feeds: NodeFeeds,
+}
+
+impl World {
+    /// An ingress with these back ends behind each of the routes `/once/`, `/any/`, `/kept/` and `/free/`.
+    pub async fn new(backends: &[&StandIn]) -> Self {
+        Self::on(MemoryState::default(), backends).await
+    }
+
+    /// The same over shards that another one may use too.
+    pub async fn on(state: MemoryState, backends: &[&StandIn]) -> Self {
+        let world = Self::without_bundle(state, backends);
+        world.install_bundle();
+        let ingress = world.ingress.clone();
+        tokio::spawn(async move { ingress.run().await });
+        while matches!(
+            world.ingress.serve(&call("/nowhere/", "probe")).await,
+            IngressAnswer::Refused(hooklug_ingress::Refusal::NotConfigured { .. })
+        ) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        world
+    }
+
+    pub fn without_bundle(state: MemoryState, backends: &[&StandIn]) -> Self {
+        let (handle, feeds) = NodeHandle::new();
+        let listed = backends.iter().map(|backend| listed(backend));
+        let (list, watch_list) = watch::channel(Some(Arc::new(BackendList::new(listed))));
+        let node = context(state.clone(), handle);
+        let dialect = Arc::new(TestDialect);
+        let ingress = Ingress::new(IngressContext { node, backends: watch_list, dialect });
+        Self { ingress: Arc::new(ingress), state, list, feeds }
+    }
+
+    pub fn install_bundle(&self) {
+        let bundle = bundle();
+        let record = BundleRecord {
+            version: bundle.version,
+            base: bundle.base,
+            digest: hooklug_bundle::digest(&bundle),
+            sections: hooklug_bundle::section_digests(&bundle),
+            origin: BundleOrigin::Operators(Vec::new()),
+            committed: UnixMillis(0),
+        };
+        self.feeds.bundle.send_replace(Some(Arc::new(InstalledBundle { record, bundle })));
+    }
+}
+
+fn listed(backend: &StandIn) -> ListedBackend {
+    ListedBackend {
+        id: EngineId::new(&backend.name).unwrap(),
+        service: ServiceName::new("pool").unwrap(),
+        version: ServiceVersion::new("v1").unwrap(),
+        address: backend.address,
+        zone: ZoneName::new("z1").unwrap(),
+        slots: 8,
+        draining: false,
+    }
+}
+
+fn context(state: MemoryState, node: NodeHandle) -> NodeContext {
+    let own: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let address = NodeAddress {
+        node: NodeId(5),
+        incarnation: Incarnation::at_start(),
+        role: NodeRole::Gateway,
+        rpc: own,
+        http: own,
+        zone: ZoneName::new("z1").unwrap(),
+    };
+    let identity = LocalIdentity::new(address, SECRET);
+    NodeContext {
+        settings: Arc::new(settings(own)),
+        client: RpcClient::new(identity.clone()),
+        identity,
+        state: Arc::new(state),
+        node,
+        stop: CancellationToken::new(),
+    }
+}
+
+fn settings(own: SocketAddr) -> Settings {
+    Settings {
+        rpc: own,
+        http: own,
+        zone: ZoneName::new("z1").unwrap(),
+        region: RegionName::new("local").unwrap(),
+        seeds: Vec::new(),
+        data_folder: None,
+        cluster_secret: Secret::new(SECRET),
+        grace_ms: 1_000,
+        enable_faults: false,
+        store: StoreSettings::default(),
+        engine: None,
+        gateway: GatewaySettings::default(),
+        core: CoreSettings::default(),
+        operators: OperatorSettings::default(),
+    }
+}
+
+fn bundle() -> Bundle {
+    let pool = ServiceName::new("pool").unwrap();
+    let call = HttpRoute {
+        host: HOST.to_owned(),
+        path_prefix: String::new(),
+        repeat: RepeatRule::Once,
+        streaming: false,
+        keep_ms: None,
+        timeout_ms: 20_000,
+        target_latency_ms: 400,
+        priority: 0,
+        max_attempts: 2,
+        sticky: false,
+        backends: vec![WeightedService { service: pool.clone(), weight: 1 }],
+    };
+    let turns = HttpRoute { streaming: true, max_attempts: 1, ..call.clone() };
+    let routes = [
+        ("once", call.clone()),
+        ("any", HttpRoute { repeat: RepeatRule::Repeatable, ..call }),
+        ("kept", HttpRoute { keep_ms: Some(60_000), ..turns.clone() }),
+        ("free", turns),
+    ];
+    let routes = routes.map(|(name, route)| {
+        let path_prefix = format!("/{name}/");
+        (RouteName::new(name).unwrap(), HttpRoute { path_prefix, ..route })
+    });
+    let model = ModelPool { slots: 8, memory_tokens: 100_000, tokens_per_event: TOKENS_PER_EVENT };
+    let service = HttpService { max_connections: 100, model: Some(model) };
+    let http = HttpRouting {
+        routes: routes.into_iter().collect(),
+        services: [(pool, service)].into_iter().collect(),
+        ..HttpRouting::default()
+    };
+    Bundle { version: BundleVersion(1), http: Some(http), ..Bundle::default() }
+}
+
+/// A request without a turn.
+pub fn call(path: &str, id: &str) -> IngressRequest {
+    IngressRequest {
+        id: id.to_owned(),
+        method: Method::POST,
+        uri: path.parse::<Uri>().unwrap(),
+        host: HOST.to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::from(format!("[{id}]")),
+        received: Instant::now(),
+        patience: Some(Duration::from_secs(10)),
+        turn: None,
+        prompt: Vec::new(),
+    }
+}
+
+/// A turn of the program `p`.
+pub fn turn(path: &str, id: &str, after: Option<&str>) -> IngressRequest {
+    let turn = TurnRequest {
+        program: ProgramId::new("p").unwrap(),
+        session: SessionId::new("s").unwrap(),
+        turn: TurnId::new(id).unwrap(),
+        after: after.map(|after| TurnId::new(after).unwrap()),
+        token_budget: Some(TokenCount(30)),
+        max_tokens: TokenCount(12),
+    };
+    IngressRequest { turn: Some(turn), ..call(path, id) }
+}
+
+/// Status and body of an answer that was passed on; `Err` when the body was cut.
+pub async fn passed(answer: IngressAnswer) -> (u16, Result<String, Cut>) {
+    match answer {
+        IngressAnswer::Passed(head, body) => (head.status.as_u16(), whole(body).await),
+        IngressAnswer::Refused(refusal) => panic!("refused: {refusal}"),
+    }
+}
+
+pub async fn whole(body: AnswerBody) -> Result<String, Cut> {
+    let bytes = body.collect().await?.to_bytes();
+    Ok(String::from_utf8(bytes.to_vec()).expect("text"))
+}
+
+/// Waits until a condition holds.
+pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < until, "never happened: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
