ingress: engines are chosen by tokens to read and requests before, not by share of slots

Cause: a prefix stayed at its engine up to six tenths of its slots (38 of 64), long after each token there had become slow; the busiest engine had 2.3 times the mean, and turns took seconds. Change: a model of the parts that each engine holds, by what was sent; an engine's cost is what it has to read plus 300 tokens a request before; the prefix's own order decides among equals.

--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -11,10 +11,11 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::LoadReport;
 use crate::choice::{self, Candidate};
 use crate::load::LoadEstimate;
+use crate::prompt_caches::PromptCaches;
 use crate::versions::AllowedVersions;
+use crate::{LoadReport, PromptPart};
 
 /// First pause after a failure in which a back end is passed over (ours); it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
@@ -82,10 +83,12 @@
         self.no_room_until.is_none_or(|until| now >= until)
     }
 
-    fn candidate(&self, now: Instant) -> Candidate<'_> {
+    fn candidate(&self, missing_tokens: u32, now: Instant) -> Candidate<'_> {
         Candidate {
             id: &self.listed.id,
             zone: &self.listed.zone,
+            requests: self.load.requests(now),
+            missing_tokens,
             load: self.load.share(self.listed.slots, now),
             latency_ms: self.latency_ms,
         }
@@ -116,13 +119,8 @@
 pub enum Purpose<'a> {
     /// A call: any will do.
     Call,
-    /// A prompt: one that holds its prefix is better.
-    Prompt {
-        /// The first part of the prompt.
-        prefix: &'a str,
-        /// Where the session's last turn ran.
-        last: Option<&'a EngineId>,
-    },
+    /// A prompt of these parts: one that holds them is better.
+    Prompt(&'a [PromptPart]),
 }
 
 /// Which back end is wanted.
@@ -161,6 +159,7 @@
 struct Inner {
     backends: HashMap<EngineId, Backend>,
     by_service: HashMap<ServiceName, Vec<EngineId>>,
+    caches: PromptCaches,
 }
 
 impl BackendTable {
@@ -169,6 +168,7 @@
         let mut inner = self.lock();
         inner.backends.retain(|id, backend| list.get(id).is_some() || backend.load.in_flight > 0);
         inner.by_service.clear();
+        inner.caches.retain(|id| list.get(id).is_some());
         for listed in list.iter() {
             let known = inner.backends.entry(listed.id.clone());
             known.or_insert_with(|| Backend::new(listed.clone())).listed = listed.clone();
@@ -187,6 +187,9 @@
         let now = Instant::now();
         let mut inner = self.lock();
         let id = inner.choose(wanted, now, rng)?;
+        if let Purpose::Prompt(parts) = wanted.purpose {
+            inner.caches.note(&id, parts);
+        }
         let backend = inner.backends.get_mut(&id)?;
         backend.load.in_flight += 1;
         let listed = &backend.listed;
@@ -223,10 +226,18 @@
         if eligible.is_empty() || many_passed_over {
             eligible = usable.iter().copied().filter(|b| untried(&b)).collect();
         }
-        let candidates: Vec<Candidate<'_>> = eligible.iter().map(|b| b.candidate(now)).collect();
+        let missing = |b: &Backend| match wanted.purpose {
+            Purpose::Call => 0,
+            Purpose::Prompt(parts) => self.caches.missing_tokens(&b.listed.id, parts),
+        };
+        let candidates: Vec<Candidate<'_>> =
+            eligible.iter().map(|b| b.candidate(missing(b), now)).collect();
         let chosen = match wanted.purpose {
             Purpose::Call => choice::of_two(&candidates, rng),
-            Purpose::Prompt { prefix, last } => choice::by_prefix(&candidates, prefix, last, rng),
+            Purpose::Prompt(parts) => {
+                let prefix = parts.first().map_or("", |part| part.id.as_str());
+                choice::by_prompt(&candidates, prefix)
+            }
         };
         chosen.map(|candidate| candidate.id.clone())
     }
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -2,17 +2,18 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use rand::Rng;
 use rand::seq::IndexedRandom;
-use rand::{Rng, RngExt};
 
 use hooklug_types::{EngineId, ZoneName};
 
-/// Share of an engine's slots up to which the engine that is chosen by prefix takes requests (ours): beyond it each
-/// token comes slower, and the next engine in the prefix's order is better.
-const PREFIX_LOAD_LIMIT: f64 = 0.6;
+/// Work of one request at an engine, in tokens to read (ours): what a request already there delays a new one by,
+/// mostly by the reading of its own prompt.
+const TOKENS_OF_REQUEST: f64 = 300.0;
 
-/// Share of an engine's slots up to which a session stays where its prompt is cached (ours).
-const STAY_LOAD_LIMIT: f64 = 0.85;
+/// What each further place in a prefix's order of engines counts, in tokens (ours): gateways that know nothing of each
+/// other's requests then send the same prefix to the same engines.
+const TOKENS_OF_PLACE: f64 = 120.0;
 
 /// What is known of one back end.
 #[derive(Debug, Clone, Copy)]
@@ -21,10 +22,14 @@
     pub id: &'a EngineId,
     /// Its zone.
     pub zone: &'a ZoneName,
+    /// Requests there.
+    pub requests: f64,
     /// Requests there, as a share of its slots.
     pub load: f64,
     /// Average time of its answers in milliseconds; 0 while unknown.
     pub latency_ms: f64,
+    /// Tokens of the prompt that it has to read, for prompts.
+    pub missing_tokens: u32,
 }
 
 /// The better of two random ones by expected wait.
@@ -44,30 +49,22 @@
     candidate.latency_ms.max(1.0) * (1.0 + queue)
 }
 
-/// The engine that is likeliest to hold a prompt's shared parts: the one where the session was last, while it has
-/// room; else the first with room in the order that the prefix gives all engines.
-pub fn by_prefix<'a, 'b>(
+/// The engine that is likely to be done first with a prompt: few tokens to read, few requests before it. Among equals
+/// the order decides that the prompt's first part gives all engines.
+#[must_use]
+pub fn by_prompt<'a, 'b>(
     candidates: &'b [Candidate<'a>],
     prefix: &str,
-    last: Option<&EngineId>,
-    rng: &mut impl Rng,
-) -> Option<&'b Candidate<'a>> {
-    let stays = |c: &&Candidate<'_>| Some(c.id) == last && c.load < STAY_LOAD_LIMIT;
-    if let Some(stays) = candidates.iter().find(stays) {
-        return Some(stays);
-    }
-    let with_room = candidates.iter().filter(|c| c.load < PREFIX_LOAD_LIMIT);
-    let first = with_room.max_by_key(|c| rendezvous_weight(prefix, c.id));
-    first.or_else(|| least_loaded(candidates, rng))
-}
-
-fn least_loaded<'a, 'b>(
-    candidates: &'b [Candidate<'a>],
-    rng: &mut impl Rng,
 ) -> Option<&'b Candidate<'a>> {
-    let offset = rng.random_range(0..candidates.len().max(1));
-    let rotated = candidates.iter().cycle().skip(offset).take(candidates.len());
-    rotated.min_by(|one, other| one.load.total_cmp(&other.load))
+    let mut ordered: Vec<&Candidate<'a>> = candidates.iter().collect();
+    ordered.sort_by_cached_key(|c| std::cmp::Reverse(rendezvous_weight(prefix, c.id)));
+    let costs = ordered.into_iter().enumerate().map(|(place, candidate)| {
+        let reading = f64::from(candidate.missing_tokens);
+        let waiting = TOKENS_OF_REQUEST * candidate.requests;
+        let full = if candidate.load >= 1.0 { f64::from(u32::MAX) } else { 0.0 };
+        (candidate, reading + waiting + full + TOKENS_OF_PLACE * place as f64)
+    });
+    costs.min_by(|(_, one), (_, other)| one.total_cmp(other)).map(|(candidate, _)| candidate)
 }
 
 /// Weight of an engine for a prefix; the same at all gateways, and unmoved by engines that come or go.
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -1,15 +1,13 @@
 //! The part of a gateway that passes requests through: what it knows, and the way of one request.
 
-use std::num::NonZeroUsize;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
 use hooklug_bundle::http::HttpRouting;
 use hooklug_control::backends::BackendWatch;
 use hooklug_control::{InstalledBundle, NodeContext};
 use hooklug_state::meta::RolloutRecord;
-use hooklug_types::{EngineId, ServiceName, SessionKey};
-use lru::LruCache;
+use hooklug_types::{EngineId, ServiceName};
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
@@ -25,9 +23,6 @@
 /// When a caller should come back who met a gateway without a bundle (ours).
 const NOT_CONFIGURED_RETRY: Duration = Duration::from_millis(300);
 
-/// Sessions whose last engine is remembered (ours).
-const SESSIONS_REMEMBERED: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
-
 /// Pause between sweeps of unused connections (ours).
 const SWEEP_PAUSE: Duration = Duration::from_secs(2);
 
@@ -60,7 +55,6 @@
     /// Work that outlives its request: ends of turns whose callers left.
     pub(crate) afterwork: TaskTracker,
     routing: RwLock<Option<Arc<Routing>>>,
-    last_engines: Mutex<LruCache<SessionKey, EngineId>>,
 }
 
 impl std::fmt::Debug for Ingress {
@@ -85,7 +79,6 @@
             histories: Arc::default(),
             afterwork: TaskTracker::new(),
             routing: RwLock::default(),
-            last_engines: Mutex::new(LruCache::new(SESSIONS_REMEMBERED)),
         }
     }
 
@@ -158,18 +151,6 @@
         self.node.node.view.borrow().meta.rollouts.get(service).cloned()
     }
 
-    pub(crate) fn last_engine(&self, session: &SessionKey) -> Option<EngineId> {
-        self.last_engines().get(session).cloned()
-    }
-
-    pub(crate) fn note_engine(&self, session: SessionKey, engine: EngineId) {
-        self.last_engines().put(session, engine);
-    }
-
-    fn last_engines(&self) -> MutexGuard<'_, LruCache<SessionKey, EngineId>> {
-        self.last_engines.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn routing(&self) -> Option<Arc<Routing>> {
         self.routing.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
--- a/crates/ingress/src/turns.rs
+++ b/crates/ingress/src/turns.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hooklug_state::shard::StartedTurn;
-use hooklug_types::{SessionEpoch, SessionKey, TokenCount};
+use hooklug_types::{SessionEpoch, TokenCount};
 use http::StatusCode;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
@@ -167,10 +167,7 @@
         running: RunningTurn,
     ) -> IngressAnswer {
         let RunningTurn { open, body, times } = running;
-        let session = session_of(&open.turn);
-        let last = self.last_engine(&session);
-        let prefix = request.prompt.first().map_or("", |part| part.id.as_str());
-        let purpose = Purpose::Prompt { prefix, last: last.as_ref() };
+        let purpose = Purpose::Prompt(&request.prompt);
         let mut tries = Tries::default();
         loop {
             let reserved = self.pick_or_wait(route, &mut tries, purpose, &times).await;
@@ -182,7 +179,6 @@
                 Attempt::TimedOut => return Refusal::TimedOut.into(),
                 Attempt::Lost(reason) => return Refusal::AnswerLost(reason).into(),
                 Attempt::Answered(answering) if answering.head.status == StatusCode::OK => {
-                    self.note_engine(session, answering.reserved.picked.id.clone());
                     return self.pass_stream(answering, route, routing, open, body, times);
                 }
                 Attempt::Answered(mut answering) => {
@@ -208,10 +204,6 @@
     times: Times,
 }
 
-fn session_of(turn: &TurnRequest) -> SessionKey {
-    SessionKey { program: turn.program.clone(), session: turn.session.clone() }
-}
-
 fn refused(reason: &'static str, retry_after: Duration) -> Refusal {
     Refusal::NotRun { reason, retry_after }
 }
