--- a/crates/ingress/src/history_cache.rs
+++ b/crates/ingress/src/history_cache.rs
@@ -6,8 +6,8 @@
 use hooklug_types::TurnId;
 use lru::LruCache;
 
-/// Bytes held at most (ours).
-const MOST_BYTES: usize = 6 << 20;
+/// Bytes held at most (ours): a session's next turn comes within seconds, and the shard has the rest.
+const MOST_BYTES: usize = 3 << 19;
 
 /// Histories by the turn that they end with; the least recently used give way.
 #[derive(Debug)]
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -16,7 +16,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::frame::{ClientFrame, ServerBody, ServerFrame, encode, read};
-use crate::link::{Outgoing, WRITE_QUEUE_FRAMES, write_frames};
+use crate::link::{BUFFER_BYTES, Outgoing, WRITE_QUEUE_FRAMES, write_frames};
 use crate::{Fault, LocalIdentity, Peer, RpcError, hello};
 
 /// How often an open connection asks for a sign of life.
@@ -173,7 +173,7 @@
     waiters: Waiters,
     identity: LocalIdentity,
 ) -> io::Result<()> {
-    let mut reader = BufReader::with_capacity(64 << 10, half);
+    let mut reader = BufReader::with_capacity(BUFFER_BYTES, half);
     loop {
         let reading = read(&mut reader, &identity.traffic);
         let frame: ServerFrame = tokio::time::timeout(SERVER_SILENCE, reading).await??;
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -12,6 +12,10 @@
 /// Frames that may wait for one connection's writer.
 pub(crate) const WRITE_QUEUE_FRAMES: usize = 4096;
 
+/// Bytes of small frames that gather before they are written (ours). A process has a connection to many others, so the
+/// buffers of idle ones must cost little; larger frames pass them by.
+pub(crate) const BUFFER_BYTES: usize = 8 << 10;
+
 /// An encoded frame and when it was handed over.
 #[derive(Debug)]
 pub(crate) struct Outgoing {
@@ -34,7 +38,7 @@
     traffic: Arc<Traffic>,
     peer: IpAddr,
 ) -> std::io::Result<()> {
-    let mut writer = BufWriter::with_capacity(64 << 10, half);
+    let mut writer = BufWriter::with_capacity(BUFFER_BYTES, half);
     while let Some(frame) = queue.recv().await {
         let mut next = Some(frame);
         while let Some(frame) = next {
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -16,7 +16,7 @@
 
 use crate::deferred::RawReplier;
 use crate::frame::{ClientFrame, ServerBody, ServerFrame, encode, read};
-use crate::link::{Outgoing, WRITE_QUEUE_FRAMES, write_frames};
+use crate::link::{BUFFER_BYTES, Outgoing, WRITE_QUEUE_FRAMES, write_frames};
 use crate::router::{Encoded, Handler};
 use crate::{Fault, LocalIdentity, Peer, Router, hello};
 
@@ -104,8 +104,8 @@
         running: HashMap::new(),
     };
     connection.answers.bundles = connection.identity.bundles.clone();
-    let ended =
-        connection.read_frames(tokio::io::BufReader::with_capacity(64 << 10, reading)).await;
+    let reader = tokio::io::BufReader::with_capacity(BUFFER_BYTES, reading);
+    let ended = connection.read_frames(reader).await;
     connection.tasks.shutdown().await;
     drop(connection);
     writer.abort();
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -133,6 +133,12 @@
         ("commands", Some("20000")),
         "commands of a group after which its log is compacted into a snapshot",
     ),
+    optional(
+        "store.log_megabytes",
+        Kind::Integer(8, 1 << 20),
+        ("MiB", Some("256")),
+        "length of the log on the disk at which the groups that hold its oldest part are compacted",
+    ),
     optional(
         "store.keep_seconds",
         Kind::Integer(1, 31_536_000),
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -11,7 +11,7 @@
 use hooklug_settings::Settings;
 use hooklug_state::meta::MetaState;
 use hooklug_types::{GroupId, NodeId};
-use hooklug_wal::{Files, OsFiles};
+use hooklug_wal::{Files, OsFiles, WalOptions};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -23,6 +23,9 @@
     StoreClient, StoreError, balance, begin, cleanup, clock_task, gossip, meta_watch, service,
 };
 
+/// Closed segments of the log when it has its full length (ours).
+const LOG_SEGMENTS: usize = 8;
+
 /// One store process.
 #[derive(Debug)]
 pub struct Store {
@@ -216,7 +219,10 @@
     notes: &Notes,
     node: NodeId,
 ) -> Result<Replicator, StoreError> {
+    let segment_bytes = (settings.store.log_megabytes << 20) / LOG_SEGMENTS as u64;
     let replication = ReplicationSettings {
+        max_segments: LOG_SEGMENTS,
+        wal: WalOptions { segment_bytes },
         tick: Duration::from_millis(settings.store.tick_ms),
         election_ticks: settings.store.election_ticks,
         snapshot_commands: settings.store.snapshot_commands,
