--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -13,6 +13,7 @@
 
 use crate::choice::{self, Candidate};
 use crate::load::LoadEstimate;
+use crate::prefix_ring::{PrefixRing, in_ring_order};
 use crate::prompt_caches::PromptCaches;
 use crate::versions::AllowedVersions;
 use crate::{LoadReport, PromptPart};
@@ -150,7 +151,7 @@
 }
 
 /// All back ends that this gateway knows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct BackendTable {
     inner: Mutex<Inner>,
 }
@@ -160,9 +161,18 @@
     backends: HashMap<EngineId, Backend>,
     by_service: HashMap<ServiceName, Vec<EngineId>>,
     caches: PromptCaches,
+    rings: HashMap<ServiceName, PrefixRing>,
+    /// This gateway's name, by which it has its own part of the back ends that serve calls.
+    own_name: String,
 }
 
 impl BackendTable {
+    /// No back ends yet; the name tells this gateway from others.
+    #[must_use]
+    pub fn new(own_name: String) -> Self {
+        Self { inner: Mutex::new(Inner { own_name, ..Inner::default() }) }
+    }
+
     /// Follows the platform's list. What is known of back ends that stay is kept.
     pub fn follow(&self, list: &BackendList) {
         let mut inner = self.lock();
@@ -188,7 +198,7 @@
         let mut inner = self.lock();
         let id = inner.choose(wanted, now, rng)?;
         if let Purpose::Prompt(parts) = wanted.purpose {
-            inner.caches.note(&id, parts);
+            inner.note_prompt(wanted.service, &id, parts);
         }
         let backend = inner.backends.get_mut(&id)?;
         backend.load.in_flight += 1;
@@ -226,21 +236,48 @@
         if eligible.is_empty() || many_passed_over {
             eligible = usable.iter().copied().filter(|b| untried(&b)).collect();
         }
-        let missing = |b: &Backend| match wanted.purpose {
-            Purpose::Call => 0,
-            Purpose::Prompt(parts) => self.caches.missing_tokens(&b.listed.id, parts),
-        };
-        let candidates: Vec<Candidate<'_>> =
-            eligible.iter().map(|b| b.candidate(missing(b), now)).collect();
         let chosen = match wanted.purpose {
-            Purpose::Call => choice::of_two(&candidates, rng),
+            Purpose::Call => {
+                let candidates: Vec<_> = eligible.iter().map(|b| b.candidate(0, now)).collect();
+                let own = choice::own_subset(&candidates, &self.own_name);
+                choice::of_two(&own, rng).or_else(|| choice::of_two(&candidates, rng)).copied()
+            }
             Purpose::Prompt(parts) => {
-                let prefix = parts.first().map_or("", |part| part.id.as_str());
-                choice::by_prompt(&candidates, prefix)
+                let own = self.own_engines(wanted.service, &usable, parts);
+                let missing = |backend: &Backend| {
+                    let id = &backend.listed.id;
+                    self.caches.missing_tokens(id, parts, own.contains(&id))
+                };
+                let candidates: Vec<_> =
+                    eligible.iter().map(|b| b.candidate(missing(b), now)).collect();
+                choice::by_prompt(&candidates, rng).copied()
             }
         };
         chosen.map(|candidate| candidate.id.clone())
     }
+
+    /// Engines that a prompt's first part has to itself.
+    fn own_engines<'a>(
+        &self,
+        service: &ServiceName,
+        usable: &[&'a Backend],
+        parts: &[PromptPart],
+    ) -> Vec<&'a EngineId> {
+        let ring = self.rings.get(service);
+        let part = ring.zip(parts.first()).and_then(|(ring, first)| ring.part(&first.id));
+        let Some(part) = part else { return Vec::new() };
+        let ordered = in_ring_order(usable.iter().map(|backend| &backend.listed.id));
+        let engines = ordered.len();
+        let own = ordered.into_iter().enumerate().filter(|(place, _)| part.holds(*place, engines));
+        own.map(|(_, engine)| engine).collect()
+    }
+
+    fn note_prompt(&mut self, service: &ServiceName, engine: &EngineId, parts: &[PromptPart]) {
+        self.caches.note(engine, parts);
+        if let Some(first) = parts.first() {
+            self.rings.entry(service.clone()).or_default().note(&first.id);
+        }
+    }
 }
 
 /// A request's place at a back end; given up when dropped, with what came of the request.
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -1,8 +1,8 @@
 //! Chooses a back end for one request. Pure: candidates with their loads in, one of them out.
 
+use rand::{Rng, RngExt};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use rand::Rng;
 use rand::seq::IndexedRandom;
 
 use hooklug_types::{EngineId, ZoneName};
@@ -11,9 +11,9 @@
 /// mostly by the reading of its own prompt.
 const TOKENS_OF_REQUEST: f64 = 300.0;
 
-/// What each further place in a prefix's order of engines counts, in tokens (ours): gateways that know nothing of each
-/// other's requests then send the same prefix to the same engines.
-const TOKENS_OF_PLACE: f64 = 120.0;
+/// Longest random addition to an engine's cost, in tokens (ours), so that gateways that know the same do not all choose
+/// the same.
+const TOKENS_OF_CHANCE: f64 = 100.0;
 
 /// What is known of one back end.
 #[derive(Debug, Clone, Copy)]
@@ -32,6 +32,30 @@
     pub missing_tokens: u32,
 }
 
+/// Back ends that one gateway prefers for calls (ours): its connections to few are used again before they are closed
+/// for their rest, and each back end still has the gateways it needs.
+const SUBSET: usize = 12;
+
+/// The part of the back ends that a gateway prefers, those without a free place left out.
+#[must_use]
+pub fn own_subset<'a>(candidates: &[Candidate<'a>], gateway: &str) -> Vec<Candidate<'a>> {
+    let mut ordered: Vec<Candidate<'a>> = candidates.to_vec();
+    if ordered.len() > SUBSET {
+        ordered.sort_by_cached_key(|c| std::cmp::Reverse(rendezvous_weight(gateway, c.id)));
+        ordered.truncate(SUBSET);
+    }
+    ordered.retain(|candidate| candidate.load < 1.0);
+    ordered
+}
+
+/// Weight of a back end for a gateway; unmoved by others that come or go.
+fn rendezvous_weight(gateway: &str, backend: &EngineId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    gateway.hash(&mut hasher);
+    backend.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// The better of two random ones by expected wait.
 pub fn of_two<'a, 'b>(
     candidates: &'b [Candidate<'a>],
@@ -49,28 +73,18 @@
     candidate.latency_ms.max(1.0) * (1.0 + queue)
 }
 
-/// The engine that is likely to be done first with a prompt: few tokens to read, few requests before it. Among equals
-/// the order decides that the prompt's first part gives all engines.
+/// The engine that is likely to be done first with a prompt: few tokens to read, few requests before it.
 #[must_use]
 pub fn by_prompt<'a, 'b>(
     candidates: &'b [Candidate<'a>],
-    prefix: &str,
+    rng: &mut impl Rng,
 ) -> Option<&'b Candidate<'a>> {
-    let mut ordered: Vec<&Candidate<'a>> = candidates.iter().collect();
-    ordered.sort_by_cached_key(|c| std::cmp::Reverse(rendezvous_weight(prefix, c.id)));
-    let costs = ordered.into_iter().enumerate().map(|(place, candidate)| {
+    let costs = candidates.iter().map(|candidate| {
         let reading = f64::from(candidate.missing_tokens);
         let waiting = TOKENS_OF_REQUEST * candidate.requests;
         let full = if candidate.load >= 1.0 { f64::from(u32::MAX) } else { 0.0 };
-        (candidate, reading + waiting + full + TOKENS_OF_PLACE * place as f64)
+        let chance = rng.random_range(0.0..TOKENS_OF_CHANCE);
+        (candidate, reading + waiting + full + chance)
     });
     costs.min_by(|(_, one), (_, other)| one.total_cmp(other)).map(|(candidate, _)| candidate)
 }
-
-/// Weight of an engine for a prefix; the same at all gateways, and unmoved by engines that come or go.
-fn rendezvous_weight(prefix: &str, engine: &EngineId) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    prefix.hash(&mut hasher);
-    engine.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -69,11 +69,12 @@
     pub fn new(context: IngressContext) -> Self {
         let IngressContext { node, backends: list, dialect } = context;
         let records = TurnRecords::new(node.state.clone(), node.identity.address.node);
+        let backends = BackendTable::new(node.identity.address.rpc.to_string());
         Self {
             node,
             list,
             dialect,
-            backends: Arc::default(),
+            backends: Arc::new(backends),
             connections: Arc::default(),
             records,
             histories: Arc::default(),
--- a/crates/ingress/src/prompt_caches.rs
+++ b/crates/ingress/src/prompt_caches.rs
@@ -19,12 +19,15 @@
 }
 
 impl PromptCaches {
-    /// Tokens of a prompt that an engine has to read: all from the first part that it does not hold.
+    /// Tokens of a prompt that an engine has to read: all from the first part that it does not hold. An engine of the
+    /// prefix's own counts as holding the first part.
     #[must_use]
-    pub fn missing_tokens(&self, engine: &EngineId, prompt: &[PromptPart]) -> u32 {
+    pub fn missing_tokens(&self, engine: &EngineId, prompt: &[PromptPart], is_own: bool) -> u32 {
         let held = self.engines.get(engine);
-        let is_held = |part: &&PromptPart| held.is_some_and(|held| held.contains(&key(part)));
-        let known = prompt.iter().take_while(is_held).count();
+        let is_held = |(number, part): &(usize, &PromptPart)| {
+            (is_own && *number == 0) || held.is_some_and(|held| held.contains(&key(part)))
+        };
+        let known = prompt.iter().enumerate().take_while(is_held).count();
         prompt[known..].iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
     }
 
--- a/crates/ingress/src/records.rs
+++ b/crates/ingress/src/records.rs
@@ -18,7 +18,7 @@
 use crate::TurnRequest;
 
 /// Added to the time for which turns are kept (ours): the clocks of two group leaders may differ by some seconds.
-const CLOCK_MARGIN: Duration = Duration::from_secs(15);
+const CLOCK_MARGIN: Duration = Duration::from_secs(5);
 
 /// Why a turn was not begun.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
