store: groups of five have no learner; a store may end when its disk fails; SIGHUP ends nothing; failing back ends are left

Change: learners only while a place has to be filled, for groups of more than three voters; store.end_when_failed; SIGHUP is heard; the share of failures of each back end counts in its choice, also answers that never came.

--- a/crates/hooklug/src/signals.rs
+++ b/crates/hooklug/src/signals.rs
@@ -1,8 +1,9 @@
-//! Signals of the platform: the first asks to stop, the second ends the process at once.
+//! Signals of the platform: the first asks to stop, the second ends the process at once. `SIGHUP` changes nothing: the
+//! settings are read at the start only, and a process that was told of new ones must not end.
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// Exit code after a second signal.
 const EXIT_AT_ONCE: i32 = 1;
@@ -11,6 +12,12 @@
 pub(super) fn listen() -> std::io::Result<CancellationToken> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            info!("the settings may have changed; they are read at the next start");
+        }
+    });
     let stop = CancellationToken::new();
     let stopping = stop.clone();
     tokio::spawn(async move {
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -64,7 +64,7 @@
 pub async fn send(
     connections: &Connections,
     dialect: &dyn BackendDialect,
-    reserved: Reserved,
+    mut reserved: Reserved,
     outgoing: &Outgoing<'_>,
     end: Instant,
 ) -> Attempt {
@@ -90,6 +90,7 @@
         }
         Err(_) => return Attempt::TimedOut,
     };
+    reserved.note_answer();
     let (head, body) = response.into_parts();
     let told = dialect.read_head(&head, &outgoing.request.id);
     if let Some(load) = told.load {
--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -31,8 +31,11 @@
 /// here or on the way.
 const MOST_PASSED_OVER: f64 = 0.5;
 
-/// Weight of the newest answer in the average time (ours).
-const LATENCY_WEIGHT: f64 = 0.1;
+/// Weight of the newest answer in the average time and the share of failures (ours).
+const NEWEST_WEIGHT: f64 = 0.1;
+
+/// Silence of a back end after which a caller's leaving counts against it (ours): its requests may all end so.
+const LONG_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// How one request at a back end ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +59,8 @@
     listed: Arc<ListedBackend>,
     load: LoadEstimate,
     latency_ms: f64,
+    /// Share of its last answers that were failures, or did not come.
+    failure_share: f64,
     failures: u32,
     passed_over_until: Option<Instant>,
     no_room_until: Option<Instant>,
@@ -69,6 +74,7 @@
             listed,
             load: LoadEstimate::default(),
             latency_ms: 0.0,
+            failure_share: 0.0,
             failures: 0,
             passed_over_until: None,
             no_room_until: None,
@@ -92,15 +98,24 @@
             missing_tokens,
             load: self.load.share(self.listed.slots, now),
             latency_ms: self.latency_ms,
+            failure_share: self.failure_share,
         }
     }
 
     fn note(&mut self, outcome: Outcome, now: Instant) {
+        let failed = match outcome {
+            Outcome::Answered(_) => Some(0.0),
+            Outcome::Failed | Outcome::Broken => Some(1.0),
+            Outcome::NoRoom | Outcome::Stale | Outcome::Unknown => None,
+        };
+        if let Some(failed) = failed {
+            self.failure_share += NEWEST_WEIGHT * (failed - self.failure_share);
+        }
         match outcome {
             Outcome::Answered(time) => {
                 let time_ms = time.as_secs_f64() * 1_000.0;
                 let known = if self.latency_ms > 0.0 { self.latency_ms } else { time_ms };
-                self.latency_ms = known + LATENCY_WEIGHT * (time_ms - known);
+                self.latency_ms = known + NEWEST_WEIGHT * (time_ms - known);
                 (self.failures, self.passed_over_until) = (0, None);
             }
             Outcome::NoRoom => self.no_room_until = Some(now + NO_ROOM_PAUSE),
@@ -210,7 +225,8 @@
             version: listed.version.clone(),
         };
         drop(inner);
-        Some(Reserved { table: self.clone(), picked, outcome: Outcome::Unknown })
+        let outcome = Outcome::Unknown;
+        Some(Reserved { table: self.clone(), picked, outcome, since: now, answers: false })
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -287,9 +303,17 @@
     /// The back end.
     pub picked: Picked,
     outcome: Outcome,
+    since: Instant,
+    /// Whether the back end has begun to answer.
+    answers: bool,
 }
 
 impl Reserved {
+    /// Notes that the head of an answer has come.
+    pub fn note_answer(&mut self) {
+        self.answers = true;
+    }
+
     /// Takes the back end's word on its load.
     pub fn note_load(&self, report: LoadReport) {
         let mut inner = self.table.lock();
@@ -306,6 +330,10 @@
 
 impl Drop for Reserved {
     fn drop(&mut self) {
+        let silent = !self.answers && self.since.elapsed() >= LONG_SILENCE;
+        if self.outcome == Outcome::Unknown && silent {
+            self.outcome = Outcome::Broken;
+        }
         let mut inner = self.table.lock();
         if let Some(backend) = inner.backends.get_mut(&self.picked.id) {
             backend.load.in_flight = backend.load.in_flight.saturating_sub(1);
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -11,6 +11,13 @@
 /// mostly by the reading of its own prompt.
 const TOKENS_OF_REQUEST: f64 = 300.0;
 
+/// What an engine that always fails counts more than a sound one, in tokens (ours): a failed turn is asked again as a
+/// whole.
+const TOKENS_OF_FAILURES: f64 = 20_000.0;
+
+/// How many times as long a call seems to take at a back end that always fails (ours).
+const FAILURE_FACTOR: f64 = 20.0;
+
 /// Longest random addition to an engine's cost, in tokens (ours), so that gateways that know the same do not all choose
 /// the same.
 const TOKENS_OF_CHANCE: f64 = 100.0;
@@ -28,6 +35,8 @@
     pub load: f64,
     /// Average time of its answers in milliseconds; 0 while unknown.
     pub latency_ms: f64,
+    /// Share of its last answers that were failures, or did not come.
+    pub failure_share: f64,
     /// Tokens of the prompt that it has to read, for prompts.
     pub missing_tokens: u32,
 }
@@ -70,7 +79,8 @@
 /// Expected time until an answer, in relative terms. One that is full makes requests wait a whole turn.
 fn expected_wait(candidate: &Candidate<'_>) -> f64 {
     let queue = if candidate.load >= 1.0 { 1.0 + candidate.load } else { 0.3 * candidate.load };
-    candidate.latency_ms.max(1.0) * (1.0 + queue)
+    let failures = FAILURE_FACTOR * candidate.failure_share;
+    candidate.latency_ms.max(1.0) * (1.0 + queue) * (1.0 + failures)
 }
 
 /// The engine that is likely to be done first with a prompt: few tokens to read, few requests before it.
@@ -83,8 +93,9 @@
         let reading = f64::from(candidate.missing_tokens);
         let waiting = TOKENS_OF_REQUEST * candidate.requests;
         let full = if candidate.load >= 1.0 { f64::from(u32::MAX) } else { 0.0 };
+        let failures = TOKENS_OF_FAILURES * candidate.failure_share;
         let chance = rng.random_range(0.0..TOKENS_OF_CHANCE);
-        (candidate, reading + waiting + full + chance)
+        (candidate, reading + waiting + failures + full + chance)
     });
     costs.min_by(|(_, one), (_, other)| one.total_cmp(other)).map(|(candidate, _)| candidate)
 }
--- a/crates/ingress/tests/pure.rs
+++ b/crates/ingress/tests/pure.rs
@@ -121,6 +121,7 @@
             requests: requests(number),
             load: requests(number) / 64.0,
             latency_ms: 100.0,
+            failure_share: 0.0,
             missing_tokens: 1_000,
         };
         self.ids.iter().enumerate().map(candidate).collect()
@@ -183,6 +184,19 @@
     }
 }
 
+#[test]
+fn back_ends_that_fail_a_part_of_their_requests_are_left_though_they_are_free() {
+    println!("seed {SEED}");
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let fleet = Fleet::of(2);
+    let mut candidates = fleet.candidates(|number| if number == 0 { 0.0 } else { 4.0 });
+    candidates[0].failure_share = 0.4;
+    for _ in 0..20 {
+        assert_eq!(*of_two(&candidates, &mut rng).unwrap().id, fleet.ids[1]);
+        assert_eq!(*by_prompt(&candidates, &mut rng).unwrap().id, fleet.ids[1]);
+    }
+}
+
 #[test]
 fn a_gateway_prefers_the_same_few_back_ends_and_leaves_full_ones_out() {
     let fleet = Fleet::of(100);
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -95,6 +95,8 @@
     pub election_ticks: u32,
     /// Commands of a group after which its log is compacted into a snapshot (default 20,000; ours).
     pub snapshot_commands: u64,
+    /// Whether the process ends when its disk has failed, to be started again (default false: it stays and says so; ours).
+    pub end_when_failed: bool,
     /// Length of the log on the disk at which the groups that hold its oldest part are compacted, in MiB (default 256; ours).
     pub log_megabytes: u64,
     /// How long finished turns, calls and forgotten programs are kept, in seconds (default 86,400; ours).
@@ -111,6 +113,7 @@
             tick_ms: 50,
             election_ticks: 10,
             snapshot_commands: 20_000,
+            end_when_failed: false,
             log_megabytes: 256,
             keep_seconds: 86_400,
         }
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -133,6 +133,12 @@
         ("commands", Some("20000")),
         "commands of a group after which its log is compacted into a snapshot",
     ),
+    optional(
+        "store.end_when_failed",
+        Kind::Switch,
+        ("", Some("false")),
+        "whether the process ends when its disk has failed, to be started again",
+    ),
     optional(
         "store.log_megabytes",
         Kind::Integer(8, 1 << 20),
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -6,7 +6,7 @@
 use hooklug_types::NodeId;
 use hooklug_wal::WalError;
 
-/// Why a store cannot run. All but [`StoreError::DriverEnded`] come again when it is started again.
+/// Why a store cannot run. All but [`StoreError::DriverEnded`] and [`StoreError::Failed`] come again when it is started again.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
     /// A store needs a data folder.
@@ -53,6 +53,9 @@
     /// on the disk.
     #[error("the thread that runs the groups has ended")]
     DriverEnded,
+    /// The disk failed, and the settings ask for the process to be started again then.
+    #[error("the disk has failed: {0}")]
+    Failed(String),
     /// The groups could not be opened.
     #[error(transparent)]
     Groups(#[from] OpenError),
--- a/crates/store/src/placement/initial.rs
+++ b/crates/store/src/placement/initial.rs
@@ -3,8 +3,8 @@
 use hooklug_state::meta::{GroupPlacement, StoreRecord};
 use hooklug_types::GroupId;
 
-use super::LEARNERS;
 use super::choice::{Loads, best_store};
+use super::learners;
 
 /// Placements of all groups over the stores that form a cluster: voters in different zones as far as
 /// there are so many, a learner on a further store, evenly spread.
@@ -17,7 +17,7 @@
 fn place(stores: &[StoreRecord], voters: usize, loads: &mut Loads) -> GroupPlacement {
     let mut placement = GroupPlacement::default();
     let mut zones = Vec::new();
-    for slot in 0..voters + LEARNERS {
+    for slot in 0..voters + learners(voters) {
         let is_voter = slot < voters;
         let taken = |store: &&StoreRecord| {
             !placement.voters.contains(&store.node) && !placement.learners.contains(&store.node)
--- a/crates/store/src/placement/mod.rs
+++ b/crates/store/src/placement/mod.rs
@@ -19,8 +19,12 @@
 /// Fewest voters of each group (design section 3). A group that began with more keeps as many.
 pub const VOTERS: usize = 3;
 
-/// Learners of each group.
-pub const LEARNERS: usize = 1;
+/// Learners of a group with this many voters. One stands by to take a lost voter's place; a group that bears two losses
+/// has the time to fill a place from nothing, and is spared a copy of all that is written.
+#[must_use]
+pub const fn learners(voters: usize) -> usize {
+    if voters > VOTERS { 0 } else { 1 }
+}
 
 /// The replicas of one store, as it answered to `GroupStatus`.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/store/src/placement/wanted.rs
+++ b/crates/store/src/placement/wanted.rs
@@ -7,7 +7,7 @@
 
 use super::choice::{Loads, best_store, zone_of};
 use super::follow::{is_up_to_date, next_change};
-use super::{LEARNERS, StoreReport, VOTERS, leader_of};
+use super::{StoreReport, VOTERS, leader_of, learners};
 
 /// A group's wanted placement, before and after.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -84,7 +84,11 @@
     }
     placement.learners.retain(|node| scene.is_usable(*node));
     let voters = VOTERS.max(current.voters.len());
-    while placement.voters.len() + placement.learners.len() < voters + LEARNERS {
+    // A place that is to be filled needs a learner first.
+    let lost = placement.voters.iter().filter(|voter| !scene.is_usable(**voter)).count();
+    let wanted_learners = learners(voters).max(lost);
+    placement.learners.truncate(wanted_learners);
+    while placement.voters.len() + placement.learners.len() < voters + wanted_learners {
         let Some(store) = free_store(scene, &placement, loads) else { break };
         placement.learners.push(store);
         loads.add_learner(store);
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -23,6 +23,9 @@
     StoreClient, StoreError, balance, begin, cleanup, clock_task, gossip, meta_watch, service,
 };
 
+/// Pause between looks at whether the store has failed (ours).
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
 /// Closed segments of the log when it has its full length (ours).
 const LOG_SEGMENTS: usize = 8;
 
@@ -130,6 +133,7 @@
         let outcome = tokio::select! {
             () = stop.cancelled() => Ok(()),
             () = shared.replicator.ended() => Err(StoreError::DriverEnded),
+            reason = failed(&shared) => Err(StoreError::Failed(reason)),
         };
         tasks.shutdown().await;
         if outcome.is_ok() && shared.replicator.failure().is_none() {
@@ -199,6 +203,20 @@
     }
 }
 
+/// Waits until the store has failed, if the process is to end then: a platform that starts it again may find the disk
+/// sound. The pause lets answers that say so go out first.
+async fn failed(shared: &Shared) -> String {
+    if !shared.settings.store.end_when_failed {
+        return std::future::pending().await;
+    }
+    loop {
+        tokio::time::sleep(FAILURE_PAUSE).await;
+        if let Some(reason) = shared.replicator.failure() {
+            return reason;
+        }
+    }
+}
+
 /// The membership on the disk. A coordinator that stopped before it decided drops its plan: it alone
 /// could have decided.
 fn opened_membership(folder: &DataFolder, node: NodeId) -> Result<Membership, StoreError> {
--- a/crates/store/tests/disks.rs
+++ b/crates/store/tests/disks.rs
@@ -86,6 +86,26 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_store_that_is_told_to_ends_when_its_disk_fails() {
+    let options = StoreSettings { end_when_failed: true, ..fast_options() };
+    let mut cluster = TestCluster::new(3, options).await;
+    let disk = TestDisk::default();
+    cluster.stores[0].files = Arc::new(disk.clone());
+    for number in 0..3 {
+        cluster.start(number).await;
+    }
+    cluster.until_formed().await;
+    put_program(&cluster.client(), "before").await;
+    disk.fail();
+    for number in 0..20 {
+        put_program(&cluster.client(), &format!("program-{number}")).await;
+    }
+    let running = cluster.stores[0].running.as_mut().expect("the store runs");
+    let ended = tokio::time::timeout(PATIENCE, &mut running.store).await.expect("it ends");
+    assert!(matches!(ended.unwrap(), Err(StoreError::Failed(_))));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_store_whose_driver_panics_ends_with_an_error() {
     let disk = TestDisk::default();
--- a/crates/store/tests/placement.rs
+++ b/crates/store/tests/placement.rs
@@ -31,8 +31,12 @@
 
 impl Model {
     fn new(zones: &[u64]) -> Self {
+        Self::with_voters(zones, VOTERS)
+    }
+
+    fn with_voters(zones: &[u64], voters: usize) -> Self {
         let stores: Vec<_> = zones.iter().zip(1..).map(|(zone, n)| store(n, *zone)).collect();
-        let placements: BTreeMap<_, _> = initial::placements(&stores, VOTERS).into_iter().collect();
+        let placements: BTreeMap<_, _> = initial::placements(&stores, voters).into_iter().collect();
         let conf = |p: &GroupPlacement| ConfState {
             voters: p.voters.iter().copied().collect(),
             learners: p.learners.iter().copied().collect(),
@@ -319,3 +323,21 @@
         }
     }
 }
+
+/// A cluster that bears two losses: five voters a group and no learner, but while a place has to be filled.
+#[test]
+fn a_group_of_five_gets_a_learner_only_when_a_voter_is_lost() {
+    let zones = [1, 2, 3, 4, 5, 1, 2, 3];
+    let mut model = Model::with_voters(&zones, 5);
+    let is_whole =
+        |placement: &GroupPlacement| placement.voters.len() == 5 && placement.learners.is_empty();
+    assert!(model.meta.placements.values().all(is_whole));
+    assert_eq!(model.settle(), []);
+    for lost in [1, 6] {
+        model.alive.remove(&NodeId(lost));
+        assert!(!model.settle().is_empty());
+        assert!(model.meta.placements.values().all(is_whole));
+        let holds = |placement: &GroupPlacement| placement.voters.contains(&NodeId(lost));
+        assert!(!model.meta.placements.values().any(holds));
+    }
+}
