--- a/crates/gateway/tests/support/bundles.rs
+++ b/crates/gateway/tests/support/bundles.rs
@@ -87,6 +87,7 @@
             (id("sensors"), tool_route("read_sensor", true)),
         ]),
         windows: BTreeMap::new(),
+        http: None,
         tenants: [
             (id("dalatek"), open.clone()),
             (id("serra"), Tenant { key_digests: vec![key], ..open }),
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub enum Attempt {
     /// The back end answers.
-    Answered(Answering),
+    Answered(Box<Answering>),
     /// It did not run the request and never will, for want of room.
     NoRoom,
     /// It did not run the request and never will, for another reason.
@@ -69,12 +69,10 @@
     end: Instant,
 ) -> Attempt {
     let picked = &reserved.picked;
-    let mut connection = match connections.get(&picked.id, picked.address, end).await {
-        Ok(connection) => connection,
-        Err(_) => {
-            reserved.end(Outcome::Broken);
-            return Attempt::NotSent;
-        }
+    let opened = connections.get(&picked.id, picked.address, end).await;
+    let Ok(mut connection) = opened else {
+        reserved.end(Outcome::Broken);
+        return Attempt::NotSent;
     };
     let sent = Instant::now();
     let time_left = end.saturating_duration_since(sent);
@@ -106,7 +104,7 @@
         sent,
     };
     match told.verdict {
-        Verdict::Answer => Attempt::Answered(answering),
+        Verdict::Answer => Attempt::Answered(Box::new(answering)),
         Verdict::NoRoom => {
             answering.refused(connections, end, Outcome::NoRoom).await;
             Attempt::NoRoom
--- a/crates/ingress/src/calls.rs
+++ b/crates/ingress/src/calls.rs
@@ -74,7 +74,7 @@
                 }
                 Attempt::Answered(answering) => {
                     tries.may_have_run += 1;
-                    match self.take_answer(answering, route, &times).await {
+                    match self.take_answer(*answering, route, &times).await {
                         Ok(answer) => return answer,
                         Err(failure) => tries.last_failure = Some(failure),
                     }
--- a/crates/ingress/src/turns.rs
+++ b/crates/ingress/src/turns.rs
@@ -179,7 +179,7 @@
                 Attempt::TimedOut => return Refusal::TimedOut.into(),
                 Attempt::Lost(reason) => return Refusal::AnswerLost(reason).into(),
                 Attempt::Answered(answering) if answering.head.status == StatusCode::OK => {
-                    return self.pass_stream(answering, route, routing, open, body, times);
+                    return self.pass_stream(*answering, route, routing, open, body, times);
                 }
                 Attempt::Answered(mut answering) => {
                     let body = answering.whole_body(times.end, MOST_FAILURE_BYTES).await;
--- a/crates/ingress/tests/calls.rs
+++ b/crates/ingress/tests/calls.rs
@@ -90,7 +90,7 @@
     {
         let backends = [
             StandIn::start("e1", std::slice::from_ref(&lost)).await,
-            StandIn::start("e2", &[lost.clone()]).await,
+            StandIn::start("e2", std::slice::from_ref(&lost)).await,
             StandIn::start("e3", &[]).await,
         ];
         let world = World::new(&[&backends[0], &backends[1], &backends[2]]).await;
