control: a core in its former leader's place no longer passes heartbeats on to itself

Cause: after a core leader is killed and back at once, the meta group names its former run for some seconds, at the address that the new run has; other cores' heartbeats to it were passed on to that address, which is itself, again and again.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -73,11 +73,13 @@
         self.slot_uses.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Where the core leader is, when it is another one.
+    /// Where the core leader is, when it is another one. A former run of this core is nobody to pass anything on to,
+    /// though the stores may name it for some seconds: at its address is this one.
     fn other_leader(&self) -> Option<std::net::SocketAddr> {
         let leader = self.leadership.watch_leader().borrow().clone()?;
-        let own = self.ctx.identity.address.node;
-        (!leader.expired && leader.core != own).then_some(leader.address)
+        let own = &self.ctx.identity.address;
+        let is_other = leader.core != own.node && leader.address != own.rpc;
+        (!leader.expired && is_other).then_some(leader.address)
     }
 }
 
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -7,7 +7,7 @@
 
 use common::{Cluster, Node, bundle, eventually};
 use hooklug_control::view::revision_epoch;
-use hooklug_protocol::control::{Discover, MemberHealth};
+use hooklug_protocol::control::{Discover, Heartbeat, MemberHealth};
 use hooklug_rpc::{LinkFault, RpcServer};
 use hooklug_state::meta::{MetaRefusal, MetaReply};
 use hooklug_types::{BundleVersion, NodeId, NodeRole, Revision};
@@ -151,6 +151,38 @@
 }
 
 /// Cuts a node off from others in both directions, and from the stores' state.
+/// The meta group still names the former run as the leader, at the address that the new run has.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_core_in_its_former_leaders_place_does_not_pass_heartbeats_on_to_itself() {
+    let cluster = Cluster::new(20).await;
+    let leader = cluster.start(NodeRole::Core, &[]).await;
+    eventually("it leads", || leader.view().meta.leader.is_some()).await;
+    let place = leader.rpc();
+    leader.kill();
+    let mut listener = RpcServer::bind(place).await;
+    while listener.is_err() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        listener = RpcServer::bind(place).await;
+    }
+    let successor = cluster.start_on(NodeRole::Core, &[], listener.expect("bound"), None);
+    eventually("it knows who led", || successor.context.node.reach.borrow().core).await;
+    let heartbeat = Heartbeat {
+        from: leader.context.identity.address.clone(),
+        bundle: BundleVersion(0),
+        engine: None,
+        load: None,
+        statistics: Vec::new(),
+        slot_uses: Vec::new(),
+    };
+    let asking = cluster.start(NodeRole::Core, &[place]).await;
+    let client = &asking.context.client;
+    for _ in 0..3 {
+        let _ = client.call(place, &heartbeat, common::deadline()).await;
+    }
+    let sent = successor.context.identity.traffic.counts().sent_frames;
+    assert!(sent < 500, "{sent} frames");
+}
+
 fn cut(node: &Node, others: &[&Node], cut: bool) {
     let fault = LinkFault { cut, delay_micros: 0 };
     let others = others.iter().filter(|o| o.id() != node.id());
