--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -236,22 +236,8 @@
 
 impl Inner {
     fn choose(&self, wanted: &Wanted<'_>, now: Instant, rng: &mut impl Rng) -> Option<EngineId> {
-        let ids = self.by_service.get(wanted.service)?;
-        let usable: Vec<&Backend> = ids
-            .iter()
-            .filter_map(|id| self.backends.get(id))
-            .filter(|b| !b.listed.draining && !b.stale)
-            .filter(|b| wanted.versions.allows(&b.listed.version))
-            .collect();
-        let untried = |b: &&&Backend| !wanted.tried.contains(&b.listed.id) && b.has_room(now);
-        let sound: Vec<&&Backend> = usable.iter().filter(|b| !b.is_passed_over(now)).collect();
-        let passed_over = (usable.len() - sound.len()) as f64;
-        let mut eligible: Vec<&Backend> =
-            sound.into_iter().copied().filter(|b| untried(&b)).collect();
-        let many_passed_over = passed_over > MOST_PASSED_OVER * usable.len() as f64;
-        if eligible.is_empty() || many_passed_over {
-            eligible = usable.iter().copied().filter(|b| untried(&b)).collect();
-        }
+        let usable = self.usable(wanted);
+        let eligible = eligible(&usable, wanted, now);
         let chosen = match wanted.purpose {
             Purpose::Call => {
                 let candidates: Vec<_> = eligible.iter().map(|b| b.candidate(0, now)).collect();
@@ -272,6 +258,15 @@
         chosen.map(|candidate| candidate.id.clone())
     }
 
+    /// Back ends of the service and versions that take new work.
+    fn usable(&self, wanted: &Wanted<'_>) -> Vec<&Backend> {
+        let ids = self.by_service.get(wanted.service).into_iter().flatten();
+        ids.filter_map(|id| self.backends.get(id))
+            .filter(|b| !b.listed.draining && !b.stale)
+            .filter(|b| wanted.versions.allows(&b.listed.version))
+            .collect()
+    }
+
     /// Engines that a prompt's first part has to itself.
     fn own_engines<'a>(
         &self,
@@ -296,6 +291,17 @@
     }
 }
 
+/// Those that may take one more try: not tried yet, with room, and not passed over for failures; without regard to
+/// failures when they leave none, or when so many fail that the fault is likelier elsewhere.
+fn eligible<'a>(usable: &[&'a Backend], wanted: &Wanted<'_>, now: Instant) -> Vec<&'a Backend> {
+    let may_try = |b: &&Backend| !wanted.tried.contains(&b.listed.id) && b.has_room(now);
+    let open: Vec<&Backend> = usable.iter().copied().filter(may_try).collect();
+    let sound: Vec<&Backend> = open.iter().copied().filter(|b| !b.is_passed_over(now)).collect();
+    let passed_over = usable.iter().filter(|b| b.is_passed_over(now)).count();
+    let too_many = passed_over as f64 > MOST_PASSED_OVER * usable.len() as f64;
+    if sound.is_empty() || too_many { open } else { sound }
+}
+
 /// A request's place at a back end; given up when dropped, with what came of the request.
 #[derive(Debug)]
 pub struct Reserved {
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -1,11 +1,10 @@
 //! Chooses a back end for one request. Pure: candidates with their loads in, one of them out.
 
-use rand::{Rng, RngExt};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use rand::seq::IndexedRandom;
-
 use hooklug_types::{EngineId, ZoneName};
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt};
 
 /// Work of one request at an engine, in tokens to read (ours): what a request already there delays a new one by,
 /// mostly by the reading of its own prompt.
