--- a/crates/control/src/backends/reader.rs
+++ b/crates/control/src/backends/reader.rs
@@ -17,7 +17,7 @@
 use tracing::{info, warn};
 
 use super::BackendList;
-use crate::NodeContext;
+use crate::{InstalledBundle, NodeContext};
 
 /// Age of the last reading at which the list is no longer served (ours): followers try another core.
 const STALE_AFTER: Duration = Duration::from_secs(3);
@@ -43,6 +43,9 @@
     async fn read(&self) -> Result<Vec<ListedBackend>, SourceError>;
 }
 
+/// The bundle in force here, as it changes.
+pub type BundleWatch = watch::Receiver<Option<Arc<InstalledBundle>>>;
+
 /// One reading of the list.
 #[derive(Debug, Clone, Default)]
 struct Reading {
@@ -63,13 +66,14 @@
 }
 
 impl BackendReader {
-    /// Answers to followers.
+    /// Answers to followers. Each frame names the bundle that is in force here, so one is sent with each new bundle too:
+    /// followers then hear of it at once.
     #[must_use]
-    pub fn rpc_router(&self) -> Router {
+    pub fn rpc_router(&self, bundle: BundleWatch) -> Router {
         let readings = self.reading.clone();
         Router::new().stream(move |_peer, _request: WatchBackends, sink| {
             let readings = readings.subscribe();
-            serve(readings, sink)
+            serve(readings, bundle.clone(), sink)
         })
     }
 
@@ -122,8 +126,13 @@
     (first < context.identity.address.rpc).then_some(first)
 }
 
-/// Sends the whole list, then an item with each reading, until the list is stale or the follower gone.
-async fn serve(mut readings: watch::Receiver<Reading>, sink: ItemSink<BackendsItem>) {
+/// Sends the whole list, then an item with each reading and each new bundle, until the list is stale or the follower
+/// gone.
+async fn serve(
+    mut readings: watch::Receiver<Reading>,
+    mut bundle: BundleWatch,
+    sink: ItemSink<BackendsItem>,
+) {
     let mut sent: Option<BackendList> = None;
     loop {
         let reading = readings.borrow_and_update().clone();
@@ -137,7 +146,13 @@
             }
             sent = Some(reading.list);
         }
-        if !matches!(timeout(STALE_AFTER, readings.changed()).await, Ok(Ok(()))) {
+        let changed = async {
+            tokio::select! {
+                changed = readings.changed() => changed,
+                changed = bundle.changed() => changed,
+            }
+        };
+        if !matches!(timeout(STALE_AFTER, changed).await, Ok(Ok(()))) {
             return;
         }
     }
