--- /dev/null
+++ b/crates/control/tests/backends.rs
@@ -0,0 +1,56 @@
+//! The platform's list of back ends from a core to its followers.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use common::{Cluster, PATIENCE, SECRET, deadline};
+use hooklug_control::backends::{BackendReader, BackendSource, SourceError};
+use hooklug_protocol::backends::{BackendsItem, ListedBackend, WatchBackends};
+use hooklug_rpc::{LocalIdentity, RpcServer};
+use hooklug_types::{BundleVersion, NodeId, NodeRole};
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+/// A list without back ends.
+struct EmptyList;
+
+#[async_trait]
+impl BackendSource for EmptyList {
+    async fn read(&self) -> Result<Vec<ListedBackend>, SourceError> {
+        Ok(Vec::new())
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_follower_hears_of_a_new_bundle_without_waiting_for_the_next_reading() {
+    let cluster = Cluster::new(21).await;
+    let follower = cluster.start(NodeRole::Core, &[]).await;
+    let context = follower.context.clone();
+    let listener = RpcServer::bind("127.21.0.200:0".parse().unwrap()).await.expect("loopback");
+    let place: SocketAddr = listener.local_addr().expect("bound");
+    let mut address = context.identity.address.clone();
+    (address.node, address.rpc) = (NodeId(1), place);
+    let identity = LocalIdentity::new(address, SECRET);
+    let (bundle, installed) = watch::channel(None);
+    let reader = BackendReader::default();
+    let server = RpcServer::new(listener, identity.clone(), reader.rpc_router(installed));
+    tokio::spawn(server.run(CancellationToken::new()));
+    let reading = context.clone();
+    // The next reading is an hour away.
+    tokio::spawn(async move {
+        reader.run(&reading, &EmptyList, Duration::from_secs(3_600)).await;
+    });
+    let request = WatchBackends { from: context.identity.address.clone() };
+    let mut items = context.client.open(place, &request, deadline()).await.expect("it opens");
+    let first = timeout(PATIENCE, items.next()).await.expect("in time").expect("an item");
+    assert_eq!(first, Some(BackendsItem::Whole(Vec::new())));
+    identity.bundles.set_installed(BundleVersion(7));
+    bundle.send_replace(None);
+    let next = timeout(PATIENCE, items.next()).await.expect("in time").expect("an item");
+    assert_eq!(next, Some(BackendsItem::Changes { changed: Vec::new(), gone: Vec::new() }));
+    assert_eq!(*context.identity.bundles.watch_newest().borrow(), BundleVersion(7));
+}
