--- a/crates/ingress/src/answer.rs
+++ b/crates/ingress/src/answer.rs
@@ -1,6 +1,5 @@
 //! What a request comes to.
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -82,12 +81,6 @@
     }
 }
 
-impl From<Infallible> for Cut {
-    fn from(never: Infallible) -> Self {
-        match never {}
-    }
-}
-
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = Cut;
--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -93,7 +93,6 @@
     fn candidate(&self, missing_tokens: u32, now: Instant) -> Candidate<'_> {
         Candidate {
             id: &self.listed.id,
-            zone: &self.listed.zone,
             requests: self.load.requests(now),
             missing_tokens,
             load: self.load.share(self.listed.slots, now),
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use hooklug_types::{EngineId, ZoneName};
+use hooklug_types::EngineId;
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
@@ -26,8 +26,6 @@
 pub struct Candidate<'a> {
     /// Its id.
     pub id: &'a EngineId,
-    /// Its zone.
-    pub zone: &'a ZoneName,
     /// Requests there.
     pub requests: f64,
     /// Requests there, as a share of its slots.
--- a/crates/ingress/tests/pure.rs
+++ b/crates/ingress/tests/pure.rs
@@ -10,7 +10,7 @@
 use hooklug_ingress::routes::{RouteTable, pick_service};
 use hooklug_ingress::sse::EventReader;
 use hooklug_ingress::{LoadReport, PromptPart};
-use hooklug_types::{EngineId, RouteName, ServiceName, ZoneName};
+use hooklug_types::{EngineId, RouteName, ServiceName};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -105,19 +105,17 @@
 
 struct Fleet {
     ids: Vec<EngineId>,
-    zone: ZoneName,
 }
 
 impl Fleet {
     fn of(count: usize) -> Self {
         let ids = (0..count).map(|number| EngineId::new(format!("e{number}")).unwrap()).collect();
-        Self { ids, zone: ZoneName::new("z").unwrap() }
+        Self { ids }
     }
 
     fn candidates(&self, requests: impl Fn(usize) -> f64) -> Vec<Candidate<'_>> {
         let candidate = |(number, id)| Candidate {
             id,
-            zone: &self.zone,
             requests: requests(number),
             load: requests(number) / 64.0,
             latency_ms: 100.0,
