--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -29,7 +29,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Pause before a quorum is asked again, when it could not be reached at the start (ours).
-const ASK_PAUSE: Duration = Duration::from_millis(250);
+const ASK_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest wait of a node for others to tell it of a version, in milliseconds (ours: 1 a known node, so that
 /// at most about a thousand nodes a second ask the stores).
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -1,6 +1,6 @@
 //! The part of a gateway that passes requests through: what it knows, and the way of one request.
 
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use hooklug_bundle::http::HttpRouting;
@@ -9,6 +9,7 @@
 use hooklug_state::meta::RolloutRecord;
 use hooklug_types::{EngineId, ServiceName};
 use tokio::sync::watch;
+use tokio::time::timeout_at;
 use tokio_util::task::TaskTracker;
 
 use crate::answer::{IngressAnswer, Refusal};
@@ -23,6 +24,13 @@
 /// When a caller should come back who met a gateway without a bundle (ours).
 const NOT_CONFIGURED_RETRY: Duration = Duration::from_millis(300);
 
+/// Longest time for which a request waits for the first bundle of a process that has just started (ours): the callers of
+/// a whole cluster that starts again would else spend their tries before anything can be served.
+const FIRST_BUNDLE_WAIT: Duration = Duration::from_millis(1_500);
+
+/// The same as a part of the caller's patience (ours): the rest is for the request itself.
+const FIRST_BUNDLE_SHARE: f64 = 0.4;
+
 /// Pause between sweeps of unused connections (ours).
 const SWEEP_PAUSE: Duration = Duration::from_secs(2);
 
@@ -54,7 +62,7 @@
     pub(crate) histories: Arc<HistoryCache>,
     /// Work that outlives its request: ends of turns whose callers left.
     pub(crate) afterwork: TaskTracker,
-    routing: RwLock<Option<Arc<Routing>>>,
+    routing: watch::Sender<Option<Arc<Routing>>>,
 }
 
 impl std::fmt::Debug for Ingress {
@@ -79,7 +87,7 @@
             records,
             histories: Arc::default(),
             afterwork: TaskTracker::new(),
-            routing: RwLock::default(),
+            routing: watch::Sender::default(),
         }
     }
 
@@ -100,7 +108,7 @@
 
     /// Serves one request. When the future is dropped the caller has left: the back end's work is cancelled.
     pub async fn serve(&self, request: &IngressRequest) -> IngressAnswer {
-        let Some(routing) = self.routing() else {
+        let Some(routing) = self.routing_in_force(request).await else {
             return Refusal::NotConfigured { retry_after: NOT_CONFIGURED_RETRY }.into();
         };
         let Some(route) = routing.table.find(&request.host, request.uri.path()) else {
@@ -153,7 +161,21 @@
     }
 
     fn routing(&self) -> Option<Arc<Routing>> {
-        self.routing.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.routing.borrow().clone()
+    }
+
+    /// The routing; a process that has just started waits a while for its first bundle.
+    async fn routing_in_force(&self, request: &IngressRequest) -> Option<Arc<Routing>> {
+        if let Some(routing) = self.routing() {
+            return Some(routing);
+        }
+        let patience = request.patience.map_or(FIRST_BUNDLE_WAIT, |patience| {
+            patience.mul_f64(FIRST_BUNDLE_SHARE).min(FIRST_BUNDLE_WAIT)
+        });
+        let mut routing = self.routing.subscribe();
+        let first = routing.wait_for(Option::is_some);
+        let first = timeout_at(request.received + patience, first).await.ok()?.ok()?;
+        first.clone()
     }
 
     async fn follow_bundle(&self, mut bundle: watch::Receiver<Option<Arc<InstalledBundle>>>) {
@@ -161,8 +183,7 @@
             let installed = bundle.borrow_and_update().clone();
             if let Some(http) = installed.and_then(|installed| installed.bundle.http.clone()) {
                 let routing = Routing { table: RouteTable::new(&http), http };
-                *self.routing.write().unwrap_or_else(PoisonError::into_inner) =
-                    Some(Arc::new(routing));
+                self.routing.send_replace(Some(Arc::new(routing)));
             }
             if bundle.changed().await.is_err() {
                 return;
