ingress: a request waits for the first list of back ends too

Change: the wait for the first bundle is one for the first list as well; without a list a request without a route is still answered by the bundle. Test: red without the wait for the list.

--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -16,6 +16,7 @@
 use crate::backends::{BackendTable, Purpose, Reserved, Wanted};
 use crate::connections::Connections;
 use crate::history_cache::HistoryCache;
+use crate::outcomes;
 use crate::records::TurnRecords;
 use crate::routes::{NamedRoute, RouteTable, pick_service};
 use crate::versions::AllowedVersions;
@@ -24,8 +25,8 @@
 /// When a caller should come back who met a gateway without a bundle (ours).
 const NOT_CONFIGURED_RETRY: Duration = Duration::from_millis(300);
 
-/// Longest time for which a request waits for the first bundle of a process that has just started (ours): the callers of
-/// a whole cluster that starts again would else spend their tries before anything can be served.
+/// Longest time for which a request waits for the first bundle and list of a process that has just started (ours): the
+/// callers of a whole cluster that starts again would else spend their tries before anything can be served.
 const FIRST_BUNDLE_WAIT: Duration = Duration::from_millis(1_500);
 
 /// The same as a part of the caller's patience (ours): the rest is for the request itself.
@@ -97,6 +98,7 @@
             self.follow_bundle(self.node.node.bundle.clone()),
             self.follow_list(self.list.clone()),
             self.sweep(),
+            outcomes::report(&self.node, &self.backends),
         );
     }
 
@@ -164,18 +166,25 @@
         self.routing.borrow().clone()
     }
 
-    /// The routing; a process that has just started waits a while for its first bundle.
+    /// The routing; a process that has just started waits a while for its first bundle and its first list of back ends.
     async fn routing_in_force(&self, request: &IngressRequest) -> Option<Arc<Routing>> {
-        if let Some(routing) = self.routing() {
+        if self.list.borrow().is_some()
+            && let Some(routing) = self.routing()
+        {
             return Some(routing);
         }
         let patience = request.patience.map_or(FIRST_BUNDLE_WAIT, |patience| {
             patience.mul_f64(FIRST_BUNDLE_SHARE).min(FIRST_BUNDLE_WAIT)
         });
-        let mut routing = self.routing.subscribe();
-        let first = routing.wait_for(Option::is_some);
-        let first = timeout_at(request.received + patience, first).await.ok()?.ok()?;
-        first.clone()
+        let (mut routing, mut list) = (self.routing.subscribe(), self.list.clone());
+        let both = async {
+            // The list's sender lives as long as this process follows it.
+            let _ = list.wait_for(Option::is_some).await;
+            routing.wait_for(Option::is_some).await.ok().and_then(|routing| routing.clone())
+        };
+        // Without a list the routing alone still tells whether the request has a route at all.
+        let waited = timeout_at(request.received + patience, both).await;
+        waited.unwrap_or_else(|_| self.routing())
     }
 
     async fn follow_bundle(&self, mut bundle: watch::Receiver<Option<Arc<InstalledBundle>>>) {
--- a/crates/ingress/tests/turns.rs
+++ b/crates/ingress/tests/turns.rs
@@ -57,6 +57,23 @@
     assert_eq!(status, 200);
 }
 
+#[tokio::test]
+async fn a_turn_that_comes_before_the_first_list_waits_for_it() {
+    let engine = StandIn::start("e1", &[TWO]).await;
+    let world = World::without_bundle(MemoryState::default(), &[&engine]);
+    let list = world.list.send_replace(None);
+    world.install_bundle();
+    let ingress = world.ingress.clone();
+    tokio::spawn(async move { ingress.run().await });
+    let ingress = world.ingress.clone();
+    let serving = tokio::spawn(async move { ingress.serve(&turn("/kept/x", "t1", None)).await });
+    // Long enough for a refusal that does not wait for the list.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    world.list.send_replace(list);
+    let (status, _) = passed(serving.await.expect("an answer")).await;
+    assert_eq!(status, 200);
+}
+
 #[tokio::test]
 async fn a_turn_is_refused_when_no_bundle_comes_in_time() {
     let engine = StandIn::start("e1", &[]).await;
