control, ingress: gateways tell each other which back ends fail more than the others

Each of 50 gateways found out by itself, 2 s after each request's start, with one or two programs lost for each engine. Ruled out: health checks (they are good at such engines), load (under half). Change: gateways count answers, failures and requests without a first byte for long, and tell the core that reads the list while any fail; it ejects back ends whose share of failures exceeds 0.2 and twice that of the others, at most three tenths of a service, for 3 s and longer each time, and tells all followers with the list at once. A gateway that waits long for a first byte leaves that back end by itself; where too few are left, ejected ones are asked as before.

--- a/crates/control/src/backends/mod.rs
+++ b/crates/control/src/backends/mod.rs
@@ -5,8 +5,10 @@
 
 mod follower;
 mod list;
+mod outliers;
 mod reader;
 
 pub use follower::{BackendFollower, BackendWatch};
 pub use list::BackendList;
-pub use reader::{BackendReader, BackendSource, SourceError};
+pub use outliers::OutlierJudge;
+pub use reader::{BackendReader, BackendSource, SourceError, reading_core};
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -64,7 +64,7 @@
 pub async fn send(
     connections: &Connections,
     dialect: &dyn BackendDialect,
-    mut reserved: Reserved,
+    reserved: Reserved,
     outgoing: &Outgoing<'_>,
     end: Instant,
 ) -> Attempt {
@@ -88,7 +88,6 @@
         }
         Err(_) => return Attempt::TimedOut,
     };
-    reserved.note_answer();
     let (head, body) = response.into_parts();
     let told = dialect.read_head(&head, &outgoing.request.id);
     if let Some(load) = told.load {
@@ -131,7 +130,9 @@
     /// When the back end broke off.
     pub async fn next_piece(&mut self) -> Result<Option<Bytes>, BodyError> {
         loop {
-            match self.body.frame().await {
+            let frame = self.body.frame().await;
+            self.reserved.note_answer();
+            match frame {
                 None => return Ok(None),
                 Some(Err(error)) => return Err(BodyError::Broken(error.to_string())),
                 Some(Ok(frame)) => {
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -55,6 +55,8 @@
     SlotUseFigures,
     /// `backends::WatchBackends`.
     WatchBackends,
+    /// `backends::ReportOutcomes`.
+    ReportOutcomes,
 }
 
 /// A request with one reply.
