replication, control, store: figures and log lines that tell the incident's hypotheses apart

Before, the logs could not tell a node that hears late of a bundle from one that installs late, nor what a version costs a store. No logic is changed.

--- a/crates/control/src/agent/heartbeat.rs
+++ b/crates/control/src/agent/heartbeat.rs
@@ -9,7 +9,7 @@
 use rand::seq::SliceRandom;
 use tokio::sync::watch;
 
-use super::Shared;
+use super::{NewsSource, Shared};
 use crate::handle::NodeReport;
 
 /// Pause between heartbeats (design, section 4: 1 s).
@@ -58,7 +58,7 @@
     shared.reach.core_answered();
     shared.note_leader(Some(reply.leader.unwrap_or(core)));
     if let Some(record) = &reply.bundle {
-        shared.heard_of(record);
+        shared.heard_of(record, NewsSource::Heartbeat);
     }
 }
 
--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -17,8 +17,8 @@
 use tokio::sync::Semaphore;
 use tracing::{debug, info, warn};
 
-use super::Shared;
 use super::sections::Section;
+use super::{NewsSource, Shared};
 use crate::figures;
 use crate::handle::InstalledBundle;
 
@@ -86,7 +86,7 @@
     let MetaAnswer::NewestBundle(newest) = answer else { return None };
     shared.reach.store_answered();
     if let Some(record) = &newest {
-        shared.heard_of(record);
+        shared.heard_of(record, NewsSource::Quorum);
     }
     Some(newest)
 }
@@ -150,13 +150,14 @@
     let changed = fetched.iter().map(|(name, (_, bytes))| (name.as_str(), Some(&**bytes)));
     let changed = changed.chain(gone.map(|name| (name.as_str(), None)));
     let bundle = hooklug_bundle::with_sections(&held_bundle, header, changed)?;
+    let bytes: usize = fetched.values().map(|(_, section)| section.len()).sum();
     shared.sections().replace(&record.sections, fetched.into_values());
     let version = record.version;
     shared.bundle.send_replace(Some(Arc::new(InstalledBundle { record, bundle })));
     shared.identity.bundles.set_installed(version);
     shared.heartbeat_due.notify_one();
     figures::bundle_installed(version.0);
-    info!(%version, "bundle in force");
+    info!(%version, fetched = bytes, "bundle in force");
     Ok(())
 }
 
--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -24,6 +24,7 @@
 use tokio::sync::{Notify, watch as channel};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use tracing::info;
 
 use crate::handle::{InstalledBundle, NodeFeeds, NodeReport, Reach, Readiness, Statistics};
 pub use peers::Peers;
@@ -33,6 +34,17 @@
 /// Longest wait for one answer of a peer (ours).
 const CALL_TIME: Duration = Duration::from_secs(1);
 
+/// How a node heard of a bundle.
+#[derive(Debug, Clone, Copy)]
+enum NewsSource {
+    /// A core's answer to a heartbeat.
+    Heartbeat,
+    /// A linearizable read of the meta group.
+    Quorum,
+    /// The cluster view.
+    View,
+}
+
 /// What the agent's tasks share.
 #[derive(Debug)]
 struct Shared {
@@ -69,10 +81,11 @@
     }
 
     /// Notes a bundle record; the installer fetches it when it is newer than what is installed.
-    fn heard_of(&self, record: &BundleRecord) {
+    fn heard_of(&self, record: &BundleRecord, source: NewsSource) {
         self.heard.send_if_modified(|heard| {
             let newer = heard.as_ref().is_none_or(|h| h.version < record.version);
             if newer {
+                info!(version = %record.version, ?source, "heard of a bundle");
                 *heard = Some(record.clone());
             }
             newer
@@ -92,7 +105,7 @@
             self.identity.set_cluster(view.meta.cluster);
         }
         if let Some(record) = &view.meta.bundle {
-            self.heard_of(record);
+            self.heard_of(record, NewsSource::View);
         }
         let mut peers = self.peers();
         peers.follow_members(members.iter().map(|member| &**member));
--- a/crates/raft/src/raft_log.rs
+++ b/crates/raft/src/raft_log.rs
@@ -270,6 +270,12 @@
         Ok(base)
     }
 
+    /// Bytes that the entries held in memory count for.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.entries.iter().map(entry_bytes).sum()
+    }
+
     /// Index before the last entries up to `index`: as many as both bounds allow.
     #[must_use]
     pub fn start_of_last(&self, index: u64, max_entries: u64, max_bytes: usize) -> u64 {
--- a/crates/raft/src/status.rs
+++ b/crates/raft/src/status.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Bytes of the log's entries that are held in memory.
+    #[must_use]
+    pub fn log_bytes(&self) -> usize {
+        self.log.held_bytes()
+    }
+
     fn replica_progress(&self) -> Vec<ReplicaProgress> {
         let of = |(node, progress): (&NodeId, &crate::progress::Progress)| ReplicaProgress {
             node: *node,
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -12,6 +12,7 @@
 mod compaction;
 mod driver;
 mod error;
+mod figures;
 mod handle;
 mod input;
 mod joined;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -354,6 +354,12 @@
         }
     }
 
+    /// Bytes of the log's entries that are held in memory.
+    #[must_use]
+    pub fn log_memory(&self) -> usize {
+        self.node.log_bytes()
+    }
+
     /// The leader's term, for the messages of a snapshot transfer.
     #[must_use]
     pub fn term(&self) -> u64 {
--- a/crates/replication/src/rounds.rs
+++ b/crates/replication/src/rounds.rs
@@ -5,17 +5,22 @@
 use hooklug_raft::SnapshotMeta;
 use hooklug_types::{GroupId, NodeId};
 use hooklug_wal::{GroupRecord, Record, WalError};
+use tracing::debug;
 
 use crate::Round;
 use crate::applier::ApplyTask;
 use crate::compaction::SnapshotJob;
 use crate::driver::Driver;
+use crate::figures;
 use crate::input::Input;
 use crate::snapshot_sender::Transfer;
 
 impl Driver {
     /// Asks the groups that keep old log segments for snapshots.
     pub(crate) fn relieve_log(&mut self) {
+        for (group, replica) in &self.replicas {
+            figures::log_memory(*group, replica.log_memory());
+        }
         for group in self.wal.holders_of_oldest(self.settings.max_segments) {
             self.ask_for_snapshot(group, 1);
         }
@@ -92,6 +97,8 @@
     pub(crate) fn snapshot_written(&mut self, group: GroupId, meta: SnapshotMeta, bytes: u64) {
         let trailing = self.settings.trailing_entries();
         let index = meta.index;
+        figures::snapshot_taken(group, bytes);
+        debug!(%group, index, bytes, "a snapshot was taken");
         let Ok(replica) = self.replica(group) else { return };
         let Some(record) = replica.finish_snapshot(meta, bytes, trailing) else { return };
         self.append_snapshot(group, index, record);
--- a/crates/store/src/meta_watch.rs
+++ b/crates/store/src/meta_watch.rs
@@ -8,7 +8,7 @@
 use hooklug_state::{decode, encode};
 use hooklug_types::META_GROUP;
 use tokio::time::Instant;
-use tracing::warn;
+use tracing::{info, warn};
 
 use crate::StateAccess;
 use crate::shared::Shared;
@@ -68,6 +68,10 @@
     if shared.meta.borrow().stores != meta.stores {
         note_stores(shared, meta.stores.clone()).await;
     }
+    let version = |state: &MetaState| state.bundle.as_ref().map(|bundle| bundle.version);
+    if version(&meta) > version(&shared.meta.borrow()) {
+        info!(version = ?version(&meta), "a bundle is committed");
+    }
     shared.meta.send_if_modified(|known| {
         let differs = **known != meta;
         if differs {
