--- a/crates/store/tests/cluster.rs
+++ b/crates/store/tests/cluster.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
-use hooklug_state::meta::{MetaAnswer, MetaQuery};
+use hooklug_bundle::Bundle;
+use hooklug_protocol::store::GroupStatus;
+use hooklug_state::meta::{MetaAnswer, MetaCommand, MetaQuery, MetaReply, SubmitBundle};
 use hooklug_store::StateAccess;
-use hooklug_types::{GroupId, shard_of};
-use support::{TestCluster, fast_options, has_program, put_program, soon};
+use hooklug_types::{BundleVersion, GroupId, shard_of};
+use support::{TestCluster, fast_options, has_program, put_program, rpc_client, soon, until};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn three_stores_form_a_cluster_and_survive_kills() {
@@ -63,3 +65,27 @@
     }
     put_program(&client, "after").await;
 }
+
+/// The process that acknowledged a bundle may be gone in the next moment: the stores that hold it tell all that call them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn whoever_calls_a_store_hears_of_a_committed_bundle() {
+    let cluster = TestCluster::formed(3, fast_options()).await;
+    let bundle = Bundle { version: BundleVersion(7), ..Bundle::default() };
+    let submit = MetaCommand::SubmitBundle(SubmitBundle {
+        version: bundle.version,
+        base: bundle.base,
+        bytes: hooklug_bundle::canonical_bytes(&bundle),
+        signed_by: Vec::new(),
+    });
+    let reply = cluster.client().execute_meta(&submit, soon()).await.expect("a reply");
+    assert!(!matches!(reply, MetaReply::Refused(_)), "{reply:?}");
+    for store in &cluster.stores {
+        let client = rpc_client();
+        let named = client.identity().bundles.watch_newest();
+        until("the store names it", async || {
+            client.call(store.address, &GroupStatus, soon()).await.expect("an answer");
+            *named.borrow() == bundle.version
+        })
+        .await;
+    }
+}
