control: a node that only the stores told of the core leader asks it for the others

Callers saw: a node without known seeds beats to the leader for ever, is shown as alive to all, and follows no view and knows no store. Cause: discovery asks seeds, stores and, while no core answers, a few others. A node that reads the leader's address from the stores and is answered by it knows nobody, and asked nobody any more.

--- a/crates/control/src/agent/discovery.rs
+++ b/crates/control/src/agent/discovery.rs
@@ -39,8 +39,8 @@
     knows(NodeRole::Core) && knows(NodeRole::Store)
 }
 
-/// Whom to ask in this round over connections that stay: seeds that are not known yet, and a store, which tells
-/// that one is within reach; all stores while no core answers.
+/// Whom to ask in this round over connections that stay: seeds that are not known yet, a core leader that only the stores
+/// told of, and a store, which tells that one is within reach; all stores while no core answers.
 fn targets(shared: &Shared) -> Vec<SocketAddr> {
     let peers = shared.peers();
     let stores = peers.addresses(NodeRole::Store);
@@ -48,6 +48,7 @@
     let mut rng = rand::rng();
     let unknown = |seed: &&SocketAddr| !peers.is_known(**seed);
     let mut targets: Vec<SocketAddr> = shared.seeds.iter().filter(unknown).copied().collect();
+    targets.extend(shared.leader.borrow().iter().filter(unknown));
     let alone = !shared.reach.core_answers();
     let store_count = if alone { stores.len() } else { 1 };
     targets.extend(stores.sample(&mut rng, store_count));
--- a/crates/control/tests/cluster.rs
+++ b/crates/control/tests/cluster.rs
@@ -65,6 +65,15 @@
     eventually("the store is known", || *early.context.node.stores.borrow() == [store.rpc]).await;
 }
 
+/// Guards against nodes that beat to a leader for ever, whom the stores named, and follow no view.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_that_only_the_stores_told_of_the_leader_finds_the_others() {
+    let cluster = Cluster::new(20).await;
+    let core = cluster.start(NodeRole::Core, &[]).await;
+    let node = cluster.start(NodeRole::Gateway, &[]).await;
+    eventually("the node sees the core", || sees_alive(&node, &core)).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_node_at_a_reused_address_replaces_the_one_before() {
     let cluster = Cluster::new(12).await;
