bundle, state: a version of a bundle costs nodes and stores what it changed

Change: pools and limits, routes in 32 chunks by name, and the operators' text in pieces cut by its content (fastcdc) are sections of their own. Nodes do not fetch the text. The meta group keeps the whole content of older versions up to 2 MB, their records and routes as before. The data format is 4.

--- a/crates/bundle/src/canonical.rs
+++ b/crates/bundle/src/canonical.rs
@@ -9,13 +9,13 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::Bundle;
+use crate::http_sections::{self, HTTP, HttpChanges};
 use crate::tenants::chunk_of;
 
 const SERVICES: &str = "services";
 /// Name of the section that holds the routes.
 pub const ROUTES_SECTION: &str = "routes";
 const WINDOWS: &str = "windows";
-const HTTP: &str = "http";
 const TENANTS_PREFIX: &str = "tenants/";
 
 /// Bytes or sections that are no bundle.
@@ -46,7 +46,7 @@
     pub base: BundleVersion,
 }
 
-fn to_json<T: Serialize>(value: &T) -> Vec<u8> {
+pub(crate) fn to_json<T: Serialize>(value: &T) -> Vec<u8> {
     // Plain data with text keys into a growing buffer: the encoder has no way to fail.
     serde_json::to_vec(value).unwrap_or_default()
 }
@@ -98,7 +98,7 @@
     ]);
     let chunks = bundle.tenants.chunks();
     sections.extend(chunks.map(|(number, chunk)| (chunk_section(number), to_json(chunk))));
-    sections.extend(bundle.http.as_ref().map(|http| (HTTP.to_owned(), to_json(http))));
+    sections.extend(bundle.http.iter().flat_map(http_sections::sections));
     sections
 }
 
@@ -132,15 +132,17 @@
     changed: impl IntoIterator<Item = (&'a str, Option<&'a [u8]>)>,
 ) -> Result<Bundle, DecodeError> {
     let mut bundle = Bundle { version: header.version, base: header.base, ..held.clone() };
+    let mut http = HttpChanges::default();
     for (name, bytes) in changed {
         match name {
             SERVICES => bundle.services = section(name, bytes)?,
             ROUTES_SECTION => bundle.routes = section(name, bytes)?,
             WINDOWS => bundle.windows = section(name, bytes)?,
-            HTTP => bundle.http = section(name, bytes)?,
+            _ if name.starts_with(HTTP) => http.take(name, bytes)?,
             _ => bundle.tenants.set_chunk(chunk_number(name)?, section(name, bytes)?),
         }
     }
+    http.apply(&mut bundle.http)?;
     Ok(bundle)
 }
 
@@ -152,7 +154,8 @@
         .ok_or_else(|| DecodeError::UnknownSection(name.to_owned()))
 }
 
-fn section<T>(name: &str, bytes: Option<&[u8]>) -> Result<T, DecodeError>
+/// Reads a section; one that is gone is empty.
+pub(crate) fn section<T>(name: &str, bytes: Option<&[u8]>) -> Result<T, DecodeError>
 where
     T: Default + Serialize + DeserializeOwned,
 {
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -9,6 +9,7 @@
 mod canonical;
 mod diff;
 pub mod http;
+mod http_sections;
 pub mod model;
 mod parse;
 mod signature;
@@ -20,6 +21,8 @@
     BundleHeader, DecodeError, ROUTES_SECTION, canonical_bytes, decode, digest, from_sections,
     section_digests, sections, tenant_section, with_sections,
 };
+pub use http_sections::is_operators_text;
+
 pub use diff::{BundleChange, diff};
 
 pub use model::{
--- a/crates/bundle/tests/canonical.rs
+++ b/crates/bundle/tests/canonical.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::valid;
+use hooklug_bundle::http::{HttpLimits, HttpRoute, HttpRouting, HttpService, RepeatRule};
 use hooklug_bundle::{
     Bundle, BundleHeader, DecodeError, HarmThresholds, Tenant, TenantLimits, TextFormat,
     canonical_bytes, decode, diff, digest, from_sections, parse, section_digests, sections,
@@ -25,11 +26,41 @@
         })
 }
 
+fn any_http() -> impl Strategy<Value = Option<HttpRouting>> {
+    let name = "[a-z]{1,6}";
+    let route = (name, any::<u64>()).prop_map(|(path, timeout_ms)| HttpRoute {
+        host: "a.example".to_owned(),
+        path_prefix: format!("/{path}/"),
+        repeat: RepeatRule::Once,
+        streaming: false,
+        keep_ms: None,
+        timeout_ms,
+        target_latency_ms: 1,
+        priority: 0,
+        max_attempts: 1,
+        sticky: false,
+        backends: Vec::new(),
+    });
+    let routes = proptest::collection::btree_map(name, route, 0..40);
+    let http = (routes, "[a-zäß ]{0,8000}", 0_u32..3).prop_map(|(routes, document, pool)| {
+        let pool = HttpService { max_connections: pool, model: None };
+        HttpRouting {
+            routes: routes.into_iter().map(|(n, r)| (n.parse().expect("valid"), r)).collect(),
+            services: [("pool".parse().expect("valid"), pool)].into(),
+            limits: HttpLimits::default(),
+            document,
+        }
+    });
+    proptest::option::of(http)
+}
+
 fn any_bundle() -> impl Strategy<Value = Bundle> {
     let tenants = proptest::collection::btree_map("[a-zA-Z0-9._:-]{1,20}", any_tenant(), 0..40);
     let harm = (0.0..1.0_f64, 1.0..100.0_f64, 1_u32..1_000);
-    (any::<u64>(), any::<u64>(), tenants, harm).prop_map(|(version, base, tenants, harm)| {
+    let parts = (any::<u64>(), any::<u64>(), tenants, harm, any_http());
+    parts.prop_map(|(version, base, tenants, harm, http)| {
         let mut bundle = valid();
+        bundle.http = http;
         bundle.version = BundleVersion(version);
         bundle.base = BundleVersion(base);
         bundle.tenants =
@@ -139,3 +170,45 @@
     assert_eq!(changes[3].to_string(), "~ version: 8 -> 9");
     assert!(diff(&before, &before).is_empty());
 }
+
+/// A text of operators as long as that of a large deployment, and the same with a line put in.
+fn long_texts() -> (String, String) {
+    let lines = (0..3_000).map(|number| format!("route {number} to {}", number * 7919));
+    let before: Vec<String> = lines.collect();
+    let mut after = before.clone();
+    after.insert(1_500, "a route put in".to_owned());
+    (before.join("\n"), after.join("\n"))
+}
+
+/// Guards against changes of one route that cost every node and store the whole text.
+#[test]
+fn a_line_put_into_the_operators_text_changes_few_bytes() {
+    let with_text = |document| {
+        let http = HttpRouting { document, ..HttpRouting::default() };
+        Bundle { http: Some(http), ..valid() }
+    };
+    let (before, after) = long_texts();
+    let held = sections(&with_text(before));
+    let next = sections(&with_text(after.clone()));
+    let changed = next.iter().filter(|(name, bytes)| held.get(*name) != Some(*bytes));
+    let bytes: usize = changed.map(|(_, bytes)| bytes.len()).sum();
+    assert!(bytes < after.len() / 3, "{bytes} of {} bytes changed", after.len());
+}
+
+/// Guards against texts that are put together from pieces of another text.
+#[test]
+fn a_text_with_a_missing_or_false_piece_is_refused() {
+    let (document, _) = long_texts();
+    let http = HttpRouting { document, ..HttpRouting::default() };
+    let bundle = Bundle { http: Some(http), ..valid() };
+    let whole = sections(&bundle);
+    let piece = whole.keys().find(|name| name.starts_with("http/text/")).expect("a piece").clone();
+    let mut missing = whole.clone();
+    missing.remove(&piece);
+    let mut other = whole;
+    other.insert(piece.clone(), b"something else".to_vec());
+    for parts in [missing, other] {
+        let refused = from_sections(header(&bundle), &parts);
+        assert!(matches!(&refused, Err(DecodeError::Malformed { part, .. }) if *part == piece));
+    }
+}
--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -143,7 +143,10 @@
         Some(held) => (held.bundle.clone(), held.record.sections.clone()),
         None => (Bundle::default(), BTreeMap::new()),
     };
-    let differs = |(name, digest): &(&String, &Digest)| held_sections.get(*name) != Some(*digest);
+    // The operators' text is read back from the stores; a node has no use for it.
+    let differs = |(name, digest): &(&String, &Digest)| {
+        !hooklug_bundle::is_operators_text(name) && held_sections.get(*name) != Some(*digest)
+    };
     let fetched = fetch_all(shared, record.sections.iter().filter(differs)).await?;
     let gone = held_sections.keys().filter(|name| !record.sections.contains_key(*name));
     let header = BundleHeader { version: record.version, base: record.base };
--- a/crates/control/tests/bundles.rs
+++ b/crates/control/tests/bundles.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use common::{Cluster, SECRET, bundle, deadline, eventually};
-use hooklug_bundle::{section_digests, tenant_section};
+use hooklug_bundle::{Bundle, section_digests, tenant_section};
 use hooklug_protocol::control::{Discover, FetchSection, NodeAddress};
 use hooklug_rpc::{LocalIdentity, Router, RpcServer};
 use hooklug_types::{BundleVersion, Digest, Incarnation, NodeId, NodeRole, TenantId, ZoneName};
@@ -89,3 +89,50 @@
     eventually("in force", || node.installed() == BundleVersion(1)).await;
     assert!(asked.twice.load(Ordering::SeqCst), "the next source waited for the silent one's end");
 }
+
+/// Routes of a large deployment.
+const ROUTES: u64 = 300;
+
+/// A bundle of many routes with the operators' text, in which one route has another time limit in each version.
+fn large_bundle(version: u64) -> Bundle {
+    let route = |number: u64| {
+        let timeout_ms = if number == 7 { 1_000 + version } else { 1_000 };
+        serde_json::json!({
+            "host": format!("host-{number}.example"), "path_prefix": "/", "repeat": "once", "streaming": false,
+            "keep_ms": null, "timeout_ms": timeout_ms, "target_latency_ms": 200, "priority": 1,
+            "max_attempts": 1, "sticky": false, "backends": [{"service": "alarms", "weight": 1}]
+        })
+    };
+    let routes: serde_json::Map<String, serde_json::Value> =
+        (0..ROUTES).map(|number| (format!("route-{number}"), route(number))).collect();
+    let document = serde_json::to_string(&routes).expect("plain data");
+    let http = serde_json::json!({ "routes": routes, "services": {}, "document": document });
+    Bundle {
+        version: BundleVersion(version),
+        base: BundleVersion(version - 1),
+        http: Some(serde_json::from_value(http).expect("routing")),
+        ..Bundle::default()
+    }
+}
+
+/// Guards against links that are filled by a whole configuration to each node for each change of one route.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_fetches_what_a_change_touched() {
+    let cluster = Cluster::new(42).await;
+    let core = cluster.start(NodeRole::Core, &[]).await;
+    let node = cluster.start(NodeRole::Gateway, &[core.rpc()]).await;
+    let received = || node.context.identity.traffic.counts().received_bytes;
+    let whole = hooklug_bundle::canonical_bytes(&large_bundle(1)).len() as u64;
+    cluster.submit_accepted(&large_bundle(1)).await;
+    core.context.identity.bundles.saw(BundleVersion(1));
+    eventually("the first is in force", || node.installed() == BundleVersion(1)).await;
+    let before = received();
+    cluster.submit_accepted(&large_bundle(2)).await;
+    core.context.identity.bundles.saw(BundleVersion(2));
+    eventually("the second is in force", || node.installed() == BundleVersion(2)).await;
+    let bytes = received() - before;
+    assert!(bytes < whole / 4, "{bytes} bytes for a change in {whole}");
+    let installed = node.context.node.bundle.borrow().clone().expect("installed");
+    let routes = &installed.bundle.http.as_ref().expect("routing").routes;
+    assert_eq!(*routes, large_bundle(2).http.expect("routing").routes);
+}
--- a/crates/state/src/meta/archive.rs
+++ b/crates/state/src/meta/archive.rs
@@ -3,15 +3,21 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use hooklug_bundle::{Bundle, BundleHeader};
+use hooklug_bundle::{Bundle, BundleHeader, ROUTES_SECTION};
 use hooklug_types::{BundleVersion, Digest};
 use serde::{Deserialize, Serialize};
 
 use super::record::BundleRecord;
 
-/// Versions whose content is kept (ours).
+/// Versions whose records are kept (ours).
 pub const KEPT_VERSIONS: usize = 512;
 
+/// Bytes that the content of older versions takes at most (ours). The newest version is kept whatever its size.
+pub const KEPT_BYTES: usize = 2 << 20;
+
+/// Bytes of a digest in a record's table of sections, with what the table adds.
+const TABLE_ENTRY_BYTES: usize = 40;
+
 /// A section's bytes and how many kept versions hold it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct SharedSection {
@@ -19,34 +25,65 @@
     holders: u32,
 }
 
-/// Records of the last [`KEPT_VERSIONS`] bundles and the sections that they are made of. A copy shares both.
+/// Records of the last [`KEPT_VERSIONS`] bundles, and the whole content of as many of them as [`KEPT_BYTES`] hold. Of older
+/// ones only the routes are kept: whether a tool could ever not be repeated must stay known. A copy shares records and
+/// sections.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(super) struct BundleArchive {
     records: BTreeMap<BundleVersion, Arc<BundleRecord>>,
     sections: BTreeMap<Digest, SharedSection>,
+    /// The oldest version whose content is whole.
+    whole_from: BundleVersion,
+    /// Bytes of all sections and of the records' tables.
+    bytes: usize,
 }
 
 impl BundleArchive {
-    /// Adds a version and drops those beyond the last [`KEPT_VERSIONS`].
+    /// Adds a version, then drops the oldest content and records beyond their bounds.
     pub(super) fn add(&mut self, record: BundleRecord, sections: BTreeMap<String, Vec<u8>>) {
+        let newest_bytes: usize = sections.values().map(Vec::len).sum();
+        self.bytes += table_bytes(&record);
         for bytes in sections.into_values() {
-            let shared = self
-                .sections
-                .entry(Digest::of(&bytes))
-                .or_insert_with(|| SharedSection { bytes: bytes.into(), holders: 0 });
-            shared.holders += 1;
+            self.hold(bytes);
         }
         self.records.insert(record.version, record.into());
+        while self.bytes > newest_bytes + KEPT_BYTES && self.drop_oldest_content() {}
         while self.records.len() > KEPT_VERSIONS {
             let Some((_, oldest)) = self.records.pop_first() else { break };
+            self.bytes -= table_bytes(&oldest);
             oldest.sections.values().for_each(|digest| self.release(digest));
         }
     }
 
+    fn hold(&mut self, bytes: Vec<u8>) {
+        let digest = Digest::of(&bytes);
+        if let Some(shared) = self.sections.get_mut(&digest) {
+            shared.holders += 1;
+            return;
+        }
+        self.bytes += bytes.len();
+        self.sections.insert(digest, SharedSection { bytes: bytes.into(), holders: 1 });
+    }
+
+    /// Drops the content of the oldest version that has it whole, but for the routes; false when only the newest is left.
+    fn drop_oldest_content(&mut self) -> bool {
+        let mut whole = self.records.range(self.whole_from..).map(|(version, _)| *version);
+        let (Some(oldest), Some(next)) = (whole.next(), whole.next()) else { return false };
+        self.whole_from = next;
+        let Some(record) = self.records.get_mut(&oldest) else { return false };
+        let record = Arc::make_mut(record);
+        let mut dropped = std::mem::take(&mut record.sections);
+        record.sections.extend(dropped.remove_entry(ROUTES_SECTION));
+        self.bytes -= dropped.keys().map(|name| entry_bytes(name)).sum::<usize>();
+        dropped.values().for_each(|digest| self.release(digest));
+        true
+    }
+
     fn release(&mut self, digest: &Digest) {
         let Some(shared) = self.sections.get_mut(digest) else { return };
         shared.holders -= 1;
         if shared.holders == 0 {
+            self.bytes -= shared.bytes.len();
             self.sections.remove(digest);
         }
     }
@@ -56,9 +93,9 @@
         self.records.get(&version).map(AsRef::as_ref)
     }
 
-    /// A version's content.
+    /// A version's content, while it is kept.
     pub(super) fn bundle(&self, version: BundleVersion) -> Option<Bundle> {
-        let record = self.records.get(&version)?;
+        let record = self.records.get(&version).filter(|_| version >= self.whole_from)?;
         let sections = record
             .sections
             .iter()
@@ -68,7 +105,7 @@
         hooklug_bundle::from_sections(header, &sections).ok()
     }
 
-    /// A version's record and canonical bytes.
+    /// A version's record and canonical bytes, while its content is kept.
     pub(super) fn bytes(&self, version: BundleVersion) -> Option<(BundleRecord, Vec<u8>)> {
         let bundle = self.bundle(version)?;
         Some((self.record(version)?.clone(), hooklug_bundle::canonical_bytes(&bundle)))
@@ -84,3 +121,12 @@
         self.records.values().rev().take(limit as usize).map(|r| r.as_ref().clone()).collect()
     }
 }
+
+/// Bytes that a section's name and digest take in a record.
+fn entry_bytes(name: &str) -> usize {
+    TABLE_ENTRY_BYTES + name.len()
+}
+
+fn table_bytes(record: &BundleRecord) -> usize {
+    record.sections.keys().map(|name| entry_bytes(name)).sum()
+}
--- a/crates/state/src/meta/mod.rs
+++ b/crates/state/src/meta/mod.rs
@@ -12,7 +12,7 @@
 mod rollouts;
 mod stores;
 
-pub use archive::KEPT_VERSIONS;
+pub use archive::{KEPT_BYTES, KEPT_VERSIONS};
 pub use command::{MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply, SubmitBundle};
 pub use machine::MetaMachine;
 pub use record::{
--- a/crates/state/tests/bundle_costs.rs
+++ b/crates/state/tests/bundle_costs.rs
@@ -8,7 +8,8 @@
 use hooklug_bundle::{Bundle, canonical_bytes};
 use hooklug_state::StateMachine;
 use hooklug_state::meta::{
-    GroupPlacement, MetaAnswer, MetaCommand, MetaMachine, MetaQuery, MetaReply, SubmitBundle,
+    GroupPlacement, KEPT_BYTES, MetaAnswer, MetaCommand, MetaMachine, MetaQuery, MetaReply,
+    SubmitBundle,
 };
 use hooklug_types::{BundleVersion, GroupId, RouteName, ServiceName};
 
@@ -71,14 +72,17 @@
     bundle(version, |number| 1_000 + (number..version).step_by(ROUTES as usize).count() as u64)
 }
 
-fn submit(meta: &mut MetaMachine, bundle: &Bundle) {
-    let submit = SubmitBundle {
+fn submission(bundle: &Bundle) -> MetaCommand {
+    MetaCommand::SubmitBundle(SubmitBundle {
         version: bundle.version,
         base: bundle.base,
         bytes: canonical_bytes(bundle),
         signed_by: Vec::new(),
-    };
-    let reply = meta.apply_command(MetaCommand::SubmitBundle(submit));
+    })
+}
+
+fn submit(meta: &mut MetaMachine, bundle: &Bundle) {
+    let reply = meta.apply_command(submission(bundle));
     assert!(matches!(reply, MetaReply::Bundle(_)), "{reply:?}");
 }
 
@@ -101,3 +105,22 @@
     let snapshot = meta.snapshot().len();
     assert!(snapshot < 20 * whole.len(), "{snapshot} bytes for versions of {}", whole.len());
 }
+
+/// Guards against stores that go over their memory when no two versions share anything.
+#[test]
+fn versions_that_share_nothing_are_kept_within_a_bound() {
+    let mut meta = formed();
+    let everything_changed = |version| bundle(version, |number| 1_000 + version * 1_000 + number);
+    for version in 1..=60 {
+        submit(&mut meta, &everything_changed(version));
+    }
+    let whole = canonical_bytes(&everything_changed(60));
+    assert_eq!(newest(&meta), whole);
+    let snapshot = meta.snapshot().len();
+    assert!(snapshot < KEPT_BYTES + 2 * whole.len(), "{snapshot} bytes");
+    let first = meta.apply_command(submission(&everything_changed(1)));
+    assert!(
+        matches!(first, MetaReply::Bundle(_)),
+        "what was taken is acknowledged again: {first:?}"
+    );
+}
--- a/crates/store/src/data_folder.rs
+++ b/crates/store/src/data_folder.rs
@@ -25,7 +25,7 @@
 
 /// Layout of log entries and snapshots in a data folder; moves on whenever an older build would misread them.
 /// 2: entries hold joined commands, sessions' events lie in chunks. 3: shards hold chained programs, meta roll-outs.
-pub const DATA_FORMAT: u32 = 3;
+pub const DATA_FORMAT: u32 = 4;
 
 /// Whose a folder is, and how it is to be read. The format comes first in every build to come.
 #[derive(Debug, Serialize, Deserialize)]
