control: the next source of a section is asked while the first is silent

Cause: sections were asked of a core, the leader, two peers and the stores one after the other, a second for each that is dark, frozen or cut off, and later versions waited behind the stalled one. Change: the next source is asked after 0.1 s of silence, or at once when one has nothing; earlier ones may still answer.

--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
 use futures::future::try_join_all;
+use futures::stream::FuturesUnordered;
 use hooklug_bundle::{Bundle, BundleHeader, DecodeError};
 use hooklug_protocol::control::FetchSection;
 use hooklug_rpc::RpcClient;
@@ -15,10 +17,11 @@
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
 use super::sections::Section;
-use super::{NewsSource, Shared};
+use super::{CALL_TIME, NewsSource, Shared};
 use crate::figures;
 use crate::handle::InstalledBundle;
 
@@ -38,6 +41,9 @@
 /// Sections under way at once (ours): a first installation fetches some 260, and all nodes may do so at once.
 const FETCHES_AT_ONCE: usize = 16;
 
+/// Silence of a source of a section after which the next one is asked too (ours): some round trips.
+const SOURCE_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Peers asked for a section before the stores (ours).
 const PEERS_ASKED: usize = 2;
 
@@ -196,22 +202,63 @@
     Some(section)
 }
 
+/// Asks one source after the other, the next one whenever the last asked has been silent for [`SOURCE_PATIENCE`] or has
+/// nothing; those asked before may still answer.
 async fn fetch_bytes(shared: &Shared, peers: &RpcClient, digest: &Digest) -> Option<Vec<u8>> {
-    let asked = cores(shared).into_iter().map(|core| (&shared.client, core));
-    let asked = asked.chain(some_peers(shared).into_iter().map(|peer| (peers, peer)));
-    for (client, source) in asked {
-        let request = FetchSection { digest: *digest };
-        let answer = client.call(source, &request, shared.deadline()).await;
-        if let Ok(Some(bytes)) = answer
-            && Digest::of(&bytes) == *digest
-        {
-            return Some(bytes);
+    let mut sources = sources(shared).into_iter();
+    let mut asked = FuturesUnordered::new();
+    loop {
+        let next = sources.next();
+        let is_last = next.is_none();
+        asked.extend(next.map(|source| ask(shared, peers, source, digest)));
+        let patience = if is_last { CALL_TIME } else { SOURCE_PATIENCE };
+        match timeout(patience, asked.next()).await {
+            Ok(Some(Some(bytes))) => return Some(bytes),
+            Ok(None) if is_last => return None,
+            _ => {}
         }
     }
+}
+
+/// Who may hold a section.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    /// A core.
+    Core(SocketAddr),
+    /// Any other process.
+    Peer(SocketAddr),
+    /// The stores' meta group.
+    Stores,
+}
+
+/// Cores first, then a few peers, and the stores last, so that they are spared.
+fn sources(shared: &Shared) -> Vec<Source> {
+    let cores = cores(shared).into_iter().map(Source::Core);
+    let peers = some_peers(shared).into_iter().map(Source::Peer);
+    cores.chain(peers).chain([Source::Stores]).collect()
+}
+
+/// A section's bytes from one source, if it has them whole.
+async fn ask(
+    shared: &Shared,
+    peers: &RpcClient,
+    source: Source,
+    digest: &Digest,
+) -> Option<Vec<u8>> {
+    let request = FetchSection { digest: *digest };
+    let deadline = shared.deadline();
+    let bytes = match source {
+        Source::Core(core) => shared.client.call(core, &request, deadline).await.ok()?,
+        Source::Peer(peer) => peers.call(peer, &request, deadline).await.ok()?,
+        Source::Stores => section_of_stores(shared, digest).await,
+    };
+    bytes.filter(|bytes| Digest::of(bytes) == *digest)
+}
+
+async fn section_of_stores(shared: &Shared, digest: &Digest) -> Option<Vec<u8>> {
     let query = MetaQuery::Section(*digest);
-    let answer = shared.state.query_meta(&query, shared.deadline()).await;
-    match answer {
-        Ok(MetaAnswer::Section(Some(bytes))) if Digest::of(&bytes) == *digest => Some(bytes),
+    match shared.state.query_meta(&query, shared.deadline()).await {
+        Ok(MetaAnswer::Section(section)) => section,
         _ => None,
     }
 }
