state, control: a change of a bundle is logged as what it changed

Change: who holds the record of the version that a bundle was built on submits the sections that differ and the digest of the whole; the machine puts them together on the newest version, which is the base or the submission is refused, and checks the digest. Others send the whole. Evidence: a_change_of_one_route_is_a_short_entry_of_the_log.

--- a/crates/admin/src/bundles.rs
+++ b/crates/admin/src/bundles.rs
@@ -9,7 +9,7 @@
 use hooklug_bundle::SignatureFault;
 use hooklug_protocol::control::{ClusterView, MemberHealth};
 use hooklug_state::meta::{
-    BundleRecord, MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply, SubmitBundle,
+    BundleRecord, MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply,
 };
 use hooklug_types::{BundleVersion, OperatorName};
 use http::StatusCode;
@@ -42,12 +42,8 @@
     let submission = parse(&body)?;
     hooklug_bundle::validate(&submission.bundle).map_err(|f| Problem::invalid_bundle(&f))?;
     let signed_by = verify(&admin, &submission)?;
-    let command = MetaCommand::SubmitBundle(SubmitBundle {
-        version: submission.bundle.version,
-        base: submission.bundle.base,
-        bytes: hooklug_bundle::canonical_bytes(&submission.bundle),
-        signed_by,
-    });
+    let submit = admin.context.node.submission(&submission.bundle, signed_by);
+    let command = MetaCommand::SubmitBundle(submit);
     let state = admin.context.state.clone();
     // A caller that gives up must not stop a commit half way.
     let committing =
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -9,9 +9,9 @@
 use hooklug_protocol::control::{ClusterView, HostedEngine, SlotUse, VersionStatistics};
 use hooklug_rpc::{LocalIdentity, RpcClient};
 use hooklug_settings::Settings;
-use hooklug_state::meta::{BundleRecord, HarmReport};
+use hooklug_state::meta::{BundleRecord, HarmReport, SubmitBundle};
 use hooklug_store::StateAccess;
-use hooklug_types::{EngineLoad, RouteName, ServiceName, ServiceVersion};
+use hooklug_types::{EngineLoad, OperatorName, RouteName, ServiceName, ServiceVersion};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -155,6 +155,14 @@
 }
 
 impl NodeHandle {
+    /// A bundle as it is submitted from here: against the one in force here when it was built on that one.
+    #[must_use]
+    pub fn submission(&self, bundle: &Bundle, signed_by: Vec<OperatorName>) -> SubmitBundle {
+        let installed = self.bundle.borrow().clone();
+        let held = installed.as_ref().map(|installed| &installed.record);
+        SubmitBundle::new(bundle, held, signed_by)
+    }
+
     /// A handle and its feeds.
     #[must_use]
     pub fn new() -> (Self, NodeFeeds) {
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -17,7 +17,7 @@
     CoreSettings, GatewaySettings, OperatorSettings, Secret, Settings, StoreSettings,
 };
 use hooklug_state::meta::{
-    BundleRecord, MetaAnswer, MetaCommand, MetaQuery, MetaReply, SubmitBundle,
+    BundleContent, BundleRecord, MetaAnswer, MetaCommand, MetaQuery, MetaReply, SubmitBundle,
 };
 use hooklug_state::shard::{ShardAnswer, ShardCommand, ShardQuery, ShardReply};
 use hooklug_store::{MemoryState, StateAccess, Unavailable};
@@ -230,7 +230,7 @@
         let command = MetaCommand::SubmitBundle(SubmitBundle {
             version: bundle.version,
             base: bundle.base,
-            bytes: hooklug_bundle::canonical_bytes(bundle),
+            content: BundleContent::Whole(hooklug_bundle::canonical_bytes(bundle)),
             signed_by: Vec::new(),
         });
         self.state.execute_meta(&command, deadline()).await.expect("in memory")
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -20,7 +20,7 @@
 };
 use hooklug_rpc::{LocalIdentity, RpcClient};
 use hooklug_settings::GatewayMode;
-use hooklug_state::meta::{MetaCommand, MetaReply, SubmitBundle};
+use hooklug_state::meta::{BundleContent, MetaCommand, MetaReply, SubmitBundle};
 use hooklug_state::shard::{
     BeginCall, ShardAnswer, ShardCommand, ShardQuery, ShardReply, TurnRecord,
 };
@@ -129,7 +129,7 @@
         let command = MetaCommand::SubmitBundle(SubmitBundle {
             version: bundle.version,
             base: bundle.base,
-            bytes: hooklug_bundle::canonical_bytes(bundle),
+            content: BundleContent::Whole(hooklug_bundle::canonical_bytes(bundle)),
             signed_by: Vec::new(),
         });
         let reply = self.state.execute_meta(&command, soon()).await;
--- a/crates/state/src/meta/bundles.rs
+++ b/crates/state/src/meta/bundles.rs
@@ -1,16 +1,18 @@
 //! Committing bundles: one line of versions, each built on the newest.
 
-use hooklug_bundle::Bundle;
+use std::collections::BTreeMap;
+
+use hooklug_bundle::{Bundle, BundleHeader};
 use hooklug_types::{BundleVersion, Digest};
 
-use super::command::{MetaRefusal, MetaReply, SubmitBundle};
+use super::command::{BundleContent, MetaRefusal, MetaReply, SubmitBundle};
 use super::machine::{MetaMachine, Outcome};
 use super::record::{BundleOrigin, BundleRecord};
 
 impl MetaMachine {
     /// Commits a bundle. The same version with the same content again gets the same record.
     pub(super) fn submit_bundle(&mut self, submit: SubmitBundle) -> Outcome {
-        let digest = Digest::of(&submit.bytes);
+        let digest = submit.content.digest();
         if let Some(committed) = self.state.archive.record(submit.version) {
             return match committed.digest == digest {
                 true => Ok(MetaReply::Bundle(committed.clone())),
@@ -24,11 +26,45 @@
         if submit.base != newest {
             return Err(MetaRefusal::StaleBase { newest });
         }
-        let bundle = checked(&submit)?;
+        let bundle = self.submitted(&submit)?;
         let record = self.commit_bundle(&bundle, BundleOrigin::Operators(submit.signed_by));
         Ok(MetaReply::Bundle(record))
     }
 
+    /// The bundle that a submission stands for; its base is the newest.
+    fn submitted(&self, submit: &SubmitBundle) -> Result<Bundle, MetaRefusal> {
+        if submit.version <= submit.base {
+            return Err(invalid("version: must be higher than the base".to_owned()));
+        }
+        let bundle = match &submit.content {
+            BundleContent::Whole(bytes) => whole(bytes)?,
+            BundleContent::Changes { digest, sections } => {
+                let bundle = self.newest_with(submit, sections)?;
+                if hooklug_bundle::digest(&bundle) != *digest {
+                    return Err(invalid("the changes do not give the digest".to_owned()));
+                }
+                bundle
+            }
+        };
+        if bundle.version != submit.version || bundle.base != submit.base {
+            return Err(invalid("version, base: differ from the submission's".to_owned()));
+        }
+        Ok(bundle)
+    }
+
+    /// The newest bundle with other sections in place of some.
+    fn newest_with(
+        &self,
+        submit: &SubmitBundle,
+        sections: &BTreeMap<String, Option<Vec<u8>>>,
+    ) -> Result<Bundle, MetaRefusal> {
+        let newest = self.state.archive.bundle(self.newest_version()).unwrap_or_default();
+        let header = BundleHeader { version: submit.version, base: submit.base };
+        let changed = sections.iter().map(|(name, bytes)| (name.as_str(), bytes.as_deref()));
+        hooklug_bundle::with_sections(&newest, header, changed)
+            .map_err(|error| invalid(error.to_string()))
+    }
+
     /// The newest committed version; 0 before the first.
     pub(super) fn newest_version(&self) -> BundleVersion {
         self.state.meta.bundle.as_ref().map(|b| b.version).unwrap_or_default()
@@ -53,17 +89,15 @@
     }
 }
 
-fn checked(submit: &SubmitBundle) -> Result<Bundle, MetaRefusal> {
-    let invalid = |reason: String| MetaRefusal::InvalidBundle { reason };
-    if submit.version <= submit.base {
-        return Err(invalid("version: must be higher than the base".to_owned()));
-    }
-    let bundle = hooklug_bundle::decode(&submit.bytes).map_err(|e| invalid(e.to_string()))?;
-    if hooklug_bundle::canonical_bytes(&bundle) != submit.bytes {
-        return Err(invalid("the bytes are not canonical".to_owned()));
+/// Reads canonical bytes.
+fn whole(bytes: &[u8]) -> Result<Bundle, MetaRefusal> {
+    let bundle = hooklug_bundle::decode(bytes).map_err(|error| invalid(error.to_string()))?;
+    match hooklug_bundle::canonical_bytes(&bundle) == bytes {
+        true => Ok(bundle),
+        false => Err(invalid("the bytes are not canonical".to_owned())),
     }
-    if bundle.version != submit.version || bundle.base != submit.base {
-        return Err(invalid("version, base: differ from the submission's".to_owned()));
-    }
-    Ok(bundle)
+}
+
+fn invalid(reason: String) -> MetaRefusal {
+    MetaRefusal::InvalidBundle { reason }
 }
--- a/crates/state/src/meta/command.rs
+++ b/crates/state/src/meta/command.rs
@@ -1,7 +1,9 @@
 //! Commands and reads of the meta group.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use hooklug_bundle::Bundle;
 use hooklug_types::{
     BundleVersion, Digest, FencingEpoch, GroupId, Incarnation, NodeId, OperatorName, Renewal,
     ServiceName, ServiceVersion, UnixMillis,
@@ -21,12 +23,62 @@
     pub version: BundleVersion,
     /// The version that it was built on; must be the newest committed one.
     pub base: BundleVersion,
-    /// Canonical bytes (`hooklug_bundle` makes them).
-    pub bytes: Vec<u8>,
+    /// What it says.
+    pub content: BundleContent,
     /// Operators whose signatures were verified.
     pub signed_by: Vec<OperatorName>,
 }
 
+/// What a submitted bundle says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BundleContent {
+    /// Canonical bytes (`hooklug_bundle` makes them).
+    Whole(Vec<u8>),
+    /// What differs from the bundle that it was built on.
+    Changes {
+        /// Digest of the canonical bytes of the whole.
+        digest: Digest,
+        /// Sections with other bytes; `None` for those that are gone.
+        sections: BTreeMap<String, Option<Vec<u8>>>,
+    },
+}
+
+impl BundleContent {
+    /// Digest of the canonical bytes of the whole.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        match self {
+            Self::Whole(bytes) => Digest::of(bytes),
+            Self::Changes { digest, .. } => *digest,
+        }
+    }
+}
+
+impl SubmitBundle {
+    /// Submits a bundle; when the sender holds the record of the one that it was built on, only what differs.
+    #[must_use]
+    pub fn new(bundle: &Bundle, held: Option<&BundleRecord>, signed_by: Vec<OperatorName>) -> Self {
+        let held = held.filter(|record| record.version == bundle.base);
+        let content = match held {
+            Some(held) => changes(bundle, &held.sections),
+            None => BundleContent::Whole(hooklug_bundle::canonical_bytes(bundle)),
+        };
+        Self { version: bundle.version, base: bundle.base, content, signed_by }
+    }
+}
+
+fn changes(bundle: &Bundle, held: &BTreeMap<String, Digest>) -> BundleContent {
+    let sections = hooklug_bundle::sections(bundle);
+    let gone = held.keys().filter(|name| !sections.contains_key(*name));
+    let gone: Vec<(String, Option<Vec<u8>>)> = gone.map(|name| (name.clone(), None)).collect();
+    let differs = |(name, bytes): &(String, Vec<u8>)| held.get(name) != Some(&Digest::of(bytes));
+    let changed = sections.into_iter().filter(differs).map(|(name, bytes)| (name, Some(bytes)));
+    BundleContent::Changes {
+        digest: hooklug_bundle::digest(bundle),
+        sections: changed.chain(gone).collect(),
+    }
+}
+
 /// A command of the meta group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MetaCommand {
--- a/crates/state/src/meta/mod.rs
+++ b/crates/state/src/meta/mod.rs
@@ -13,7 +13,9 @@
 mod stores;
 
 pub use archive::{KEPT_BYTES, KEPT_VERSIONS};
-pub use command::{MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply, SubmitBundle};
+pub use command::{
+    BundleContent, MetaAnswer, MetaCommand, MetaQuery, MetaRefusal, MetaReply, SubmitBundle,
+};
 pub use machine::MetaMachine;
 pub use record::{
     BundleOrigin, BundleRecord, CoreLeader, GroupPlacement, HarmReport, MetaState, RollbackRecord,
--- a/crates/state/tests/bundle_costs.rs
+++ b/crates/state/tests/bundle_costs.rs
@@ -6,11 +6,11 @@
     HttpLimits, HttpRoute, HttpRouting, HttpService, RepeatRule, WeightedService,
 };
 use hooklug_bundle::{Bundle, canonical_bytes};
-use hooklug_state::StateMachine;
 use hooklug_state::meta::{
-    GroupPlacement, KEPT_BYTES, MetaAnswer, MetaCommand, MetaMachine, MetaQuery, MetaReply,
-    SubmitBundle,
+    BundleContent, BundleRecord, GroupPlacement, KEPT_BYTES, MetaAnswer, MetaCommand, MetaMachine,
+    MetaQuery, MetaRefusal, MetaReply, SubmitBundle,
 };
+use hooklug_state::{StateMachine, encode};
 use hooklug_types::{BundleVersion, GroupId, RouteName, ServiceName};
 
 /// Routes of a large deployment.
@@ -76,7 +76,7 @@
     MetaCommand::SubmitBundle(SubmitBundle {
         version: bundle.version,
         base: bundle.base,
-        bytes: canonical_bytes(bundle),
+        content: BundleContent::Whole(canonical_bytes(bundle)),
         signed_by: Vec::new(),
     })
 }
@@ -124,3 +124,65 @@
         "what was taken is acknowledged again: {first:?}"
     );
 }
+
+/// What the sender of a bundle submits that holds the record of the one before.
+fn submitted_on(bundle: &Bundle, held: &BundleRecord) -> SubmitBundle {
+    SubmitBundle::new(bundle, Some(held), Vec::new())
+}
+
+fn accepted(reply: MetaReply) -> BundleRecord {
+    match reply {
+        MetaReply::Bundle(record) => record,
+        other => panic!("not taken: {other:?}"),
+    }
+}
+
+/// Guards against logs that hold the whole configuration once for each change of one route.
+#[test]
+fn a_change_of_one_route_is_a_short_entry_of_the_log() {
+    let mut meta = formed();
+    let first = accepted(meta.apply_command(submission(&one_route_changed(1))));
+    let next = one_route_changed(2);
+    let command = MetaCommand::SubmitBundle(submitted_on(&next, &first));
+    let (entry, whole) = (encode(&command).len(), canonical_bytes(&next));
+    assert!(entry < whole.len() / 8, "{entry} bytes for a change in {}", whole.len());
+    let record = accepted(meta.apply_command(command.clone()));
+    assert_eq!(newest(&meta), whole);
+    let again = [command, submission(&next)].map(|command| meta.apply_command(command));
+    assert!(again.iter().all(|reply| *reply == MetaReply::Bundle(record.clone())), "{again:?}");
+}
+
+#[test]
+fn changes_that_do_not_give_the_named_whole_are_refused() {
+    let mut meta = formed();
+    let first = accepted(meta.apply_command(submission(&one_route_changed(1))));
+    let good = submitted_on(&one_route_changed(2), &first);
+    let BundleContent::Changes { digest, sections } = good.content.clone() else { panic!("whole") };
+    let with = |digest, sections| {
+        let content = BundleContent::Changes { digest, sections };
+        MetaCommand::SubmitBundle(SubmitBundle { content, ..good.clone() })
+    };
+    let mut fewer = sections.clone();
+    fewer.pop_first();
+    let mut unknown = sections.clone();
+    unknown.insert("secrets".to_owned(), Some(b"{}".to_vec()));
+    for command in [with(digest, fewer), with(digest, unknown), with(first.digest, sections)] {
+        let reply = meta.apply_command(command);
+        let is_invalid = matches!(reply, MetaReply::Refused(MetaRefusal::InvalidBundle { .. }));
+        assert!(is_invalid, "{reply:?}");
+    }
+}
+
+#[test]
+fn changes_to_another_base_than_the_newest_are_refused() {
+    let mut meta = formed();
+    let first = accepted(meta.apply_command(submission(&one_route_changed(1))));
+    let (one, other) = (one_route_changed(2), bundle(2, |_| 9));
+    let late = MetaCommand::SubmitBundle(submitted_on(&other, &first));
+    accepted(meta.apply_command(MetaCommand::SubmitBundle(submitted_on(&one, &first))));
+    let reply = meta.apply_command(late);
+    assert!(matches!(reply, MetaReply::Refused(MetaRefusal::VersionTaken { .. })), "{reply:?}");
+    let later = Bundle { version: BundleVersion(3), ..other };
+    let reply = meta.apply_command(MetaCommand::SubmitBundle(submitted_on(&later, &first)));
+    assert!(matches!(reply, MetaReply::Refused(MetaRefusal::StaleBase { .. })), "{reply:?}");
+}
--- a/crates/state/tests/meta.rs
+++ b/crates/state/tests/meta.rs
@@ -4,9 +4,9 @@
 
 use hooklug_bundle::{Bundle, Service, ServiceKind, Tenant, VersionEntry, VersionState};
 use hooklug_state::meta::{
-    BundleRecord, CoreLeader, GroupPlacement, HarmReport, KEPT_VERSIONS, MetaAnswer, MetaCommand,
-    MetaMachine, MetaQuery, MetaRefusal, MetaReply, MetaState, StoreRecord, StoreState,
-    SubmitBundle,
+    BundleContent, BundleRecord, CoreLeader, GroupPlacement, HarmReport, KEPT_VERSIONS, MetaAnswer,
+    MetaCommand, MetaMachine, MetaQuery, MetaRefusal, MetaReply, MetaState, StoreRecord,
+    StoreState, SubmitBundle,
 };
 use hooklug_state::{StateMachine, encode};
 use hooklug_types::{
@@ -105,7 +105,7 @@
     MetaCommand::SubmitBundle(SubmitBundle {
         version: bundle.version,
         base: bundle.base,
-        bytes: serde_json::to_vec(bundle).unwrap(),
+        content: BundleContent::Whole(serde_json::to_vec(bundle).unwrap()),
         signed_by: vec![],
     })
 }
@@ -245,7 +245,12 @@
     let good = bundle(1, 0, 1);
     let with = |version, base, bytes| {
         let (version, base) = (BundleVersion(version), BundleVersion(base));
-        MetaCommand::SubmitBundle(SubmitBundle { version, base, bytes, signed_by: vec![] })
+        MetaCommand::SubmitBundle(SubmitBundle {
+            version,
+            base,
+            content: BundleContent::Whole(bytes),
+            signed_by: vec![],
+        })
     };
     let bytes = serde_json::to_vec(&good).unwrap();
     let pretty = serde_json::to_vec_pretty(&good).unwrap();
--- a/crates/store/tests/cluster.rs
+++ b/crates/store/tests/cluster.rs
@@ -4,7 +4,9 @@
 
 use hooklug_bundle::Bundle;
 use hooklug_protocol::store::GroupStatus;
-use hooklug_state::meta::{MetaAnswer, MetaCommand, MetaQuery, MetaReply, SubmitBundle};
+use hooklug_state::meta::{
+    BundleContent, MetaAnswer, MetaCommand, MetaQuery, MetaReply, SubmitBundle,
+};
 use hooklug_store::StateAccess;
 use hooklug_types::{BundleVersion, GroupId, shard_of};
 use support::{TestCluster, fast_options, has_program, put_program, rpc_client, soon, until};
@@ -74,7 +76,7 @@
     let submit = MetaCommand::SubmitBundle(SubmitBundle {
         version: bundle.version,
         base: bundle.base,
-        bytes: hooklug_bundle::canonical_bytes(&bundle),
+        content: BundleContent::Whole(hooklug_bundle::canonical_bytes(&bundle)),
         signed_by: Vec::new(),
     });
     let reply = cluster.client().execute_meta(&submit, soon()).await.expect("a reply");
