rpc, store: stores name the newest committed bundle to all that call them

Cause: the core that acknowledged a bundle loses power within 4 ms, and nobody else names the version: the others hear of it from the next core leader. The class: an acknowledged fact known to one process outside the group that keeps it. Change: frames name the newest version in force or known to be committed; a store knows a bundle as committed when its replica of the meta group has applied it, the acknowledging process at once.

--- a/crates/admin/src/bundles.rs
+++ b/crates/admin/src/bundles.rs
@@ -52,7 +52,7 @@
         );
     let reply = committing.await.map_err(|_| unexpected())??;
     let record = committed(reply)?;
-    admin.context.identity.bundles.saw(record.version);
+    admin.context.identity.bundles.note_committed(record.version);
     let (live_nodes, installed_nodes) = wait_until_installed(&admin, record.version).await;
     Ok(Json(SubmitAnswer { bundle: BundleAnswer::from(&record), live_nodes, installed_nodes }))
 }
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -159,7 +159,7 @@
 
 async fn ping(queue: mpsc::Sender<Outgoing>, identity: LocalIdentity) {
     loop {
-        let frame = ClientFrame::Ping { bundle: identity.bundles.installed() };
+        let frame = ClientFrame::Ping { bundle: identity.bundles.named() };
         let Ok(bytes) = encode(&frame) else { return };
         if queue.send(Outgoing::new(bytes)).await.is_err() {
             return;
--- a/crates/rpc/src/hello.rs
+++ b/crates/rpc/src/hello.rs
@@ -64,7 +64,7 @@
         incarnation,
         role: identity.address.role,
         cluster: identity.cluster(),
-        bundle: identity.bundles.installed(),
+        bundle: identity.bundles.named(),
         nonce,
         proof: proof(identity.secret_key(), side, challenge, &nonce, (node, incarnation.0)),
     }
--- a/crates/rpc/src/identity.rs
+++ b/crates/rpc/src/identity.rs
@@ -10,26 +10,45 @@
 
 use crate::{LinkFaults, Traffic};
 
-/// The installed bundle version of this process, and the newest that any peer has named.
+/// The installed bundle version of this process, the newest that it knows to be committed, and the newest that any peer
+/// has named.
 #[derive(Debug)]
 pub struct BundleNews {
     installed: AtomicU64,
+    committed: AtomicU64,
     newest_seen: watch::Sender<BundleVersion>,
 }
 
 impl Default for BundleNews {
     fn default() -> Self {
-        Self { installed: AtomicU64::new(0), newest_seen: watch::Sender::new(BundleVersion(0)) }
+        Self {
+            installed: AtomicU64::new(0),
+            committed: AtomicU64::new(0),
+            newest_seen: watch::Sender::new(BundleVersion(0)),
+        }
     }
 }
 
 impl BundleNews {
-    /// The version in force here; told on every frame.
+    /// The version in force here.
     #[must_use]
     pub fn installed(&self) -> BundleVersion {
         BundleVersion(self.installed.load(Ordering::Acquire))
     }
 
+    /// The version told on every frame: the newest that is in force here or known to be committed.
+    #[must_use]
+    pub fn named(&self) -> BundleVersion {
+        self.installed().max(BundleVersion(self.committed.load(Ordering::Acquire)))
+    }
+
+    /// Notes that a version is committed. A store that has applied it tells all that call it, so that the news does not
+    /// rest on the one process that acknowledged the bundle.
+    pub fn note_committed(&self, version: BundleVersion) {
+        self.committed.fetch_max(version.0, Ordering::AcqRel);
+        self.saw(version);
+    }
+
     /// Notes that a version came into force here. An older one changes nothing.
     pub fn set_installed(&self, version: BundleVersion) {
         self.installed.fetch_max(version.0, Ordering::AcqRel);
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -121,7 +121,7 @@
 
 impl Answers {
     pub(crate) fn frame(&self, body: ServerBody) -> Option<Outgoing> {
-        let frame = ServerFrame { bundle: self.bundles.installed(), body };
+        let frame = ServerFrame { bundle: self.bundles.named(), body };
         encode(&frame).ok().map(Outgoing::new)
     }
 
--- a/crates/rpc/tests/transport.rs
+++ b/crates/rpc/tests/transport.rs
@@ -236,6 +236,10 @@
     assert_eq!(*own.bundles.watch_newest().borrow(), BundleVersion(9));
     server.identity.bundles.set_installed(BundleVersion(4));
     assert_eq!(server.identity.bundles.installed(), BundleVersion(9), "never slips back");
+    server.identity.bundles.note_committed(BundleVersion(11));
+    client.call(server.address, &Echo("x".into()), soon()).await.expect("a reply");
+    assert_eq!(*own.bundles.watch_newest().borrow(), BundleVersion(11), "committed, not installed");
+    assert_eq!(server.identity.bundles.installed(), BundleVersion(9));
 }
 
 #[tokio::test]
--- a/crates/store/src/meta_watch.rs
+++ b/crates/store/src/meta_watch.rs
@@ -65,6 +65,9 @@
     for store in &meta.stores {
         shared.addresses.note(store.node, store.incarnation, store.address);
     }
+    if let Some(bundle) = &meta.bundle {
+        shared.identity.bundles.note_committed(bundle.version);
+    }
     if shared.meta.borrow().stores != meta.stores {
         note_stores(shared, meta.stores.clone()).await;
     }
