control: a node installs no bundle before a quorum has told it the newest

Callers could see: a gateway that restarts while the stores are slow answers by a bundle older than its former run's, since any core may tell of one (a core serves its view for 4 s after its last sign of the leader), with 404 for a route that was added since. A 404 is final for callers. Cause: the readiness of a node waits for a quorum, but the installation did not, and a node that is not ready is still given connections when fewer than half of its zone are.

--- a/crates/control/src/agent/installer.rs
+++ b/crates/control/src/agent/installer.rs
@@ -94,6 +94,7 @@
     if let Some(record) = &newest {
         shared.heard_of(record, NewsSource::Quorum);
     }
+    shared.quorum_answered.send_replace(true);
     Some(newest)
 }
 
@@ -124,7 +125,12 @@
     matches!(tokio::time::timeout(patience, told).await, Ok(Ok(_)))
 }
 
+/// Installs what is heard of. Nothing before a quorum has answered: a core that lags may tell of a bundle older than
+/// the one that a former run of this process had in force.
 async fn install_heard(shared: &Shared) {
+    let mut answered = shared.quorum_answered.subscribe();
+    // The sender lives as long as `shared`, so the wait only ends by the condition.
+    let _ = answered.wait_for(|answered| *answered).await;
     let mut heard = shared.heard.subscribe();
     loop {
         let record = heard.borrow_and_update().clone();
--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -59,6 +59,8 @@
     reach: ReachClock,
     /// The newest bundle record heard of, installed or not.
     heard: channel::Sender<Option<BundleRecord>>,
+    /// Whether a quorum has told which bundle is the newest, since the process started.
+    quorum_answered: channel::Sender<bool>,
     /// Whether a quorum has been asked for the newest bundle and it is installed.
     newest_bundle: channel::Sender<bool>,
     /// Where the core leader is, as far as known.
@@ -173,6 +175,7 @@
             sections: Mutex::default(),
             reach: ReachClock::default(),
             heard: channel::Sender::new(None),
+            quorum_answered: channel::Sender::new(false),
             newest_bundle: channel::Sender::new(false),
             leader: channel::Sender::new(None),
             heartbeat_due: Notify::new(),
--- a/crates/control/tests/bundles.rs
+++ b/crates/control/tests/bundles.rs
@@ -136,3 +136,27 @@
     let routes = &installed.bundle.http.as_ref().expect("routing").routes;
     assert_eq!(*routes, large_bundle(2).http.expect("routing").routes);
 }
+
+/// Guards against restarted nodes that act on an older bundle than their former run, since a core that lags told them of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_that_starts_installs_nothing_before_a_quorum_has_told_it_the_newest() {
+    let cluster = Cluster::new(43).await;
+    let core = cluster.start(NodeRole::Core, &[]).await;
+    cluster.submit_accepted(&bundle(1, "old")).await;
+    core.context.identity.bundles.saw(BundleVersion(1));
+    eventually("the core has it", || core.installed() == BundleVersion(1)).await;
+    let node = cluster.start_cut_off_from_stores(NodeRole::Gateway, &[core.rpc()]).await;
+    let told = |version| {
+        let view = node.view();
+        view.meta.bundle.as_ref().is_some_and(|record| record.version == BundleVersion(version))
+    };
+    eventually("the core tells of the first", || told(1)).await;
+    let mut seen = node.context.node.bundle.clone();
+    cluster.submit_accepted(&bundle(2, "new")).await;
+    core.context.identity.bundles.saw(BundleVersion(2));
+    eventually("the core tells of the second", || told(2)).await;
+    assert_eq!(node.installed(), BundleVersion(0), "no quorum has said that it is the newest");
+    node.state.set_cut(false);
+    seen.changed().await.expect("the node runs");
+    assert_eq!(node.installed(), BundleVersion(2));
+}
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -176,12 +176,33 @@
         self.start_on(role, seeds, listener, None)
     }
 
+    /// A node that does not reach the stores until the test says so.
+    pub async fn start_cut_off_from_stores(&self, role: NodeRole, seeds: &[SocketAddr]) -> Node {
+        let last = self.next_ip.fetch_add(1, Ordering::SeqCst);
+        let ip = IpAddr::V4(Ipv4Addr::new(127, self.net, 0, last));
+        let listener = RpcServer::bind(SocketAddr::new(ip, 0)).await.expect("loopback");
+        let state = ReachableState::new(self.state.clone());
+        state.set_cut(true);
+        self.launch(role, seeds, listener, None, state)
+    }
+
     pub fn start_on(
         &self,
         role: NodeRole,
         seeds: &[SocketAddr],
         listener: TcpListener,
         platform_list: Option<String>,
+    ) -> Node {
+        self.launch(role, seeds, listener, platform_list, ReachableState::new(self.state.clone()))
+    }
+
+    fn launch(
+        &self,
+        role: NodeRole,
+        seeds: &[SocketAddr],
+        listener: TcpListener,
+        platform_list: Option<String>,
+        state: ReachableState,
     ) -> Node {
         let rpc = listener.local_addr().expect("bound");
         let settings = Arc::new(settings(rpc, seeds, platform_list));
@@ -196,7 +217,6 @@
         let identity = LocalIdentity::new(address, SECRET);
         let client = RpcClient::new(identity.clone());
         let (node, feeds) = NodeHandle::new();
-        let state = ReachableState::new(self.state.clone());
         let context = NodeContext {
             settings: settings.clone(),
             identity: identity.clone(),
