--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -243,6 +243,14 @@
         self.signal(name, Signal::SIGCONT, Some(false))
     }
 
+    /// Tells a process that its settings may have changed (`SIGHUP`).
+    ///
+    /// # Errors
+    /// When there is none of that name, or the signal fails.
+    pub fn hang_up(&self, name: ProcessName) -> Result<(), FleetError> {
+        self.signal(name, Signal::SIGHUP, None)
+    }
+
     fn signal(
         &self,
         name: ProcessName,
--- a/crates/fleet/tests/suite/bundle_spread.rs
+++ b/crates/fleet/tests/suite/bundle_spread.rs
@@ -3,62 +3,17 @@
 //! Catches: acknowledging before a quorum has the bundle; a notice of a new version that is lost with the
 //! core leader; a restarted node that serves with an older bundle; a node cut off that is not caught up.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::support::bundles::accepted;
 use crate::support::{
-    IN_FORCE_BOUND, PATIENCE, TestFleet, control_topology, name, pid, running_nodes, start,
+    IN_FORCE_BOUND, PATIENCE, VersionWatch, control_topology, name, running_nodes, start,
     wait_installed,
 };
 use futures::future::join_all;
 use hooklug_fleet::{Fleet, ProcessKind, ProcessName};
 use hooklug_types::BundleVersion;
-use tokio::task::JoinHandle;
-
-/// Versions that nodes were seen at, each run of a process by itself.
-struct Watch {
-    stop: Arc<AtomicBool>,
-    watching: JoinHandle<Vec<String>>,
-}
-
-impl Watch {
-    fn start(fleet: Arc<TestFleet>) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let watching = tokio::spawn(watch(fleet, stop.clone()));
-        Self { stop, watching }
-    }
-
-    /// Fails when a node went back.
-    async fn end(self) {
-        self.stop.store(true, Ordering::SeqCst);
-        let steps_back = self.watching.await.unwrap();
-        assert!(steps_back.is_empty(), "nodes went back: {steps_back:?}");
-    }
-}
-
-async fn watch(fleet: Arc<TestFleet>, stop: Arc<AtomicBool>) -> Vec<String> {
-    let mut newest = BTreeMap::<(ProcessName, u32), BundleVersion>::new();
-    let mut steps_back = Vec::new();
-    while !stop.load(Ordering::SeqCst) {
-        for node in running_nodes(&fleet) {
-            let Some(before) = pid(&fleet, node) else { continue };
-            let Ok(seen) = fleet.installed_bundle(node).await else { continue };
-            if pid(&fleet, node) != Some(before) {
-                continue; // Restarted meanwhile: whose answer it was is not known.
-            }
-            let known = newest.entry((node, before)).or_default();
-            if seen < *known {
-                steps_back.push(format!("{node} from {known} to {seen}"));
-            }
-            *known = seen.max(*known);
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    steps_back
-}
 
 /// Submits a version; returns how long after the first node the last of the nodes had it. The answer itself
 /// may come later, since it waits a while for nodes that are thought alive.
@@ -90,7 +45,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn bundles_spread_while_the_core_leader_dies_and_nodes_restart() {
     let fleet = Arc::new(start(control_topology(3)).await);
-    let watch = Watch::start(fleet.clone());
+    let watch = VersionWatch::start(fleet.clone());
     let mut version = 1;
     for restarted in ["gateway:1", "store:1", "engine:0"] {
         version += 1;
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -22,6 +22,7 @@
 mod parsing;
 mod rolling_restart;
 mod single_owner;
+mod soak;
 mod store_failures;
 mod token_budget;
 mod truthful_refusals;
--- a/crates/fleet/tests/suite/support/mod.rs
+++ b/crates/fleet/tests/suite/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod repair;
 mod requests;
 mod state;
+mod versions;
 
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
     share_of_the_machine, start, start_alone,
 };
 pub use requests::{alarm, caller, finish, open, owner, put_program};
+pub use versions::VersionWatch;
+
 pub use state::{read_current, shard_leader, wait_installed, whole_state_answers};
 
 /// Longest wait for a condition; generous, since it bounds no promise.
