state: small maps of chained programs are sorted vectors

Cause, one part: each program had three B-trees, whose nodes have room for eleven entries, 1.9 KB for open turns alone, and most programs have one open turn or none. Change: sorted vectors (litemap). The encoding stays.

--- a/crates/state/src/shard/chains.rs
+++ b/crates/state/src/shard/chains.rs
@@ -10,6 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hooklug_types::{NodeId, ProgramId, SessionEpoch, SessionId, TokenCount, TurnId, UnixMillis};
+use litemap::LiteMap;
 use serde::{Deserialize, Serialize};
 
 use super::command::{EndTurn, ShardRefusal, ShardReply, StartTurn, StartedTurn};
@@ -24,14 +25,15 @@
     keepers: BTreeMap<TurnId, ProgramId>,
 }
 
-/// One program: its ledger, its sessions' owners, its open and its ended turns.
+/// One program: its ledger, its sessions' owners, its open and its ended turns. Its maps are sorted vectors: most hold
+/// a few entries, where a node of a B-tree has room for eleven.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 struct ChainedProgram {
     /// Tokens given to the caller by ended turns.
     spent: TokenCount,
-    sessions: BTreeMap<SessionId, Ownership>,
-    open: BTreeMap<TurnId, OpenTurn>,
-    ended: BTreeMap<TurnId, EndedTurn>,
+    sessions: LiteMap<SessionId, Ownership>,
+    open: LiteMap<TurnId, OpenTurn>,
+    ended: LiteMap<TurnId, EndedTurn>,
     /// When it is forgotten, unless it is used again.
     forgotten_at: UnixMillis,
     keep_ms: u64,
@@ -134,6 +136,9 @@
                 None => Err(ShardRefusal::NoOpenTurn),
             };
         };
+        if program.open.is_empty() {
+            program.open = LiteMap::new();
+        }
         program.spent.0 = program.spent.0.saturating_add(end.tokens.0);
         program.forgotten_at = program.forgotten_at.max(now.plus_millis(program.keep_ms));
         let current = program.is_current(&open) && open.epoch == end.epoch;
