ingress: a history that was found waits for no silent shard

Cause, one part: a turn that goes on from another program's is looked for in all shards, and the answer of the one that keeps it was used only when the last shard had answered or 1.8 s were over; then nothing was left of the time to begin the turn, so that one silent shard had all such turns refused. Change: the first shard that has the history ends the search; only when none has it does a silent one matter. Evidence: a_history_that_was_found_waits_for_no_silent_shard took 2 s of a stopped clock before, none now.

--- a/crates/ingress/src/records.rs
+++ b/crates/ingress/src/records.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use hooklug_state::shard::{
     EndTurn, ShardAnswer, ShardCommand, ShardQuery, ShardRefusal, ShardReply, StartTurn,
     StartedTurn,
@@ -155,9 +156,10 @@
     ) -> Result<Option<Bytes>, Unavailable> {
         let query = ShardQuery::History(turn.clone());
         let shards: Vec<GroupId> = GroupId::all().filter(|group| *group != META_GROUP).collect();
-        let asked = shards.iter().map(|shard| self.state.query_shard(*shard, &query, deadline));
+        let ask = |shard: &GroupId| self.state.query_shard(*shard, &query, deadline);
+        let mut asked: FuturesUnordered<_> = shards.iter().map(ask).collect();
         let mut missing = None;
-        for answer in join_all(asked).await {
+        while let Some(answer) = asked.next().await {
             match answer {
                 Ok(ShardAnswer::History(Some(history))) => return Ok(Some(history)),
                 Ok(_) => {}
