control, store, replication: what becomes of replicas and groups is told

A status shows the newest members, the last index and how the leader sends to each member; the core leader tells how long a group lacked replicas, and names a group that commits nothing for 3 s with its members' progress (before: the refusal 'busy', sixty times); a store tells how long its registration took and by whose word it drops a replica. The platform's processes write these lines. No decision changed.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -16,6 +16,7 @@
 mod published;
 pub mod records_told;
 mod repair;
+pub mod repair_watch;
 mod rollout;
 pub mod slot_uses;
 
--- a/crates/control/src/core/repair.rs
+++ b/crates/control/src/core/repair.rs
@@ -17,6 +17,7 @@
 use super::Shared;
 use super::leader::Leading;
 use super::members::DEAD_AFTER;
+use super::repair_watch::{GroupNews, RepairWatch};
 use crate::figures;
 
 /// Pause between looks while nothing is to be done (ours).
@@ -56,10 +57,11 @@
 
 pub(super) async fn run(shared: &Shared, leading: &Leading) {
     let mut signs = Signs::new(Instant::now());
+    let mut watch = RepairWatch::default();
     loop {
         let meta = leading.meta.borrow().clone();
         let pause = match meta {
-            Some(meta) => round(shared, leading, &meta, &mut signs).await,
+            Some(meta) => round(shared, leading, &meta, &mut signs, &mut watch).await,
             None => BUSY_PAUSE,
         };
         tokio::time::sleep(pause).await;
@@ -72,6 +74,7 @@
     leading: &Leading,
     meta: &MetaState,
     signs: &mut Signs,
+    watch: &mut RepairWatch,
 ) -> Duration {
     let reports = ask_stores(shared, meta).await;
     let now = Instant::now();
@@ -83,6 +86,8 @@
     }
     let is_alive = |s: &&StoreRecord| signs.is_alive(s.node, now) && !is_superseded(meta, s);
     let alive: BTreeSet<NodeId> = meta.stores.iter().filter(is_alive).map(|s| s.node).collect();
+    tell(&watch.look(meta, &reports, &alive, now));
+    figures::groups_watched(watch.degraded(), watch.stalled());
     let changes = plan(meta, &reports, &alive);
     if changes.is_empty() {
         return CALM_PAUSE;
@@ -92,6 +97,32 @@
     BUSY_PAUSE
 }
 
+/// Tells operators what became of the groups.
+fn tell(news: &[GroupNews]) {
+    for news in news {
+        match news {
+            GroupNews::Degraded { group, wanted, members } => {
+                info!(%group, ?wanted, ?members, "a group lacks replicas");
+            }
+            GroupNews::Whole { group, took } => {
+                info!(%group, ?took, "a group has all its replicas again");
+                figures::group_repaired(*took);
+            }
+            GroupNews::Stalled { group, stalled_for, leader: None } => {
+                warn!(%group, ?stalled_for, "a group has no leader");
+            }
+            GroupNews::Stalled { group, stalled_for, leader: Some(leader) } => {
+                warn!(%group, ?stalled_for, leader = %leader.node, commit = leader.commit,
+                    last_index = leader.last_index, members = ?leader.newest_conf,
+                    progress = ?leader.progress, "a group commits nothing");
+            }
+            GroupNews::Moving { group, stalled_for } => {
+                warn!(%group, ?stalled_for, "a group commits again");
+            }
+        }
+    }
+}
+
 async fn ask_stores(shared: &Shared, meta: &MetaState) -> Vec<StoreReport> {
     let present = meta.stores.iter().filter(|s| s.state != StoreState::Removed);
     let asked = present.map(|store| async move {
--- a/crates/control/src/figures.rs
+++ b/crates/control/src/figures.rs
@@ -1,7 +1,9 @@
 //! Names of the metrics of the node agent and the cores, and what sets them.
 
+use std::time::Duration;
+
 use hooklug_protocol::control::{ClusterView, MemberHealth};
-use metrics::{counter, gauge};
+use metrics::{counter, gauge, histogram};
 
 use hooklug_rpc::TrafficCounts;
 
@@ -64,6 +66,17 @@
     counter!("hooklug_rollbacks_total").increment(1);
 }
 
+/// Groups that lack replicas, and groups that commit nothing.
+pub(crate) fn groups_watched(degraded: usize, stalled: usize) {
+    gauge!("hooklug_groups_degraded").set(degraded as f64);
+    gauge!("hooklug_groups_stalled").set(stalled as f64);
+}
+
+/// A group has all its replicas again; how long it lacked some.
+pub(crate) fn group_repaired(took: Duration) {
+    histogram!("hooklug_group_repair_seconds").record(took.as_secs_f64());
+}
+
 /// A change of replicas was asked for; whether it was confirmed.
 pub(crate) fn replicas_changed(confirmed: bool) {
     let outcome = if confirmed { "confirmed" } else { "unconfirmed" };
--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use hooklug_raft::{ConfChange, ConfState, Message, Role, SnapshotMeta};
+use hooklug_raft::{ConfChange, ConfState, Message, ProgressState, Role, SnapshotMeta};
 use hooklug_state::meta::{GroupPlacement, StoreRecord};
 use hooklug_types::{Digest, EngineIncarnation, FencingEpoch, GroupId, NodeId, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -230,8 +230,12 @@
     pub commit: u64,
     /// Highest applied index.
     pub applied: u64,
+    /// Last index of its log.
+    pub last_index: u64,
     /// Members as of the applied entries; a change that is not committed yet does not show.
     pub conf: ConfState,
+    /// Newest members in its log, committed or not.
+    pub newest_conf: ConfState,
     /// At the leader: highest index that each member is known to hold, and whether it answered lately.
     pub progress: Vec<MemberProgress>,
 }
@@ -245,6 +249,8 @@
     pub matched: u64,
     /// Whether it answered within the last election time.
     pub active: bool,
+    /// How the leader sends to it.
+    pub state: ProgressState,
 }
 
 impl Request for GroupStatus {
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -44,5 +44,6 @@
     AppendHint, ConfChange, ConfState, Entry, EntryKind, HardState, Message, MessageBody,
 };
 pub use node::RawNode;
+pub use progress::ProgressState;
 pub use ready::{ReadState, Ready, Role, Snapshot, SnapshotMeta};
 pub use status::{LogPosition, ReplicaProgress, Status};
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -2,8 +2,10 @@
 
 use std::collections::VecDeque;
 
+use serde::{Deserialize, Serialize};
+
 /// How a leader sends to a replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProgressState {
     /// The matching place is unknown: one append at a time until it is found.
     Probe,
--- a/crates/raft/src/status.rs
+++ b/crates/raft/src/status.rs
@@ -4,6 +4,7 @@
 
 use crate::message::ConfState;
 use crate::node::RawNode;
+use crate::progress::ProgressState;
 use crate::ready::Role;
 
 /// Place of a proposal in the log. It is committed only if the entry that commits at `index` has
@@ -25,6 +26,8 @@
     pub matched: u64,
     /// Whether it was heard from within the last two election timeouts; the leader itself always.
     pub active: bool,
+    /// How the leader sends to it.
+    pub state: ProgressState,
 }
 
 /// A replica's state at one moment.
@@ -90,6 +93,7 @@
             node: *node,
             matched: progress.matched(),
             active: progress.lately_active() || *node == self.config.id,
+            state: progress.state(),
         };
         self.progress.iter().map(of).collect()
     }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -341,6 +341,7 @@
             node: member.node,
             matched: member.matched,
             active: member.active,
+            state: member.state,
         });
         ReplicaStatus {
             group: self.group,
@@ -349,7 +350,9 @@
             leader: status.leader,
             commit: status.commit,
             applied: status.applied,
+            last_index: status.last_index,
             conf: self.node.snapshot_meta().conf,
+            newest_conf: status.conf,
             progress: progress.collect(),
         }
     }
--- a/crates/store/src/begin.rs
+++ b/crates/store/src/begin.rs
@@ -72,8 +72,11 @@
 }
 
 async fn register(shared: &Shared) {
+    let began = Instant::now();
     if until_done(shared, &MetaCommand::RegisterStore(shared.record())).await {
-        info!(node = %shared.node(), "registered with the cluster");
+        let took = began.elapsed();
+        info!(node = %shared.node(), ?took, "registered with the cluster");
+        metrics::histogram!("hooklug_store_registration_seconds").record(took.as_secs_f64());
     }
     if let Some(name) = shared.settings.store.name.clone() {
         until_done(shared, &MetaCommand::NameStore { node: shared.node(), name }).await;
--- a/crates/store/src/cleanup.rs
+++ b/crates/store/src/cleanup.rs
@@ -46,8 +46,11 @@
         }
         let others = ask_others(&shared).await;
         for replica in doubtful {
-            if others.iter().any(|leader| was_let_go(own, &replica, leader)) {
-                info!(group = %replica.group, "the group goes on without this store");
+            if let Some(leader) = others.iter().find(|leader| was_let_go(own, &replica, leader)) {
+                info!(group = %replica.group, term = replica.term, commit = replica.commit,
+                    leader_term = leader.term, leader_commit = leader.commit,
+                    members = ?leader.conf, newest_members = ?leader.newest_conf,
+                    "the group goes on without this store");
                 let _ = shared.replicator.remove(replica.group).await;
             }
         }
--- a/crates/store/src/placement/follow.rs
+++ b/crates/store/src/placement/follow.rs
@@ -46,7 +46,8 @@
 }
 
 /// Whether a member answers and lacks next to nothing.
-pub(crate) fn is_up_to_date(leader: &ReplicaStatus, node: NodeId) -> bool {
+#[must_use]
+pub fn is_up_to_date(leader: &ReplicaStatus, node: NodeId) -> bool {
     let progress = leader.progress.iter().find(|member| member.node == node);
     progress
         .is_some_and(|member| member.active && member.matched + MAX_LAG_ENTRIES >= leader.commit)
--- a/crates/store/src/placement/mod.rs
+++ b/crates/store/src/placement/mod.rs
@@ -103,13 +103,16 @@
 
 /// A group's leader and its view.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct LeaderView<'a> {
-    pub(crate) node: NodeId,
-    pub(crate) replica: &'a ReplicaStatus,
+pub struct LeaderView<'a> {
+    /// The store of the leader.
+    pub node: NodeId,
+    /// What it said.
+    pub replica: &'a ReplicaStatus,
 }
 
 /// The leader of the newest term that reported.
-pub(crate) fn leader_of(group: GroupId, reports: &[StoreReport]) -> Option<LeaderView<'_>> {
+#[must_use]
+pub fn leader_of(group: GroupId, reports: &[StoreReport]) -> Option<LeaderView<'_>> {
     let replicas = reports.iter().flat_map(|report| {
         report.replicas.iter().map(|replica| LeaderView { node: report.node, replica })
     });
--- a/crates/store/tests/decisions.rs
+++ b/crates/store/tests/decisions.rs
@@ -5,7 +5,7 @@
 use hooklug_protocol::store::{
     FormationOffer, FormationPlan, FormationReply, MemberProgress, ReplicaStatus,
 };
-use hooklug_raft::{ConfState, Role};
+use hooklug_raft::{ConfState, ProgressState, Role};
 use hooklug_state::meta::{StoreRecord, StoreState};
 use hooklug_store::balance::{LeaderMove, choose_move};
 use hooklug_store::cleanup::{is_in_doubt, was_let_go};
@@ -154,7 +154,9 @@
 fn replica(group: u32, leader: u64, own: u64) -> ReplicaStatus {
     let voters = [1, 2, 3].map(NodeId);
     let leads = leader == own;
-    let member = |node| MemberProgress { node, matched: 10, active: true };
+    let state = ProgressState::Replicate;
+    let member = |node| MemberProgress { node, matched: 10, active: true, state };
+    let conf = ConfState { voters: voters.into(), learners: [].into() };
     ReplicaStatus {
         group: GroupId(group),
         role: if leads { Role::Leader } else { Role::Follower },
@@ -162,7 +164,9 @@
         leader: Some(NodeId(leader)),
         commit: 10,
         applied: 10,
-        conf: ConfState { voters: voters.into(), learners: [].into() },
+        last_index: 10,
+        newest_conf: conf.clone(),
+        conf,
         progress: if leads { voters.map(member).to_vec() } else { Vec::new() },
     }
 }
--- a/crates/store/tests/placement.rs
+++ b/crates/store/tests/placement.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hooklug_protocol::store::{MemberProgress, ReplicaStatus};
-use hooklug_raft::{ConfChange, ConfState, Role};
+use hooklug_raft::{ConfChange, ConfState, ProgressState, Role};
 use hooklug_state::meta::{GroupPlacement, MetaState, StoreRecord, StoreState};
 use hooklug_store::placement::{PlannedChange, StoreReport, VOTERS, initial, plan};
 use hooklug_types::{GroupId, Incarnation, NodeId, ZoneName};
@@ -66,6 +66,7 @@
             node,
             matched: if self.behind.contains(&node) { 0 } else { 1_000 },
             active: self.alive.contains(&node),
+            state: ProgressState::Replicate,
         });
         ReplicaStatus {
             group,
@@ -74,7 +75,9 @@
             leader: None,
             commit: 1_000,
             applied: 1_000,
+            last_index: 1_000,
             conf: conf.clone(),
+            newest_conf: conf.clone(),
             progress: progress.collect(),
         }
     }
