replication, raft, store: a member of a group does not forget its log

Fix: a replica goes only if it has taken no leader's message since its status was read, and only at the word of a leader whose newest members, committed or not, do not name it (a change under way counts).

--- a/crates/control/tests/repair_watch.rs
+++ b/crates/control/tests/repair_watch.rs
@@ -36,6 +36,7 @@
         role: Role::Leader,
         term: 2,
         leader: Some(NodeId(1)),
+        leader_messages: 0,
         commit,
         applied: commit,
         last_index,
--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -226,6 +226,8 @@
     pub term: u64,
     /// Who leads.
     pub leader: Option<NodeId>,
+    /// Messages of leaders that it has taken since it was opened: whether it has heard anything between two looks.
+    pub leader_messages: u64,
     /// Highest committed index.
     pub commit: u64,
     /// Highest applied index.
--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -118,7 +118,9 @@
         let Some(progress) = self.progress.get_mut(&from) else { return };
         progress.set_active(true);
         match rejected {
-            Some(hint) if hint.rejected_index == 0 && progress.matched() == 0 => {
+            // Index 0 matches in every log that has members: this replica holds nothing, whatever it held before.
+            Some(hint) if hint.rejected_index == 0 => {
+                progress.forget();
                 self.want_snapshot(from);
             }
             Some(hint) => {
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -195,6 +195,14 @@
         self.check_wanted = self.matched < last_index;
     }
 
+    /// Notes that the replica has lost its log: nothing of what it held counts any more.
+    pub fn forget(&mut self) {
+        if self.matched > 0 {
+            self.matched = 0;
+            self.become_probe(1);
+        }
+    }
+
     /// Goes to single appends from `next` on.
     pub fn become_probe(&mut self, next: u64) {
         self.state = ProgressState::Probe;
--- a/crates/raft/tests/suite/group.rs
+++ b/crates/raft/tests/suite/group.rs
@@ -129,6 +129,24 @@
     assert_eq!(group.at(4).status().conf, voters(&[1, 2, 4]));
 }
 
+/// Guards against a member that its leader takes for level for ever, while it holds nothing: its refusals were dropped as
+/// out of date, and as a voter it let no entry commit.
+#[test]
+fn a_member_that_comes_back_without_its_log_is_sent_a_snapshot() {
+    let mut group = led_by_one();
+    for n in 0..10u8 {
+        group.at(1).propose(vec![n]).expect("taken");
+    }
+    group.settle();
+    group.start(3, ConfState::default());
+    group.applied.remove(&3);
+    group.cut.insert(2);
+    group.at(1).propose(b"after".to_vec()).expect("taken");
+    group.tick(6);
+    assert_eq!(group.commands(3), group.commands(1));
+    assert!(group.commands(3).contains(&b"after".to_vec()), "committed by 1 and 3");
+}
+
 #[test]
 fn a_learner_that_lags_is_not_promoted() {
     let mut group = led_by_one();
--- a/crates/replication/src/driver.rs
+++ b/crates/replication/src/driver.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-use hooklug_raft::{HardState, Message, MessageBody};
+use hooklug_raft::{HardState, Message};
 use hooklug_types::GroupId;
 use hooklug_wal::{SnapshotStore, Wal};
 use tokio::sync::watch;
@@ -14,6 +14,7 @@
 use crate::applier::{ApplyTask, GroupTask};
 use crate::compaction::SnapshotJob;
 use crate::input::Input;
+use crate::replica::is_from_leader;
 use crate::start::{MachineFactory, StartContext};
 use crate::transport::Transport;
 use crate::{Replica, ReplicationError, ReplicationSettings};
@@ -141,7 +142,9 @@
             Input::Bootstrap { group, conf, reply } => {
                 drop(reply.send(self.bootstrap(group, conf)));
             }
-            Input::Remove { group, reply } => drop(reply.send(self.remove(group))),
+            Input::Remove { group, leader_messages, reply } => {
+                drop(reply.send(self.remove(group, leader_messages)));
+            }
             Input::Status { reply } => {
                 drop(reply.send(self.replicas.values().map(Replica::status).collect()));
             }
@@ -179,12 +182,7 @@
 
     fn step(&mut self, group: GroupId, message: Message, now: Instant) {
         // Only a leader's word makes a replica; one without members must not answer a vote request.
-        let from_leader = matches!(
-            message.body,
-            MessageBody::Append { .. }
-                | MessageBody::Heartbeat { .. }
-                | MessageBody::InstallSnapshot(_)
-        );
+        let from_leader = is_from_leader(&message);
         let replica = if from_leader { self.replica_or_new(group) } else { self.replica(group) };
         if let Ok(replica) = replica
             && (from_leader || replica.has_members())
--- a/crates/replication/src/handle.rs
+++ b/crates/replication/src/handle.rs
@@ -148,13 +148,14 @@
         result.await.map_err(gone)?
     }
 
-    /// Removes the replica of a group. Its vote stays known.
+    /// Removes the replica of a group that its group has let go, as its status showed. Its vote stays known.
     ///
     /// # Errors
-    /// [`ReplicationError::Refused`] while it leads.
-    pub async fn remove(&self, group: GroupId) -> Result<(), ReplicationError> {
+    /// [`ReplicationError::Refused`] while it leads, or when it has heard a leader since that status.
+    pub async fn remove(&self, seen: &ReplicaStatus) -> Result<(), ReplicationError> {
         let (reply, result) = oneshot::channel();
-        self.tell(Input::Remove { group, reply });
+        let (group, leader_messages) = (seen.group, seen.leader_messages);
+        self.tell(Input::Remove { group, leader_messages, reply });
         result.await.map_err(gone)?
     }
 
--- a/crates/replication/src/input.rs
+++ b/crates/replication/src/input.rs
@@ -29,8 +29,12 @@
         conf: ConfState,
         reply: oneshot::Sender<Result<(), ReplicationError>>,
     },
-    /// Removes a replica, if it still is what the sender saw: no member.
-    Remove { group: GroupId, reply: oneshot::Sender<Result<(), ReplicationError>> },
+    /// Removes a replica, if it has heard no leader since it had taken so many messages of them.
+    Remove {
+        group: GroupId,
+        leader_messages: u64,
+        reply: oneshot::Sender<Result<(), ReplicationError>>,
+    },
     /// Asks for all replicas.
     Status { reply: oneshot::Sender<Vec<ReplicaStatus>> },
     /// Records of these groups are written, and synced, or never will be.
--- a/crates/replication/src/lifecycle.rs
+++ b/crates/replication/src/lifecycle.rs
@@ -104,11 +104,13 @@
         self.adopt(group, meta.clone(), Some(meta))
     }
 
-    pub(crate) fn remove(&mut self, group: GroupId) -> Result<(), ReplicationError> {
+    pub(crate) fn remove(
+        &mut self,
+        group: GroupId,
+        leader_messages: u64,
+    ) -> Result<(), ReplicationError> {
         let replica = self.replica(group)?;
-        if replica.leads() {
-            return Err(ReplicationError::Refused("it leads the group".to_owned()));
-        }
+        replica.check_let_go(leader_messages)?;
         replica.fail_waiting(&ReplicationError::NoReplica(group));
         info!(%group, "a replica is removed from here");
         let hard_state = replica.hard_state();
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -5,7 +5,8 @@
 
 use hooklug_protocol::store::{MemberProgress, ReplicaStatus};
 use hooklug_raft::{
-    ConfChange, Entry, EntryKind, HardState, Message, RawNode, Ready, Role, Snapshot, SnapshotMeta,
+    ConfChange, Entry, EntryKind, HardState, Message, MessageBody, RawNode, Ready, Role, Snapshot,
+    SnapshotMeta,
 };
 use hooklug_types::{GroupId, NodeId};
 use hooklug_wal::Record;
@@ -45,6 +46,8 @@
     /// Commands, and entries without any, handed to the state machine since the snapshot.
     log_commands: u64,
     leading_since: Option<Instant>,
+    /// Messages of leaders that were taken.
+    leader_messages: u64,
     /// Messages that wait for the sync under way; `None` when none is.
     after_sync: Option<Vec<Message>>,
 }
@@ -74,6 +77,7 @@
             log_bytes: 0,
             log_commands: 0,
             leading_since: None,
+            leader_messages: 0,
             after_sync: None,
         }
     }
@@ -86,12 +90,14 @@
 
     /// A message of another replica.
     pub fn step(&mut self, message: Message, now: Instant) {
+        self.leader_messages += u64::from(is_from_leader(&message));
         self.node.step(message);
         self.note_role(now);
     }
 
     /// A verified snapshot of the leader.
     pub fn receive_snapshot(&mut self, from: NodeId, term: u64, snapshot: Snapshot, now: Instant) {
+        self.leader_messages += 1;
         self.node.receive_snapshot(from, term, snapshot);
         self.note_role(now);
     }
@@ -326,6 +332,21 @@
         self.leading_since.is_some()
     }
 
+    /// Whether the group may have let this replica go, as it was when it had taken so many messages of leaders. One that has
+    /// heard a leader since may be a member again, and its leader may count on what it holds.
+    ///
+    /// # Errors
+    /// [`ReplicationError::Refused`] says why it must stay.
+    pub fn check_let_go(&self, leader_messages: u64) -> Result<(), ReplicationError> {
+        if self.leads() {
+            return Err(ReplicationError::Refused("it leads the group".to_owned()));
+        }
+        if self.leader_messages != leader_messages {
+            return Err(ReplicationError::Refused("it has heard a leader since".to_owned()));
+        }
+        Ok(())
+    }
+
     /// Term and vote that a later replica of the group on this node must not forget.
     #[must_use]
     pub fn hard_state(&self) -> HardState {
@@ -348,6 +369,7 @@
             role: status.role,
             term: status.term,
             leader: status.leader,
+            leader_messages: self.leader_messages,
             commit: status.commit,
             applied: status.applied,
             last_index: status.last_index,
@@ -370,6 +392,16 @@
     }
 }
 
+/// Whether only a leader sends such a message.
+pub(crate) fn is_from_leader(message: &Message) -> bool {
+    matches!(
+        message.body,
+        MessageBody::Append { .. }
+            | MessageBody::Heartbeat { .. }
+            | MessageBody::InstallSnapshot(_)
+    )
+}
+
 fn take_records(ready: &mut Ready) -> Vec<Record> {
     let mut records = Vec::new();
     records.extend(ready.snapshot.as_ref().map(|snapshot| Record::Snapshot(snapshot.meta.clone())));
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -132,3 +132,18 @@
     assert!(!replica.wants_snapshot(1));
     assert!(replica.finish_snapshot(meta, 9, 0).is_none(), "not newer");
 }
+
+/// Guards against a member that forgets its log: between a store's question whether it was let go and its removal, a leader
+/// may have added it again and count on what it holds.
+#[test]
+fn a_replica_that_has_heard_a_leader_since_its_status_is_not_let_go() {
+    let mut replica = replica(&[1, 2, 3]);
+    let seen = replica.status().leader_messages;
+    replica.check_let_go(seen).expect("nothing was heard since");
+    let heartbeat = MessageBody::Heartbeat { commit: 1, read_round: 0 };
+    let message = Message { from: NodeId(2), to: OWN, term: 2, body: heartbeat };
+    replica.step(message, Instant::now());
+    let refused = replica.check_let_go(seen);
+    assert!(matches!(refused, Err(ReplicationError::Refused(_))), "{refused:?}");
+    replica.check_let_go(replica.status().leader_messages).expect("nothing was heard since");
+}
--- a/crates/store/src/cleanup.rs
+++ b/crates/store/src/cleanup.rs
@@ -24,7 +24,7 @@
 }
 
 /// Whether a leader's word means that a replica was let go: it leads a term that is not older, has
-/// committed all that the replica has, and its members do not name this store.
+/// committed all that the replica has, and its members, committed or not, do not name this store.
 #[must_use]
 pub fn was_let_go(own: NodeId, replica: &ReplicaStatus, leader: &ReplicaStatus) -> bool {
     leader.group == replica.group
@@ -32,6 +32,7 @@
         && leader.term >= replica.term
         && leader.commit >= replica.commit
         && !leader.conf.contains(own)
+        && !leader.newest_conf.contains(own)
 }
 
 /// Runs for the life of the process.
@@ -51,7 +52,9 @@
                     leader_term = leader.term, leader_commit = leader.commit,
                     members = ?leader.conf, newest_members = ?leader.newest_conf,
                     "the group goes on without this store");
-                let _ = shared.replicator.remove(replica.group).await;
+                if let Err(error) = shared.replicator.remove(&replica).await {
+                    info!(group = %replica.group, %error, "the replica stays");
+                }
             }
         }
     }
--- a/crates/store/tests/decisions.rs
+++ b/crates/store/tests/decisions.rs
@@ -162,6 +162,7 @@
         role: if leads { Role::Leader } else { Role::Follower },
         term: 3,
         leader: Some(NodeId(leader)),
+        leader_messages: 0,
         commit: 10,
         applied: 10,
         last_index: 10,
@@ -206,6 +207,9 @@
     assert!(!was_let_go(NodeId(2), &left, &leader), "still a member");
     let older = ReplicaStatus { term: 2, ..leader.clone() };
     assert!(!was_let_go(own, &left, &older));
-    let behind = ReplicaStatus { commit: 9, ..leader };
+    let behind = ReplicaStatus { commit: 9, ..leader.clone() };
     assert!(!was_let_go(own, &left, &behind));
+    let mut adding = leader;
+    adding.newest_conf.learners.insert(own);
+    assert!(!was_let_go(own, &left, &adding), "it is being added again");
 }
--- a/crates/store/tests/placement.rs
+++ b/crates/store/tests/placement.rs
@@ -73,6 +73,7 @@
             role: Role::Leader,
             term: 2,
             leader: None,
+            leader_messages: 0,
             commit: 1_000,
             applied: 1_000,
             last_index: 1_000,
