store: a store that joins asks the others at once

Change: what gossip hears reaches the client before the store acts on it, and processes of other roles are left out. Evidence: a_store_that_joins_asks_the_stores_at_once_and_nobody_else, red before (the client asked itself and the core).

--- a/crates/store/src/gossip.rs
+++ b/crates/store/src/gossip.rs
@@ -36,6 +36,8 @@
     loop {
         let offer = shared.offer();
         let heard = ask_all(&shared, &offer).await;
+        // Before it acts: a store that joins has to ask the others at once.
+        shared.publish_stores();
         let outcome = act(&shared, offer.propose, &heard).await;
         if let Err(error) = outcome {
             error!(%error, "the store cannot go on forming a cluster");
@@ -66,6 +68,7 @@
 async fn ask(shared: &Shared, address: SocketAddr, offer: &FormationOffer) -> Option<Heard> {
     let deadline = tokio::time::Instant::now() + PEER_CALL_TIME;
     let peer = shared.client.peer(address, deadline).await.ok()?;
+    shared.note_role(address, peer.role);
     if peer.role != NodeRole::Store {
         discover(shared, address).await;
         return None;
--- a/crates/store/src/meta_watch.rs
+++ b/crates/store/src/meta_watch.rs
@@ -1,6 +1,5 @@
 //! Keeps the newest meta state that this store knows, and the addresses in it.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,7 +34,7 @@
                 REMOTE_INTERVAL
             }
         };
-        publish_stores(&shared);
+        shared.publish_stores();
         tokio::time::sleep(pause).await;
     }
 }
@@ -92,23 +91,3 @@
         warn!(%error, "the cluster's stores are not noted on the disk");
     }
 }
-
-/// Tells the client which stores may be asked: this one first.
-fn publish_stores(shared: &Shared) {
-    let own = shared.identity.address.rpc;
-    let mut stores: Vec<SocketAddr> = vec![own];
-    let others = shared.addresses.all().into_iter().map(|(_, address)| address);
-    let candidates = shared.formation().candidates.clone();
-    for address in others.chain(candidates) {
-        if !stores.contains(&address) {
-            stores.push(address);
-        }
-    }
-    shared.stores.send_if_modified(|known| {
-        let differs = *known != stores;
-        if differs {
-            *known = stores;
-        }
-        differs
-    });
-}
--- a/crates/store/src/shared.rs
+++ b/crates/store/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the parts of one store share.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -9,7 +10,7 @@
 use hooklug_rpc::{LocalIdentity, RpcClient};
 use hooklug_settings::Settings;
 use hooklug_state::meta::{MetaState, StoreRecord, StoreState};
-use hooklug_types::{GroupId, NodeId};
+use hooklug_types::{GroupId, NodeId, NodeRole};
 use tokio::sync::watch;
 
 use crate::data_folder::{DataFolder, Membership};
@@ -45,6 +46,8 @@
     pub(crate) view: FormationView,
     /// Stores to ask: seeds and who was heard of.
     pub(crate) candidates: Vec<SocketAddr>,
+    /// Candidates at which processes of other roles answer.
+    pub(crate) other_roles: BTreeSet<SocketAddr>,
 }
 
 impl Shared {
@@ -93,6 +96,36 @@
         }
     }
 
+    /// Notes whether a store or a process of another role answers at an address.
+    pub(crate) fn note_role(&self, address: SocketAddr, role: NodeRole) {
+        let mut formation = self.formation();
+        match role {
+            NodeRole::Store => formation.other_roles.remove(&address),
+            _ => formation.other_roles.insert(address),
+        };
+    }
+
+    /// Tells the client which stores may be asked: this one first.
+    pub(crate) fn publish_stores(&self) {
+        let mut stores: Vec<SocketAddr> = vec![self.identity.address.rpc];
+        let known = self.addresses.all().into_iter().map(|(_, address)| address);
+        let formation = self.formation();
+        let heard_of = formation.candidates.iter().copied();
+        for address in known.chain(heard_of) {
+            if !stores.contains(&address) && !formation.other_roles.contains(&address) {
+                stores.push(address);
+            }
+        }
+        drop(formation);
+        self.stores.send_if_modified(|known| {
+            let differs = *known != stores;
+            if differs {
+                *known = stores;
+            }
+            differs
+        });
+    }
+
     /// The offer that this store makes to others.
     pub(crate) fn offer(&self) -> FormationOffer {
         let propose = match &self.formation().membership {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -1,5 +1,6 @@
 //! The store process: opening its data folder, running its groups, stopping.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -87,6 +88,7 @@
             membership,
             view: empty_view(&settings, &identity),
             candidates: settings.seeds.clone(),
+            other_roles: BTreeSet::new(),
         });
         let meta = watch::Sender::default();
         let shared = Shared {
--- a/crates/store/tests/repair.rs
+++ b/crates/store/tests/repair.rs
@@ -5,14 +5,21 @@
 mod support;
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use hooklug_protocol::control::{Discover, NodeAddress};
 use hooklug_protocol::store::{ChangeReplicas, ReplicaStatus, StoreFault};
 use hooklug_raft::{ConfChange, Role};
+use hooklug_rpc::{LocalIdentity, Router, RpcServer};
 use hooklug_state::meta::StoreState;
-use hooklug_types::{FencingEpoch, GroupId, NodeId};
+use hooklug_types::{FencingEpoch, GroupId, NodeId, NodeRole};
 use repairer::Repairer;
-use support::{TestCluster, fast_options, has_program, put_program, rpc_client, soon, until};
+use support::{
+    SECRET, TestCluster, fast_options, free_address, has_program, put_program, rpc_client, soon,
+    until,
+};
+use tokio_util::sync::CancellationToken;
 
 async fn put_programs(cluster: &TestCluster, names: std::ops::Range<u32>) {
     let client = cluster.client();
@@ -184,3 +191,39 @@
         cluster.assert_equal_digests(group).await;
     }
 }
+
+/// The only process that it knows is of another role. The cluster's stores must be known to its client by the time it has
+/// joined: without them it would ask itself, and be registered seconds later.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_store_that_joins_asks_the_stores_at_once_and_nobody_else() {
+    let mut cluster = TestCluster::formed(3, fast_options()).await;
+    let known: Vec<NodeAddress> = (0..3)
+        .map(|number| cluster.stores[number].running.as_ref().unwrap().identity.address.clone())
+        .collect();
+    let stores: Vec<SocketAddr> = known.iter().map(|store| store.rpc).collect();
+    let listener = RpcServer::bind(free_address().await).await.unwrap();
+    let core = listener.local_addr().unwrap();
+    let address =
+        NodeAddress { node: NodeId(77), role: NodeRole::Core, rpc: core, ..known[0].clone() };
+    let router = Router::new().route_inline(move |_peer, _request: Discover| known.clone());
+    let server = RpcServer::new(listener, LocalIdentity::new(address, SECRET), router);
+    let stop = CancellationToken::new();
+    let serving = tokio::spawn(server.run(stop.clone()));
+    cluster.seeds = vec![core];
+    let number = cluster.add().await;
+    cluster.start(number).await;
+    let handle = cluster.stores[number].running.as_ref().unwrap().handle.clone();
+    while handle.cluster() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let asked = handle.watch_stores().borrow().clone();
+    assert!(stores.iter().all(|store| asked.contains(store)), "{asked:?}");
+    assert!(!asked.contains(&core), "{asked:?}");
+    until("it is registered", async || {
+        let meta = handle.watch_meta().borrow().clone();
+        meta.stores.len() == 4
+    })
+    .await;
+    stop.cancel();
+    serving.await.unwrap();
+}
