store: a lease that was never granted is told so again

Cause, as far as shown: the first question commits the end of the lease, and the same question again was answered 'expired', not 'unknown'; the client asks again by itself when an attempt has no answer within 0.7 s. Change: an ended lease that was never renewed was never granted, and is told so. The test asks twice: red before (left: Expired, right: Unknown).

--- a/crates/store/src/lease_judge.rs
+++ b/crates/store/src/lease_judge.rs
@@ -47,6 +47,10 @@
         let (renewal, expired) = (lease.renewal, lease.expired);
         let view = LeaseView { renewal, expired, renewed, leading_since };
         let renewal = match judge(view, Instant::now()) {
+            // Asked again, as after a lost answer, it is the same answer.
+            Judgement::Expired if renewal == Renewal::default() => {
+                return Ok(LeaseVerdict::Unknown);
+            }
             Judgement::Expired => return Ok(LeaseVerdict::Expired),
             Judgement::Held(left) => return Ok(held(left)),
             Judgement::Propose(renewal) => renewal,
--- a/crates/store/tests/failures.rs
+++ b/crates/store/tests/failures.rs
@@ -121,8 +121,11 @@
     let holder = engine("engine-2");
     let group = shard_of("engine-2");
     let subject = LeaseSubject::Engine(holder.clone());
-    let verdict = client.expire_lease(group, subject, soon()).await.unwrap();
-    assert_eq!(verdict, LeaseVerdict::Unknown);
+    // Asked again, as a client does whose answer was lost, it says the same.
+    for _ in 0..2 {
+        let verdict = client.expire_lease(group, subject.clone(), soon()).await.unwrap();
+        assert_eq!(verdict, LeaseVerdict::Unknown);
+    }
     let renew = ShardCommand::RenewLease { holder };
     let reply = client.execute_shard(group, &renew, soon()).await.unwrap();
     assert_eq!(reply, ShardReply::Refused(ShardRefusal::LeaseExpired));
