control, store: the repair waits for no silent store and no slow group

Change: stores are asked side by side, and one that did not answer its last question is not waited for; each group's change goes on beside the others'; a round begins when a change has ended or the list of stores has changed; what was written counts at once. A refusal is warned of once and asked again after 0.25 s. Moves that only even out the load still come one by one, a second apart. All tests of store and control pass.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -15,8 +15,7 @@
 pub mod probe;
 mod published;
 pub mod records_told;
-mod repair;
-pub mod repair_watch;
+pub mod repair;
 mod rollout;
 pub mod slot_uses;
 
--- /dev/null
+++ b/crates/control/src/core/repair/changes.rs
@@ -0,0 +1,238 @@
+//! Carries out the changes of a plan, each group's beside the others': a slow group holds none of them up.
+
+use std::borrow::Cow;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use futures::future::{BoxFuture, FutureExt};
+use futures::stream::{FuturesUnordered, StreamExt};
+use hooklug_protocol::store::ChangeReplicas;
+use hooklug_raft::ConfChange;
+use hooklug_state::meta::{GroupPlacement, MetaCommand, MetaReply, MetaState, StoreState};
+use hooklug_store::placement::PlannedChange;
+use hooklug_types::{GroupId, NodeId};
+use tokio::time::Instant;
+use tracing::{debug, info, warn};
+
+use super::super::Shared;
+use super::super::leader::Leading;
+use crate::figures;
+
+/// Longest wait for one change; it is planned anew when it was not confirmed (ours).
+const CHANGE_TIME: Duration = Duration::from_secs(3);
+
+/// Pause before a change that was refused is asked for again (ours).
+const REFUSAL_PAUSE: Duration = Duration::from_millis(250);
+
+/// What a change is about; one at a time for each.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Subject {
+    Group(GroupId),
+    Store(NodeId),
+}
+
+/// What came of a change.
+struct Ended {
+    change: PlannedChange,
+    is_made: bool,
+}
+
+/// A membership change that a group's leader did not make.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    change: ConfChange,
+    at: Instant,
+}
+
+/// Changes under way, and those that the known meta state does not show yet.
+pub(super) struct Changes<'a> {
+    shared: &'a Shared,
+    leading: &'a Leading,
+    running: FuturesUnordered<BoxFuture<'a, Ended>>,
+    subjects: BTreeSet<Subject>,
+    /// Placements that were written: the one before, and the new one.
+    placed: BTreeMap<GroupId, (GroupPlacement, GroupPlacement)>,
+    removed: BTreeSet<NodeId>,
+    refused: BTreeMap<GroupId, Refusal>,
+    last_ended: Option<Instant>,
+}
+
+impl<'a> Changes<'a> {
+    pub(super) fn new(shared: &'a Shared, leading: &'a Leading) -> Self {
+        Self {
+            shared,
+            leading,
+            running: FuturesUnordered::new(),
+            subjects: BTreeSet::new(),
+            placed: BTreeMap::new(),
+            removed: BTreeSet::new(),
+            refused: BTreeMap::new(),
+            last_ended: None,
+        }
+    }
+
+    /// The meta state with what was written since it was read.
+    pub(super) fn as_of<'m>(&mut self, meta: &'m MetaState) -> Cow<'m, MetaState> {
+        self.placed.retain(|group, (before, _)| meta.placements.get(group) == Some(before));
+        self.removed.retain(|node| {
+            meta.stores.iter().any(|s| s.node == *node && s.state != StoreState::Removed)
+        });
+        if self.placed.is_empty() && self.removed.is_empty() {
+            return Cow::Borrowed(meta);
+        }
+        let mut newest = meta.clone();
+        for (group, (_, placement)) in &self.placed {
+            newest.placements.insert(*group, placement.clone());
+        }
+        for store in &mut newest.stores {
+            if self.removed.contains(&store.node) {
+                store.state = StoreState::Removed;
+            }
+        }
+        Cow::Owned(newest)
+    }
+
+    /// Begins a change, unless one of its group or store is under way or was refused just now.
+    pub(super) fn begin(&mut self, meta: &MetaState, change: PlannedChange, now: Instant) {
+        let subject = subject_of(&change);
+        if self.subjects.contains(&subject) || self.was_just_refused(&change, now) {
+            return;
+        }
+        self.subjects.insert(subject);
+        let (shared, leading) = (self.shared, self.leading);
+        let running = match change.clone() {
+            PlannedChange::SetPlacement { group, expected, placement } => {
+                info!(%group, ?expected, ?placement, "new placement");
+                let epoch = leading.epoch;
+                let command = MetaCommand::SetPlacement { epoch, group, expected, placement };
+                write(shared, command).boxed()
+            }
+            PlannedChange::RemoveStore { node } => {
+                info!(store = %node, "nothing is left on the store, it is removed");
+                let (epoch, state) = (leading.epoch, StoreState::Removed);
+                write(shared, MetaCommand::SetStoreState { epoch, node, state }).boxed()
+            }
+            PlannedChange::ChangeReplicas { group, leader, change } => {
+                info!(%group, ?change, leader = %leader, "membership change");
+                let address = meta.stores.iter().find(|s| s.node == leader).map(|s| s.address);
+                let request = ChangeReplicas { group, change, epoch: leading.epoch };
+                async move {
+                    let Some(address) = address else { return false };
+                    change_replicas(shared, address, request).await
+                }
+                .boxed()
+            }
+        };
+        self.running.push(async move { Ended { change, is_made: running.await } }.boxed());
+    }
+
+    /// Waits until a change has ended; for ever while none is under way.
+    pub(super) async fn ended(&mut self) {
+        match self.running.next().await {
+            Some(ended) => self.note(ended),
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Takes note of all that have ended by now.
+    pub(super) fn note_ended(&mut self) {
+        while let Some(Some(ended)) = self.running.next().now_or_never() {
+            self.note(ended);
+        }
+    }
+
+    /// Time since a change was under way.
+    pub(super) fn rested_for(&self, now: Instant) -> Duration {
+        match self.last_ended {
+            _ if !self.is_idle() => Duration::ZERO,
+            Some(ended) => now.saturating_duration_since(ended),
+            None => Duration::MAX,
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    fn was_just_refused(&self, change: &PlannedChange, now: Instant) -> bool {
+        let PlannedChange::ChangeReplicas { group, change, .. } = change else { return false };
+        let refusal = self.refused.get(group).filter(|refusal| refusal.change == *change);
+        refusal.is_some_and(|refusal| now.duration_since(refusal.at) < REFUSAL_PAUSE)
+    }
+
+    fn note(&mut self, ended: Ended) {
+        let Ended { change, is_made } = ended;
+        self.subjects.remove(&subject_of(&change));
+        self.last_ended = Some(Instant::now());
+        match change {
+            PlannedChange::SetPlacement { group, expected, placement } if is_made => {
+                self.placed.insert(group, (expected, placement));
+            }
+            PlannedChange::RemoveStore { node } if is_made => drop(self.removed.insert(node)),
+            PlannedChange::ChangeReplicas { group, .. } if is_made => {
+                self.refused.remove(&group);
+            }
+            PlannedChange::ChangeReplicas { group, change, .. } => {
+                self.note_refused(group, change);
+            }
+            PlannedChange::SetPlacement { .. } | PlannedChange::RemoveStore { .. } => {}
+        }
+        self.leading.meta_due.notify_one();
+    }
+
+    /// Warns once of a change that a group's leader refuses again and again.
+    fn note_refused(&mut self, group: GroupId, change: ConfChange) {
+        let refusal = Refusal { change, at: Instant::now() };
+        let before = self.refused.insert(group, refusal);
+        if before.is_none_or(|before| before.change != change) {
+            warn!(%group, ?change, "membership change not made");
+        }
+    }
+}
+
+fn subject_of(change: &PlannedChange) -> Subject {
+    match change {
+        PlannedChange::SetPlacement { group, .. } | PlannedChange::ChangeReplicas { group, .. } => {
+            Subject::Group(*group)
+        }
+        PlannedChange::RemoveStore { node } => Subject::Store(*node),
+    }
+}
+
+/// Asks a group's leader for a change; gives whether it is made.
+async fn change_replicas(
+    shared: &Shared,
+    leader: std::net::SocketAddr,
+    request: ChangeReplicas,
+) -> bool {
+    let ChangeReplicas { group, change, .. } = request;
+    let deadline = Instant::now() + CHANGE_TIME;
+    let is_made = match shared.ctx.client.call(leader, &request, deadline).await {
+        Ok(Ok(())) => true,
+        Ok(Err(fault)) => {
+            debug!(%group, ?change, %fault, "the leader did not change the members");
+            false
+        }
+        Err(error) => {
+            debug!(%group, ?change, %error, "the leader did not answer");
+            false
+        }
+    };
+    figures::replicas_changed(is_made);
+    is_made
+}
+
+/// Writes to the meta group; gives whether it is done.
+async fn write(shared: &Shared, command: MetaCommand) -> bool {
+    match shared.ctx.state.execute_meta(&command, Instant::now() + CHANGE_TIME).await {
+        Ok(MetaReply::Refused(refusal)) => {
+            warn!(%refusal, "change refused");
+            false
+        }
+        Ok(_) => true,
+        Err(error) => {
+            warn!(%error, "change not confirmed");
+            false
+        }
+    }
+}
--- a/crates/store/src/placement/mod.rs
+++ b/crates/store/src/placement/mod.rs
@@ -75,7 +75,25 @@
     reports: &[StoreReport],
     alive: &BTreeSet<NodeId>,
 ) -> Vec<PlannedChange> {
-    let wanted = wanted::changes(meta, reports, alive);
+    plan_with(wanted::changes(meta, reports, alive), meta, reports, alive)
+}
+
+/// [`plan`] without what only evens out the load of the stores.
+#[must_use]
+pub fn plan_repairs(
+    meta: &MetaState,
+    reports: &[StoreReport],
+    alive: &BTreeSet<NodeId>,
+) -> Vec<PlannedChange> {
+    plan_with(wanted::repairs(meta, reports, alive), meta, reports, alive)
+}
+
+fn plan_with(
+    wanted: Vec<wanted::WantedChange>,
+    meta: &MetaState,
+    reports: &[StoreReport],
+    alive: &BTreeSet<NodeId>,
+) -> Vec<PlannedChange> {
     let moving: BTreeSet<GroupId> = wanted.iter().map(|change| change.group).collect();
     let mut changes: Vec<PlannedChange> =
         wanted
--- a/crates/store/src/placement/wanted.rs
+++ b/crates/store/src/placement/wanted.rs
@@ -46,6 +46,21 @@
     meta: &MetaState,
     reports: &[StoreReport],
     alive: &BTreeSet<NodeId>,
+) -> Vec<WantedChange> {
+    let changes = repairs(meta, reports, alive);
+    let scene = Scene { meta, reports, alive };
+    if changes.is_empty() && is_settled(&scene) {
+        return rebalanced(&scene).into_iter().collect();
+    }
+    changes
+}
+
+/// Changes that the loss or retirement of stores asks for, at most one a group.
+#[must_use]
+pub fn repairs(
+    meta: &MetaState,
+    reports: &[StoreReport],
+    alive: &BTreeSet<NodeId>,
 ) -> Vec<WantedChange> {
     let scene = Scene { meta, reports, alive };
     let mut loads = Loads::of(meta.placements.values());
@@ -57,9 +72,6 @@
             changes.push(WantedChange { group, expected, placement });
         }
     }
-    if changes.is_empty() && is_settled(&scene) {
-        changes.extend(rebalanced(&scene));
-    }
     changes
 }
 
