rpc: a connection to a machine's former run is not used once a newer run has shown itself

Cause: stores go on sending into the connection to the former run. A machine that lost power closes nothing; the connection is given up after 4 s of silence, or when a retransmission meets the new process. Class: a peer taken for alive by a connection, when there is evidence that it is gone. Change: each process notes the newest run that has proved the secret at an address; a connection that was opened before is not reused. Test, red before (1 frame, an opening has 2 more): a_connection_is_opened_anew_once_a_newer_run_has_shown_itself_at_the_address.

--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hooklug_protocol::{Request, StreamRequest};
+use hooklug_types::Incarnation;
 use serde::de::DeserializeOwned;
 use tokio::sync::{Mutex, mpsc, oneshot};
 use tokio::time::{Instant, timeout_at};
@@ -25,6 +26,8 @@
 #[derive(Default)]
 struct Line {
     connection: Option<Arc<Connection>>,
+    /// Newest run that had been seen there when the connection was open.
+    newest_run: Option<Incarnation>,
     /// Until when the address is not tried, and why.
     paused: Option<(Instant, String)>,
 }
@@ -36,7 +39,9 @@
         to: SocketAddr,
         identity: &LocalIdentity,
     ) -> Result<Arc<Connection>, String> {
-        if let Some(connection) = self.connection.as_ref().filter(|c| !c.is_closed()) {
+        let newest_run = identity.runs.at(to.ip());
+        let is_open = |c: &&Arc<Connection>| !c.is_closed() && newest_run <= self.newest_run;
+        if let Some(connection) = self.connection.as_ref().filter(is_open) {
             return Ok(connection.clone());
         }
         if let Some((until, reason)) = &self.paused
@@ -47,6 +52,7 @@
         match Connection::open(to, identity).await {
             Ok(connection) => {
                 self.paused = None;
+                self.newest_run = identity.runs.at(to.ip());
                 Ok(self.connection.insert(connection).clone())
             }
             Err(error) => {
--- a/crates/rpc/src/hello.rs
+++ b/crates/rpc/src/hello.rs
@@ -87,6 +87,7 @@
         return Err(refuse("peer belongs to another cluster"));
     }
     identity.bundles.saw(hello.bundle);
+    identity.runs.note(ip, hello.incarnation);
     Ok(Peer { node: hello.node, incarnation: hello.incarnation, role: hello.role, ip })
 }
 
--- a/crates/rpc/src/identity.rs
+++ b/crates/rpc/src/identity.rs
@@ -8,6 +8,7 @@
 use hooklug_types::{BundleVersion, Incarnation, NodeId, NodeRole};
 use tokio::sync::watch;
 
+use crate::runs::NewestRuns;
 use crate::{LinkFaults, Traffic};
 
 /// The installed bundle version of this process, the newest that it knows to be committed, and the newest that any peer
@@ -88,6 +89,8 @@
     pub faults: Arc<LinkFaults>,
     /// What this process sends and receives.
     pub traffic: Arc<Traffic>,
+    /// Newest runs of peers.
+    pub(crate) runs: Arc<NewestRuns>,
 }
 
 impl LocalIdentity {
@@ -104,6 +107,7 @@
             bundles: Arc::new(BundleNews::default()),
             faults: Arc::new(LinkFaults::default()),
             traffic: Arc::default(),
+            runs: Arc::default(),
         }
     }
 
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -17,6 +17,7 @@
 mod identity;
 mod link;
 mod router;
+mod runs;
 mod server;
 mod traffic;
 
--- a/crates/rpc/tests/transport.rs
+++ b/crates/rpc/tests/transport.rs
@@ -275,3 +275,29 @@
         }
     }
 }
+
+/// Frames that a server sends to open a connection: its challenge and its hello.
+const OPENING_FRAMES: u64 = 2;
+
+/// Guards against seconds of calls into the connection to a machine that lost power and is back: its former run can't close
+/// it, and it looks alive until it has been silent for long.
+#[tokio::test]
+async fn a_connection_is_opened_anew_once_a_newer_run_has_shown_itself_at_the_address() {
+    let server = start("a shared secret").await;
+    let own = start("a shared secret").await;
+    let client = RpcClient::new(own.identity.clone());
+    let sent_in_a_call = async || {
+        let before = server.identity.traffic.counts().sent_frames;
+        client.call(server.address, &Echo("it".to_owned()), soon()).await.expect("answered");
+        server.identity.traffic.counts().sent_frames - before
+    };
+    // An answer to a ping may come beside the reply.
+    let kept = ..=OPENING_FRAMES;
+    sent_in_a_call().await;
+    assert!(kept.contains(&sent_in_a_call().await), "the connection is kept");
+    let mut newer = identity(3, "a shared secret");
+    newer.address.incarnation = Incarnation(9);
+    RpcClient::new(newer).peer(own.address, soon()).await.expect("it shows itself");
+    assert!(!kept.contains(&sent_in_a_call().await), "opened anew");
+    assert!(kept.contains(&sent_in_a_call().await), "once");
+}
