store, control: a core that starts again ends its former run's lease at once

Cause: the core leader's lease outlives its process; all cores, its own next run among them, wait for 3.5 s counted anew by the new leader of meta. Change: a core whose address the leader's lease names asks for the end of its former run's lease; the store that leads meta grants it at once to a later run of a core at the very same address. Epochs fence as before; the replicated commands are the same. Test: a_core_that_starts_again_at_its_address_ends_its_former_runs_lease_at_once; red with the grant taken out.

--- a/crates/control/src/core/leadership.rs
+++ b/crates/control/src/core/leadership.rs
@@ -125,7 +125,7 @@
         }
         self.known.send_replace(state.leader.clone());
         let seen = match state.leader {
-            Some(leader) if !leader.expired => match expire(ctx, leader.epoch).await {
+            Some(leader) if !leader.expired => match expire(ctx, &leader).await {
                 Ok(()) => leader.epoch,
                 Err(pause) => return pause,
             },
@@ -160,8 +160,13 @@
 }
 
 /// Has a lease ended by the stores; otherwise how long to wait before asking again.
-async fn expire(ctx: &NodeContext, epoch: FencingEpoch) -> Result<(), Duration> {
-    let subject = LeaseSubject::CoreLeader(epoch);
+async fn expire(ctx: &NodeContext, leader: &CoreLeader) -> Result<(), Duration> {
+    let (epoch, address) = (leader.epoch, ctx.identity.address.rpc);
+    let subject = if leader.address == address {
+        LeaseSubject::FormerRun { epoch, address }
+    } else {
+        LeaseSubject::CoreLeader(epoch)
+    };
     let deadline = Instant::now() + CALL_TIME;
     match ctx.state.expire_lease(META_GROUP, subject, deadline).await {
         Ok(LeaseVerdict::Expired | LeaseVerdict::Unknown) => Ok(()),
--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -84,6 +84,14 @@
     Engine(EngineIncarnation),
     /// The core leader's, under this epoch; in the meta group.
     CoreLeader(FencingEpoch),
+    /// The same, when the asking core's own former run holds it at the same address: that run has ended, so there is
+    /// nothing to wait for.
+    FormerRun {
+        /// Its epoch.
+        epoch: FencingEpoch,
+        /// The asking core's rpc address.
+        address: SocketAddr,
+    },
 }
 
 /// Asks a group's leader to end a lease. Judged by its monotonic clock alone.
--- a/crates/store/src/lease_judge.rs
+++ b/crates/store/src/lease_judge.rs
@@ -1,12 +1,14 @@
 //! Ends leases at the request of others, as the group's leader.
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use hooklug_protocol::store::{ExpireLease, LeaseSubject, LeaseVerdict, StoreFault};
-use hooklug_state::meta::{MetaAnswer, MetaCommand, MetaQuery, MetaReply};
+use hooklug_rpc::Peer;
+use hooklug_state::meta::{CoreLeader, MetaAnswer, MetaCommand, MetaQuery, MetaReply};
 use hooklug_state::shard::{ShardAnswer, ShardCommand, ShardQuery, ShardRefusal, ShardReply};
 use hooklug_state::{decode, encode};
-use hooklug_types::{EngineIncarnation, FencingEpoch, GroupId, META_GROUP, Renewal};
+use hooklug_types::{EngineIncarnation, FencingEpoch, GroupId, META_GROUP, NodeRole, Renewal};
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::leases::{Judgement, LEASE_MARGIN, LEASE_TIME, LeaseView, judge};
@@ -16,11 +18,15 @@
     /// Answers how long a lease is still held, or ends it.
     pub(crate) async fn expire_lease(
         &self,
+        peer: &Peer,
         request: ExpireLease,
     ) -> Result<LeaseVerdict, StoreFault> {
         match request.subject {
             LeaseSubject::Engine(holder) => self.expire_engine(request.group, holder).await,
-            LeaseSubject::CoreLeader(epoch) => self.expire_core_leader(epoch).await,
+            LeaseSubject::CoreLeader(epoch) => self.expire_core_leader(epoch, None).await,
+            LeaseSubject::FormerRun { epoch, address } => {
+                self.expire_core_leader(epoch, Some(NewRun { peer, address })).await
+            }
         }
     }
 
@@ -62,7 +68,11 @@
         }
     }
 
-    async fn expire_core_leader(&self, epoch: FencingEpoch) -> Result<LeaseVerdict, StoreFault> {
+    async fn expire_core_leader(
+        &self,
+        epoch: FencingEpoch,
+        new_run: Option<NewRun<'_>>,
+    ) -> Result<LeaseVerdict, StoreFault> {
         let (answer, leading_since) = self.confirmed(META_GROUP, &MetaQuery::State).await?;
         let MetaAnswer::State(state) = answer else { return Err(unexpected(&answer)) };
         let Some(leader) = state.leader.filter(|leader| leader.epoch >= epoch) else {
@@ -77,6 +87,7 @@
         let view = LeaseView { renewal, expired, renewed, leading_since };
         let renewal = match judge(view, Instant::now()) {
             Judgement::Expired => return Ok(LeaseVerdict::Expired),
+            Judgement::Held(_) if new_run.is_some_and(|run| run.replaces(&leader)) => renewal,
             Judgement::Held(left) => return Ok(held(left)),
             Judgement::Propose(renewal) => renewal,
         };
@@ -110,6 +121,23 @@
     }
 }
 
+/// A core that asks for the lease of its own former run.
+#[derive(Debug, Clone, Copy)]
+struct NewRun<'a> {
+    peer: &'a Peer,
+    address: SocketAddr,
+}
+
+impl NewRun<'_> {
+    /// Whether the asking process has taken the leader's place: a later run of a core at the very same address.
+    fn replaces(&self, leader: &CoreLeader) -> bool {
+        self.peer.role == NodeRole::Core
+            && self.address == leader.address
+            && self.peer.ip == self.address.ip()
+            && self.peer.incarnation > leader.incarnation
+    }
+}
+
 fn decoded<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, StoreFault> {
     decode("reply", bytes).map_err(|e| StoreFault::Refused { reason: e.to_string() })
 }
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -265,7 +265,10 @@
         let mut groups = self.groups();
         let verdict = match subject {
             LeaseSubject::Engine(holder) => groups.expire_engine(group, holder, &self.inner),
-            LeaseSubject::CoreLeader(epoch) => groups.expire_leader(epoch, self.inner.lease_time),
+            // It does not know who asks, so it waits for the end of the lease in either case.
+            LeaseSubject::CoreLeader(epoch) | LeaseSubject::FormerRun { epoch, .. } => {
+                groups.expire_leader(epoch, self.inner.lease_time)
+            }
         };
         groups.loses_answer(group)?;
         Ok(verdict)
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -26,8 +26,8 @@
             move |_, request, replier| execute(&shared, request, replier)
         })
         .route(with(shared, |shared, _, request: Query| async move { shared.query(request).await }))
-        .route(with(shared, |shared, _, request: ExpireLease| async move {
-            completed(async move { shared.expire_lease(request).await }).await
+        .route(with(shared, |shared, peer, request: ExpireLease| async move {
+            completed(async move { shared.expire_lease(&peer, request).await }).await
         }))
         .route(with(shared, |shared, peer, chunk: SnapshotChunk| async move {
             completed(async move { shared.snapshot_chunk(&peer, chunk).await }).await
--- a/crates/store/tests/failures.rs
+++ b/crates/store/tests/failures.rs
@@ -2,14 +2,23 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use hooklug_protocol::control::NodeAddress;
 use hooklug_protocol::store::{Execute, LeaseSubject, LeaseVerdict, StoreFault};
+use hooklug_rpc::{LocalIdentity, RpcClient};
 use hooklug_state::encode;
+use hooklug_state::meta::{MetaCommand, MetaReply};
 use hooklug_state::shard::{ShardCommand, ShardQuery, ShardRefusal, ShardReply};
-use hooklug_store::StateAccess;
-use hooklug_types::{EngineId, EngineIncarnation, GroupId, Incarnation, UnixMillis, shard_of};
-use support::{TestCluster, fast_options, has_program, program, put_program, soon, until};
+use hooklug_store::{StateAccess, StoreClient};
+use hooklug_types::{
+    EngineId, EngineIncarnation, FencingEpoch, GroupId, Incarnation, META_GROUP, NodeId, NodeRole,
+    UnixMillis, shard_of,
+};
+use support::{
+    SECRET, TestCluster, fast_options, free_address, has_program, program, put_program, soon, until,
+};
 use tokio::time::Instant;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -208,3 +217,52 @@
     assert!(has_program(&cluster.client(), "program").await);
     cluster.until_formed().await;
 }
+
+/// A core's client at an address of its own.
+fn core_client(cluster: &TestCluster, rpc: SocketAddr, run: u64, role: NodeRole) -> StoreClient {
+    let address = NodeAddress {
+        node: NodeId(run),
+        incarnation: Incarnation(run),
+        role,
+        rpc,
+        ..cluster.address_of(0, NodeId(0))
+    };
+    let stores = cluster.stores.iter().map(|store| store.address).collect();
+    let client = RpcClient::new(LocalIdentity::new(address, SECRET));
+    StoreClient::new(client, tokio::sync::watch::channel(stores).1)
+}
+
+/// Guards against seconds without a core leader, and so without repair, after all processes were killed: the leader's own
+/// machine was back, and everybody waited for the end of its former run's lease.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_core_that_starts_again_at_its_address_ends_its_former_runs_lease_at_once() {
+    let cluster = TestCluster::formed(3, fast_options()).await;
+    let (rpc, elsewhere) = (free_address().await, free_address().await);
+    let former = core_client(&cluster, rpc, 5, NodeRole::Core);
+    let acquire = MetaCommand::AcquireLeadership {
+        core: NodeId(5),
+        incarnation: Incarnation(5),
+        address: rpc,
+        seen: FencingEpoch(0),
+    };
+    let reply = former.execute_meta(&acquire, soon()).await.unwrap();
+    let MetaReply::Leader(leader) = reply else { panic!("{reply:?}") };
+    let epoch = leader.epoch;
+    let ask = async |client: &StoreClient, address| {
+        let subject = LeaseSubject::FormerRun { epoch, address };
+        client.expire_lease(META_GROUP, subject, soon()).await.unwrap()
+    };
+    let others = [
+        (former.clone(), rpc),
+        (core_client(&cluster, rpc, 4, NodeRole::Core), rpc),
+        (core_client(&cluster, elsewhere, 6, NodeRole::Core), elsewhere),
+        (core_client(&cluster, elsewhere, 6, NodeRole::Core), rpc),
+        (core_client(&cluster, rpc, 6, NodeRole::Store), rpc),
+    ];
+    for (other, address) in others {
+        let verdict = ask(&other, address).await;
+        assert!(matches!(verdict, LeaseVerdict::Held { .. }), "{verdict:?}");
+    }
+    let next = core_client(&cluster, rpc, 6, NodeRole::Core);
+    assert_eq!(ask(&next, rpc).await, LeaseVerdict::Expired);
+}
