--- /dev/null
+++ b/crates/fleet/tests/suite/disk_soak.rs
@@ -0,0 +1,130 @@
+//! Disks lost in series, one each time that the groups have had their time to catch up, while other processes are killed,
+//! frozen or restarted.
+//!
+//! Catches: a place that is filled later than the next disk may be lost; a member of a group that forgets what its leader
+//! counts on; a group that commits nothing any more. The load's records show whatever is lost.
+//!
+//! The seed is printed; `SOAK_SEEDS=7,8,9` plays others.
+
+use std::time::{Duration, Instant};
+
+use hooklug_fleet::{Fleet, ProcessKind, ProcessName, SeedChoice};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+
+use crate::soak::seeds;
+use crate::store_failures::CATCH_UP_TIME;
+use crate::support::load::Load;
+use crate::support::repair::{node_id, retire, wait_repaired};
+use crate::support::{control_topology, name, restart_all, running_nodes, start_alone};
+
+/// Disks that are lost in one day.
+const LOSSES: usize = 6;
+
+/// Sessions of the load.
+const SESSIONS: usize = 4;
+
+/// How a disk is lost.
+#[derive(Debug, Clone, Copy)]
+enum Loss {
+    /// The machine comes back empty, at its address.
+    Disk,
+    /// An empty machine takes its place, at another address.
+    Machine,
+}
+
+/// What happens to another process meanwhile; nothing that loses a disk.
+#[derive(Debug, Clone, Copy)]
+enum Beside {
+    Nothing,
+    KillCore,
+    FreezeCore,
+    FreezeGateway,
+    RestartAllCores,
+}
+
+const LOSS_KINDS: [Loss; 2] = [Loss::Disk, Loss::Machine];
+const BESIDE_KINDS: [Beside; 5] = [
+    Beside::Nothing,
+    Beside::KillCore,
+    Beside::FreezeCore,
+    Beside::FreezeGateway,
+    Beside::RestartAllCores,
+];
+
+async fn lose(fleet: &Fleet, store: ProcessName, loss: Loss) {
+    match loss {
+        Loss::Disk => fleet.lose_disk(store).await.unwrap(),
+        Loss::Machine => fleet.replace(store).await.unwrap(),
+    }
+}
+
+async fn disturb(fleet: &Fleet, beside: Beside, pause: Duration) {
+    let (core, gateway) = (name("core:1"), name("gateway:1"));
+    match beside {
+        Beside::Nothing => {}
+        Beside::KillCore => {
+            fleet.kill(core).unwrap();
+            tokio::time::sleep(pause).await;
+            fleet.restart(core).await.unwrap();
+        }
+        Beside::FreezeCore | Beside::FreezeGateway => {
+            let frozen = if matches!(beside, Beside::FreezeCore) { core } else { gateway };
+            fleet.freeze(frozen).unwrap();
+            tokio::time::sleep(pause).await;
+            fleet.wake(frozen).unwrap();
+        }
+        Beside::RestartAllCores => {
+            let cores = fleet.names(ProcessKind::Core);
+            cores.iter().for_each(|core| fleet.kill(*core).unwrap());
+            restart_all(fleet, &cores).await.unwrap();
+        }
+    }
+}
+
+async fn play(seed: u64) {
+    println!("soak of lost disks, seed {seed}");
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut topology = control_topology(5);
+    topology.seeds = SeedChoice::Cores;
+    let fleet = start_alone(topology).await;
+    let load = Load::start(&fleet, SESSIONS).await;
+    let retired = node_id(&fleet, name("store:4")).await.expect("in the view");
+    let stores = ["store:0", "store:1", "store:2", "store:3"].map(name);
+    let mut lost = Vec::new();
+    for round in 0..LOSSES {
+        if round == 1 {
+            retire(&fleet, retired).await;
+        }
+        let store = *stores.choose(&mut rng).unwrap();
+        let (loss, beside) = (LOSS_KINDS.choose(&mut rng), BESIDE_KINDS.choose(&mut rng));
+        let (loss, beside) = (*loss.unwrap(), *beside.unwrap());
+        let pause = Duration::from_millis(rng.random_range(100..1_500));
+        println!("{loss:?} of {store}, beside it {beside:?} for {pause:?}");
+        lost.push(node_id(&fleet, store).await.expect("in the view"));
+        tokio::join!(lose(&fleet, store, loss), disturb(&fleet, beside, pause));
+        let returned = Instant::now();
+        wait_repaired(&fleet, lost[round]).await;
+        println!("all groups whole {:?} after the return", returned.elapsed());
+        // The next disk may be lost no sooner than this.
+        tokio::time::sleep(CATCH_UP_TIME.saturating_sub(returned.elapsed())).await;
+    }
+    load.wait_rounds(&fleet, 2).await;
+    load.stop_and_read_back(&fleet).await;
+    let nodes = running_nodes(&fleet);
+    nodes.iter().for_each(|node| fleet.kill(*node).unwrap());
+    restart_all(&fleet, &nodes).await.unwrap();
+    for node in lost.into_iter().chain([retired]) {
+        wait_repaired(&fleet, node).await;
+    }
+}
+
+/// Guards against what disks lost in series did before: nothing served and nothing read back after the next loss, and turns
+/// refused to the end because a member of their group had forgotten its log.
+#[tokio::test(flavor = "multi_thread")]
+async fn disks_lost_in_series_lose_nothing() {
+    for seed in seeds() {
+        play(seed).await;
+    }
+}
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod combined_failures;
 mod core_failures;
 mod demo;
+mod disk_soak;
 mod durable_bundles;
 mod engine_drain;
 mod gapless_streams;
--- a/crates/fleet/tests/suite/soak.rs
+++ b/crates/fleet/tests/suite/soak.rs
@@ -4,7 +4,7 @@
 //! Catches: a node that goes back; a change in force late, lost, or read back older; an invalid or losing bundle taken; a
 //! resend refused; and with the load whatever its records show: an answer lost, doubled or belonging to another request.
 //!
-//! The seed is printed; `HOOKLUG_SOAK_SEEDS=7,8,9` plays others.
+//! The seed is printed; `SOAK_SEEDS=7,8,9` plays others.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
@@ -30,7 +30,7 @@
 const SEEDS: [u64; 1] = [19];
 
 /// Variable that names other seeds, joined by commas.
-const SEEDS_VARIABLE: &str = "HOOKLUG_SOAK_SEEDS";
+const SEEDS_VARIABLE: &str = "SOAK_SEEDS";
 
 /// Series of faults of one day.
 const SERIES: usize = 8;
@@ -52,7 +52,7 @@
 
 const FAULTS: [Fault; 4] = [Fault::Kill, Fault::Stop, Fault::Freeze, Fault::NewSettings];
 
-fn seeds() -> Vec<u64> {
+pub(crate) fn seeds() -> Vec<u64> {
     let Ok(given) = std::env::var(SEEDS_VARIABLE) else { return SEEDS.to_vec() };
     given.split(',').map(|seed| seed.trim().parse().expect("a seed is a number")).collect()
 }
--- a/crates/fleet/tests/suite/store_failures.rs
+++ b/crates/fleet/tests/suite/store_failures.rs
@@ -19,7 +19,7 @@
 
 /// Time after the return of a store with an empty disk in which all groups are whole again: the shortest that the users'
 /// platforms give before the next disk may be lost.
-const CATCH_UP_TIME: Duration = Duration::from_millis(4_200);
+pub(crate) const CATCH_UP_TIME: Duration = Duration::from_millis(4_200);
 
 /// Starts stores again and checks the bound on the way back.
 async fn machines_return(fleet: &Fleet, load: &Load, stores: &[ProcessName], word: &str) {
