--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "harness"))
-from harness import Deployment, Record, Unable  # noqa: E402
+from harness import Deployment, Record, Unable, end_on_signal  # noqa: E402
 
 APPS, SLOTS, QUEUE = 5, 6, 1
 WORK_S = 0.208
@@ -67,6 +67,7 @@
 
 
 if __name__ == "__main__":
+    end_on_signal()
     try:
         sys.exit(case(Record(HERE), os.environ.get("TROUBLE", "1") != "0"))
     except Unable as reason:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "harness"))
-from harness import Deployment, Record, Unable  # noqa: E402
+from harness import Deployment, Record, Unable, end_on_signal  # noqa: E402
 
 PROGRAMS = 120
 CHUNK_TOKENS, EVENTS = 3, 8
@@ -82,6 +82,7 @@
 
 
 if __name__ == "__main__":
+    end_on_signal()
     try:
         sys.exit(case(Record(HERE), os.environ.get("TROUBLE", "1") != "0"))
     except Unable as reason:
--- a/review/harness/harness.py
+++ b/review/harness/harness.py
@@ -11,6 +11,7 @@
 import socket
 import socketserver
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -26,6 +27,14 @@
     """The case could not run; exit code 2."""
 
 
+def end_on_signal():
+    """A case that is told to end stops its processes first."""
+    def end(*_):
+        sys.exit(2)
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
+
+
 class Record:
     """What was sent, answered and run, with the time since the start of the case."""
 
@@ -64,6 +73,11 @@
     allow_reuse_address = True
     request_queue_size = 256
 
+    def server_bind(self):
+        # Unlike HTTPServer's own, this asks no name server for the name of the address.
+        socketserver.TCPServer.server_bind(self)
+        self.server_name, self.server_port = self.server_address[:2]
+
     def handle_error(self, *_):
         pass  # a caller closed its connection
 
