--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 
 use crate::backends::{Outcome, Reservation};
-use crate::connections::{Connection, Connections};
+use crate::connections::{Connection, ConnectionId, Connections};
 use crate::dialect::{BackendDialect, Outgoing, Verdict};
 
 /// Result of an attempt.
@@ -60,20 +60,23 @@
     TooLong(usize),
 }
 
-/// Sends a request and waits for the head of the response.
+/// Sends a request and waits for the head of the response. The request is sent on a connection that
+/// is not in `used`, to which that connection is added.
 pub async fn send(
     connections: &Connections,
+    used: &mut Vec<ConnectionId>,
     dialect: &dyn BackendDialect,
     mut reservation: Reservation,
     outgoing: &Outgoing<'_>,
     end: Instant,
 ) -> Attempt {
     let picked = &reservation.picked;
-    let opened = connections.get(&picked.id, picked.address, end).await;
+    let opened = connections.get(&picked.id, picked.address, used, end).await;
     let Ok(mut connection) = opened else {
         reservation.end(Outcome::NoResponse);
         return Attempt::NotSent;
     };
+    used.push(connection.id);
     let sent = Instant::now();
     let time_left = end.saturating_duration_since(sent);
     let request = dialect.request(&Outgoing { time_left, ..*outgoing });
--- a/crates/ingress/src/calls.rs
+++ b/crates/ingress/src/calls.rs
@@ -10,6 +10,7 @@
 use crate::answer::{IngressAnswer, Refusal};
 use crate::attempt::{Attempt, BodyError, PendingResponse, send};
 use crate::backends::{Outcome, RequestKind, Reservation};
+use crate::connections::ConnectionId;
 use crate::deadline::RequestDeadlines;
 use crate::dialect::Outgoing;
 use crate::ingress::Ingress;
@@ -25,10 +26,14 @@
 /// Retry time returned to a caller when all backends are at capacity.
 pub(crate) const AT_CAPACITY_RETRY: Duration = Duration::from_millis(100);
 
-/// The attempts of one request so far: the tried backends and the last failure.
+/// The attempts of one request so far: the tried backends, the used connections and the last
+/// failure.
 #[derive(Debug, Default)]
 pub(crate) struct AttemptHistory {
     pub(crate) tried: Vec<EngineId>,
+    /// Connections that have carried the request. None carries it twice, so that each response with
+    /// its id belongs to one attempt.
+    connections: Vec<ConnectionId>,
     /// Number of attempts that may have run.
     pub(crate) may_have_run: u32,
     last_failure: Option<IngressAnswer>,
@@ -66,7 +71,10 @@
             else {
                 return attempts.into_answer();
             };
-            match self.send(request, &request.body, route, reservation, &deadlines).await {
+            let attempt = self
+                .send(request, &request.body, route, reservation, &mut attempts, &deadlines)
+                .await;
+            match attempt {
                 Attempt::AtCapacity | Attempt::NotExecuted | Attempt::NotSent => {}
                 Attempt::TimedOut => return Refusal::TimedOut.into(),
                 Attempt::ResponseLost(reason) => {
@@ -117,6 +125,7 @@
         body: &Bytes,
         route: &NamedRoute,
         reservation: Reservation,
+        attempts: &mut AttemptHistory,
         deadlines: &RequestDeadlines,
     ) -> Attempt {
         let backend = reservation.picked.id.clone();
@@ -127,7 +136,8 @@
             time_left: deadlines.left(Instant::now()),
             priority: route.route.priority,
         };
-        send(&self.connections, &*self.dialect, reservation, &outgoing, deadlines.end).await
+        let used = &mut attempts.connections;
+        send(&self.connections, used, &*self.dialect, reservation, &outgoing, deadlines.end).await
     }
 
     /// Reads the complete response. Returns it as `Err` if it is a failure that another backend may not
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -34,9 +35,15 @@
     pub reason: String,
 }
 
+/// Identifies a connection within its pool; never reused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionId(u64);
+
 /// An open connection, used by one request at a time.
 #[derive(Debug)]
 pub struct Connection {
+    /// Identity of the connection.
+    pub id: ConnectionId,
     /// Request sender of the connection.
     pub sender: SendRequest<Full<Bytes>>,
     backend: EngineId,
@@ -52,27 +59,34 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     idle: Mutex<HashMap<EngineId, Vec<Idle>>>,
+    next_id: AtomicU64,
 }
 
 impl Connections {
     /// Returns an idle connection, or opens a new one.
     ///
+    /// `used` names the connections that have carried the request before, which are not returned: a
+    /// backend may send an earlier response once more, in place of the next one, and the request id
+    /// would not tell the two apart.
+    ///
     /// # Errors
     /// [`ConnectError`] if no connection could be opened in time.
     pub async fn get(
         &self,
         backend: &EngineId,
         address: SocketAddr,
+        used: &[ConnectionId],
         deadline: Instant,
     ) -> Result<Connection, ConnectError> {
-        while let Some(mut connection) = self.take_idle(backend) {
+        while let Some(mut connection) = self.take_idle(backend, used) {
             if connection.sender.ready().await.is_ok() {
                 return Ok(connection);
             }
         }
         let failed = |reason: String| ConnectError { address, reason };
         let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        match timeout_at(until, open(backend, address)).await {
+        let id = ConnectionId(self.next_id.fetch_add(1, Ordering::Relaxed));
+        match timeout_at(until, open(id, backend, address)).await {
             Ok(opened) => opened.map_err(|error| failed(error.to_string())),
             Err(_) => Err(failed("timed out".to_owned())),
         }
@@ -98,17 +112,15 @@
         });
     }
 
-    /// Takes the most recently used idle connection, which is the most likely to be still open.
-    fn take_idle(&self, backend: &EngineId) -> Option<Connection> {
+    /// Takes the most recently used idle connection that is not in `used`; it is the most likely to
+    /// be still open.
+    fn take_idle(&self, backend: &EngineId, used: &[ConnectionId]) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
         let connections = idle.get_mut(backend)?;
-        while let Some(found) = connections.pop() {
-            if found.until > now && !found.connection.sender.is_closed() {
-                return Some(found.connection);
-            }
-        }
-        None
+        connections.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+        let unused = connections.iter().rposition(|idle| !used.contains(&idle.connection.id))?;
+        Some(connections.remove(unused).connection)
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<EngineId, Vec<Idle>>> {
@@ -117,6 +129,7 @@
 }
 
 async fn open(
+    id: ConnectionId,
     backend: &EngineId,
     address: SocketAddr,
 ) -> Result<Connection, Box<dyn std::error::Error + Send + Sync>> {
@@ -129,5 +142,5 @@
         }
     });
     sender.ready().await?;
-    Ok(Connection { sender, backend: backend.clone() })
+    Ok(Connection { id, sender, backend: backend.clone() })
 }
--- a/crates/ingress/src/turns.rs
+++ b/crates/ingress/src/turns.rs
@@ -183,7 +183,9 @@
                 )
                 .into();
             };
-            match self.send(request, &body, route, reservation, &deadlines).await {
+            let attempt =
+                self.send(request, &body, route, reservation, &mut attempts, &deadlines).await;
+            match attempt {
                 Attempt::AtCapacity | Attempt::NotExecuted | Attempt::NotSent => {}
                 Attempt::TimedOut => return Refusal::TimedOut.into(),
                 Attempt::ResponseLost(reason) => return Refusal::ResponseLost(reason).into(),
--- a/crates/ingress/tests/calls.rs
+++ b/crates/ingress/tests/calls.rs
@@ -79,6 +79,35 @@
     assert_eq!(backend.executed(), []);
 }
 
+/// Guards against a call that runs twice: the late copy of an earlier rejection is taken for the
+/// response to the next attempt at the same backend, which has run the call.
+#[tokio::test]
+async fn a_call_runs_once_although_its_rejection_arrives_once_more() {
+    for path in ["/once/x", "/any/x"] {
+        let (answer, backend) = answer_of(&[Behaviour::AtCapacityTwice(0)], path).await;
+        assert_eq!(forwarded(answer).await, (200, Ok("done".to_owned())), "{path}");
+        assert_eq!(backend.executed().len(), 1, "{path}");
+    }
+}
+
+/// Guards against a call that is reported as not run although it has: each attempt but the last is
+/// rejected twice, so a copy could arrive at any of them.
+#[tokio::test]
+async fn a_call_that_ran_is_not_reported_as_not_run_after_late_rejections() {
+    for rejections in 1..6 {
+        let script = vec![Behaviour::AtCapacityTwice(0); rejections];
+        let (answer, backend) = answer_of(&script, "/once/x").await;
+        match answer {
+            IngressAnswer::Refused(refused) => {
+                assert!(matches!(refused, Refusal::NotRun { .. }), "{rejections}: {refused}");
+                assert_eq!(backend.executed(), [], "{rejections}");
+            }
+            forwarded => assert_eq!(self::forwarded(forwarded).await.0, 200, "{rejections}"),
+        }
+        assert!(backend.executed().len() <= 1, "{rejections}");
+    }
+}
+
 #[tokio::test]
 async fn a_non_repeatable_call_is_not_retried_after_a_lost_response() {
     for lost in [Behaviour::NoResponse, Behaviour::WrongRequest, Behaviour::Truncated] {
--- a/crates/ingress/tests/support/fake_backend.rs
+++ b/crates/ingress/tests/support/fake_backend.rs
@@ -17,6 +17,9 @@
     Answer(u16, &'static str),
     /// Reports that it is at capacity and does not run the request.
     AtCapacity,
+    /// Like `AtCapacity`, and sends the same response once more, late: on the same connection, in
+    /// place of the response to the request after this many others.
+    AtCapacityTwice(usize),
     /// Reports that it is another backend and does not run the request.
     WrongBackend,
     /// Runs the request and closes the connection without a response.
@@ -98,18 +101,16 @@
 async fn serve(stream: TcpStream, state: Arc<Mutex<BackendState>>, release: Arc<Notify>) {
     let (reading, mut writing) = stream.into_split();
     let mut reader = BufReader::new(reading);
+    let mut late = LateResponses::default();
     while let Some(request) = read_request(&mut reader).await {
-        let behaviour = {
-            let mut state = state.lock().unwrap();
-            let behaviour = state.script.pop_front().unwrap_or(Behaviour::Answer(200, "done"));
-            if !matches!(behaviour, Behaviour::AtCapacity | Behaviour::WrongBackend) {
-                state
-                    .executed
-                    .push(ExecutedRequest { id: request.id.clone(), body: request.body.clone() });
-            }
-            behaviour
-        };
+        let behaviour = next_behaviour(&state, &request);
+        if writing.write_all(late.due().as_bytes()).await.is_err() {
+            return;
+        }
         let (response, keep_open) = response_to(&behaviour, &request.id);
+        if let Behaviour::AtCapacityTwice(others) = behaviour {
+            late.hold(others, &response);
+        }
         if writing.write_all(response.as_bytes()).await.is_err() {
             return;
         }
@@ -131,6 +132,43 @@
     }
 }
 
+/// Takes the next behaviour of the script and records the request if that behaviour runs it.
+fn next_behaviour(state: &Mutex<BackendState>, request: &ReceivedRequest) -> Behaviour {
+    let mut state = state.lock().unwrap();
+    let behaviour = state.script.pop_front().unwrap_or(Behaviour::Answer(200, "done"));
+    let refuses = matches!(
+        behaviour,
+        Behaviour::AtCapacity | Behaviour::AtCapacityTwice(_) | Behaviour::WrongBackend
+    );
+    if !refuses {
+        let (id, body) = (request.id.clone(), request.body.clone());
+        state.executed.push(ExecutedRequest { id, body });
+    }
+    behaviour
+}
+
+/// Responses of one connection that are sent once more.
+#[derive(Debug, Default)]
+struct LateResponses {
+    /// Each response with the number of requests before the one in whose place it is sent.
+    held: Vec<(usize, String)>,
+}
+
+impl LateResponses {
+    /// Holds a response until this many other requests have arrived.
+    fn hold(&mut self, others: usize, response: &str) {
+        self.held.push((others, response.to_owned()));
+    }
+
+    /// The responses to send before the one to the request that has just arrived.
+    fn due(&mut self) -> String {
+        let due = self.held.extract_if(.., |(others, _)| *others == 0);
+        let due: String = due.map(|(_, response)| response).collect();
+        self.held.iter_mut().for_each(|(others, _)| *others -= 1);
+        due
+    }
+}
+
 fn response_to(behaviour: &Behaviour, id: &str) -> (String, bool) {
     let complete = |status: u16, headers: &str, body: &str| {
         let length = body.len();
@@ -139,7 +177,7 @@
     let own = format!("{ID}: {id}\r\n");
     match behaviour {
         Behaviour::Answer(status, body) => (complete(*status, &own, body), true),
-        Behaviour::AtCapacity => {
+        Behaviour::AtCapacity | Behaviour::AtCapacityTwice(_) => {
             (complete(503, &format!("{own}{NOT_RUN}: full\r\n"), "full"), true)
         }
         Behaviour::WrongBackend => (complete(421, &format!("{own}{NOT_RUN}: other\r\n"), ""), true),
--- a/crates/ingress/tests/support/mod.rs
+++ b/crates/ingress/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! An ingress on in-memory state with fake backends on loopback that follow a script.
 
-#![allow(dead_code, reason = "each test file uses only some of the helpers")]
+#![allow(dead_code, unused_imports, reason = "each test file uses only some of the helpers")]
 
 mod fake_backend;
 
@@ -272,3 +272,18 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// Seeds of a seeded test: those that `SOAK_SEEDS` names, separated by commas, or these.
+const DEFAULT_SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+
+/// Runs a seeded test with each seed, which is printed.
+pub async fn run_seeds(check: impl AsyncFn(u64)) {
+    let seeds = match std::env::var("SOAK_SEEDS") {
+        Ok(named) => named.split(',').map(|seed| seed.trim().parse().expect("a seed")).collect(),
+        Err(_) => DEFAULT_SEEDS.to_vec(),
+    };
+    for seed in seeds {
+        println!("seed {seed}");
+        check(seed).await;
+    }
+}
--- a/crates/ingress/tests/turns.rs
+++ b/crates/ingress/tests/turns.rs
@@ -141,6 +141,16 @@
     assert_eq!((full.executed().len(), lost.executed().len()), (0, 1));
 }
 
+/// Guards against a turn that runs twice: the late copy of an earlier rejection is taken for the
+/// response to the next attempt at the same engine, which has run the turn.
+#[tokio::test]
+async fn a_turn_runs_once_although_its_rejection_arrives_once_more() {
+    let engine = FakeBackend::start("e1", &[Behaviour::AtCapacityTwice(0), TWO]).await;
+    let world = World::new(&[&engine]).await;
+    complete_body(&world, &turn("/kept/x", "t1", None)).await;
+    assert_eq!(engine.executed().len(), 1);
+}
+
 #[tokio::test]
 async fn a_disconnected_caller_cancels_the_engine_stream() {
     let engine = FakeBackend::start("e1", &[Behaviour::Unresponsive]).await;
