--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod history_cache;
 pub mod ingress;
 pub mod load;
+mod open_turn;
 pub mod prefix_ring;
 pub mod prompt_caches;
 pub mod records;
--- a/crates/ingress/src/records.rs
+++ b/crates/ingress/src/records.rs
@@ -12,7 +12,7 @@
 };
 use hooklug_store::{StateAccess, Unavailable};
 use hooklug_types::{
-    GroupId, META_GROUP, NodeId, SessionEpoch, SessionKey, TokenCount, TurnId, shard_of,
+    GroupId, META_GROUP, NodeId, SessionEpoch, SessionId, SessionKey, TokenCount, TurnId, shard_of,
 };
 use tokio::time::Instant;
 
@@ -25,6 +25,34 @@
 /// Why a turn was not started.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StartError {
+    /// The shard refused the turn.
+    #[error("{refusal}")]
+    Refused {
+        /// The reason.
+        refusal: StartRefusal,
+        /// Whether the turn is open in the shard, or may still be opened there: the reply to an
+        /// earlier copy of the command was lost.
+        may_be_open: bool,
+    },
+    /// The shard did not reply in time; the turn may be open there.
+    #[error(transparent)]
+    Unavailable(#[from] Unavailable),
+}
+
+impl StartError {
+    /// Whether the turn may be open in the shard, now or later.
+    #[must_use]
+    pub fn may_be_open(&self) -> bool {
+        match self {
+            Self::Refused { may_be_open, .. } => *may_be_open,
+            Self::Unavailable(_) => true,
+        }
+    }
+}
+
+/// Why a shard refused to start a turn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum StartRefusal {
     /// The token budget is spent permanently.
     #[error("the token budget is spent")]
     BudgetSpent,
@@ -37,9 +65,6 @@
     /// The id of the turn was already used.
     #[error("the id of the turn was already used")]
     DuplicateTurn,
-    /// The shard did not reply in time.
-    #[error(transparent)]
-    Unavailable(#[from] Unavailable),
 }
 
 /// Why a turn's end was not recorded.
@@ -90,8 +115,8 @@
     /// Starts a turn; this host owns the session afterwards.
     ///
     /// # Errors
-    /// [`StartError`]. After `Unavailable` the turn may have been started; it then counts against the
-    /// budget until its time limit and beyond.
+    /// [`StartError`]. If the turn may be open, it counts against the budget until its time limit
+    /// and beyond, unless it is cancelled.
     pub async fn start(
         &self,
         turn: &TurnRequest,
@@ -112,13 +137,67 @@
             keep_ms: millis(start.retention + CLOCK_MARGIN),
         });
         let group = shard_of(turn.program.as_str());
-        match self.state.execute_shard(group, &command, deadline).await? {
-            ShardReply::ChainedTurnStarted(started) => Ok(started),
-            ShardReply::Refused(ShardRefusal::BudgetSpent) => Err(StartError::BudgetSpent),
-            ShardReply::Refused(ShardRefusal::BudgetReserved) => Err(StartError::BudgetReserved),
-            ShardReply::Refused(ShardRefusal::UnknownTurn) => Err(StartError::UnknownTurn),
-            _ => Err(StartError::DuplicateTurn),
-        }
+        let executed = self.state.execute_shard_tracked(group, &command, deadline).await?;
+        let (refusal, is_open) = match executed.reply {
+            ShardReply::ChainedTurnStarted(started) => return Ok(started),
+            ShardReply::Refused(ShardRefusal::BudgetSpent) => (StartRefusal::BudgetSpent, false),
+            ShardReply::Refused(ShardRefusal::BudgetReserved) => {
+                (StartRefusal::BudgetReserved, false)
+            }
+            ShardReply::Refused(ShardRefusal::UnknownTurn) => (StartRefusal::UnknownTurn, false),
+            // An earlier copy has opened the turn, and a later turn of the session has started.
+            ShardReply::Refused(ShardRefusal::Superseded) => (StartRefusal::DuplicateTurn, true),
+            _ => (StartRefusal::DuplicateTurn, false),
+        };
+        let may_be_open = is_open || executed.copy_may_follow;
+        Err(StartError::Refused { refusal, may_be_open })
+    }
+
+    /// Cancels a turn that has run nowhere: its reservation is released if it is open, and a copy of
+    /// its start that arrives later is refused.
+    ///
+    /// An ended turn is never started again. So one log entry starts the turn, if it is not open,
+    /// without reserving tokens, and ends it. It starts it in a session of its own, since a start
+    /// fences the earlier turns of its session.
+    ///
+    /// # Errors
+    /// [`EndError`]
+    pub async fn cancel(
+        &self,
+        turn: &TurnRequest,
+        retention: Duration,
+        deadline: Instant,
+    ) -> Result<(), EndError> {
+        let own_session = SessionId::new(turn.turn.as_str())
+            .unwrap_or_else(|_| unreachable!("turns and sessions are named alike"));
+        let key = SessionKey { program: turn.program.clone(), session: own_session };
+        let start = StartChainedTurn {
+            key: key.clone(),
+            turn: turn.turn.clone(),
+            host: self.host,
+            after: None,
+            token_budget: None,
+            max_tokens: TokenCount(0),
+            input: None,
+            include_history: false,
+            imported: None,
+            time_limit_ms: 0,
+            keep_ms: millis(retention + CLOCK_MARGIN),
+        };
+        let end = EndChainedTurn {
+            key,
+            turn: turn.turn.clone(),
+            epoch: SessionEpoch::default(),
+            tokens: TokenCount(0),
+            output: None,
+        };
+        let command = ShardCommand::Batch(vec![
+            ShardCommand::StartChainedTurn(start),
+            ShardCommand::EndChainedTurn(end),
+        ]);
+        let group = shard_of(turn.program.as_str());
+        self.state.execute_shard(group, &command, deadline).await?;
+        Ok(())
     }
 
     /// Ends a turn. The turn is retained if its complete output is given.
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -17,9 +17,10 @@
 use crate::deadline::RequestDeadlines;
 use crate::history_cache::HistoryCache;
 use crate::ingress::{Ingress, Routing};
+use crate::open_turn::{END_TIMEOUT, OpenTurn};
 use crate::routes::NamedRoute;
 use crate::sse::EventReader;
-use crate::turns::{END_TIMEOUT, OpenTurn, concatenated};
+use crate::turns::concatenated;
 
 /// Capacity of the queue of chunks to the caller's connection.
 const CHUNK_QUEUE_LENGTH: usize = 16;
--- a/crates/ingress/src/turns.rs
+++ b/crates/ingress/src/turns.rs
@@ -5,12 +5,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hooklug_state::shard::StartedChainedTurn;
-use hooklug_types::{SessionEpoch, TokenCount};
 use http::StatusCode;
 use tokio::time::Instant;
-use tokio_util::task::TaskTracker;
-use tracing::debug;
 
 use crate::answer::{IngressAnswer, Refusal};
 use crate::attempt::Attempt;
@@ -18,16 +14,14 @@
 use crate::calls::AttemptHistory;
 use crate::deadline::RequestDeadlines;
 use crate::ingress::{Ingress, Routing};
-use crate::records::{StartError, TurnRecords, TurnStart};
+use crate::open_turn::OpenTurn;
+use crate::records::{StartError, StartRefusal, TurnStart};
 use crate::routes::NamedRoute;
 use crate::{AnswerBody, IngressRequest, TurnRequest};
 
 /// Longest wait for the shard before a turn is refused; an election takes about a second.
 const START_TIMEOUT: Duration = Duration::from_millis(1_800);
 
-/// Longest time for recording the end of a turn.
-pub(crate) const END_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Retry time returned to a caller when the shard is unavailable, as without a leader.
 const SHARD_RETRY: Duration = Duration::from_millis(200);
 
@@ -41,51 +35,6 @@
 /// Maximum size of an engine's error response, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 64 << 10;
 
-/// A started turn whose end is not recorded yet. If it is dropped, a background task records the
-/// tokens that were sent to the caller.
-#[derive(Debug)]
-pub(crate) struct OpenTurn {
-    records: TurnRecords,
-    background_tasks: TaskTracker,
-    pub(crate) turn: TurnRequest,
-    epoch: SessionEpoch,
-    /// Number of tokens sent to the caller.
-    pub(crate) tokens: TokenCount,
-    ended: bool,
-}
-
-impl OpenTurn {
-    /// Records the end of a complete turn; returns whether that succeeded.
-    pub(crate) async fn end_complete(&mut self, output: Bytes, deadline: Instant) -> bool {
-        let (turn, tokens) = (&self.turn, self.tokens);
-        match self.records.end(turn, self.epoch, tokens, Some(output), deadline).await {
-            Ok(()) => {
-                self.ended = true;
-                true
-            }
-            Err(error) => {
-                debug!(turn = %turn.turn, %error, "cannot record the end of a turn");
-                false
-            }
-        }
-    }
-}
-
-impl Drop for OpenTurn {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
-        let (records, turn) = (self.records.clone(), self.turn.clone());
-        let (epoch, tokens) = (self.epoch, self.tokens);
-        self.background_tasks.spawn(async move {
-            let deadline = Instant::now() + END_TIMEOUT;
-            // If this fails, the turn counts with its maximum number of tokens.
-            let _ = records.end(&turn, epoch, tokens, None, deadline).await;
-        });
-    }
-}
-
 impl Ingress {
     /// Serves a turn of a chained session.
     pub(crate) async fn serve_turn(
@@ -115,41 +64,39 @@
         route: &NamedRoute,
         deadlines: &RequestDeadlines,
     ) -> Result<(OpenTurn, Option<Bytes>), Refusal> {
-        let retention = route.route.keep_ms.map(Duration::from_millis);
+        let keep = route.route.keep_ms.map(Duration::from_millis);
+        let retention = keep.unwrap_or(LEDGER_RETENTION);
         let cached = turn.after.as_ref().and_then(|after| self.histories.get(after));
         let start = TurnStart {
-            input: retention.map(|_| request.body.clone()),
+            input: keep.map(|_| request.body.clone()),
             include_history: turn.after.is_some() && cached.is_none(),
             imported: None,
             time_limit: deadlines.left(Instant::now()),
-            retention: retention.unwrap_or(LEDGER_RETENTION),
+            retention,
         };
         let deadline = deadlines.end.min(Instant::now() + START_TIMEOUT);
-        let (started, history) = match self.records.start(turn, start.clone(), deadline).await {
-            Ok(started) => (started, cached),
-            Err(StartError::UnknownTurn) => self.import(turn, start, cached, deadline).await?,
+        let (records, tasks) = (self.records.clone(), self.background_tasks.clone());
+        let mut open = OpenTurn::new(records, tasks, turn.clone(), retention);
+        let history = match open.start(start.clone(), deadline).await {
+            Ok(started) => started.history.or(cached),
+            Err(StartError::Refused { refusal: StartRefusal::UnknownTurn, .. }) => {
+                Some(self.import(&mut open, start, cached, deadline).await?)
+            }
             Err(error) => return Err(refusal(&error)),
         };
-        let open = OpenTurn {
-            records: self.records.clone(),
-            background_tasks: self.background_tasks.clone(),
-            turn: turn.clone(),
-            epoch: started.epoch,
-            tokens: TokenCount(0),
-            ended: false,
-        };
-        Ok((open, started.history.or(history)))
+        Ok((open, history))
     }
 
-    /// Starts a turn that continues a turn of another program, whose history is searched in all shards.
+    /// Starts a turn that continues a turn of another program, whose history is searched in all
+    /// shards; returns the history.
     async fn import(
         &self,
-        turn: &TurnRequest,
+        open: &mut OpenTurn,
         start: TurnStart,
         cached: Option<Bytes>,
         deadline: Instant,
-    ) -> Result<(StartedChainedTurn, Option<Bytes>), Refusal> {
-        let Some(after) = &turn.after else { return Err(Refusal::UnknownTurn) };
+    ) -> Result<Bytes, Refusal> {
+        let Some(after) = &open.turn.after else { return Err(Refusal::UnknownTurn) };
         let found = match cached {
             Some(cached) => Some(cached),
             None => {
@@ -159,8 +106,8 @@
         let history = found.ok_or(Refusal::UnknownTurn)?;
         let imported = Some(history.clone());
         let start = TurnStart { imported, include_history: false, ..start };
-        let started = self.records.start(turn, start, deadline).await;
-        Ok((started.map_err(|error| refusal(&error))?, Some(history)))
+        open.start(start, deadline).await.map_err(|error| refusal(&error))?;
+        Ok(history)
     }
 
     /// Finds an engine that accepts the turn and forwards its stream.
@@ -227,14 +174,16 @@
 }
 
 fn refusal(error: &StartError) -> Refusal {
-    match error {
-        StartError::BudgetSpent => Refusal::BudgetSpent,
-        StartError::BudgetReserved => not_run("other turns have reserved the budget", BUDGET_RETRY),
-        StartError::UnknownTurn => Refusal::UnknownTurn,
-        StartError::DuplicateTurn => {
+    let StartError::Refused { refusal, .. } = error else { return shard_unavailable() };
+    match refusal {
+        StartRefusal::BudgetSpent => Refusal::BudgetSpent,
+        StartRefusal::BudgetReserved => {
+            not_run("other turns have reserved the budget", BUDGET_RETRY)
+        }
+        StartRefusal::UnknownTurn => Refusal::UnknownTurn,
+        StartRefusal::DuplicateTurn => {
             Refusal::ResponseLost("the turn id was already used".to_owned())
         }
-        StartError::Unavailable(_) => shard_unavailable(),
     }
 }
 
--- /dev/null
+++ b/crates/ingress/tests/support/held_state.rs
@@ -0,0 +1,154 @@
+//! State behind a link on which a test holds commands and replies until it releases them.
+
+use std::sync::{Arc, Mutex};
+
+use async_trait::async_trait;
+use hooklug_protocol::store::{LeaseStatus, LeaseSubject};
+use hooklug_state::meta::{MetaAnswer, MetaCommand, MetaQuery, MetaReply};
+use hooklug_state::shard::{ShardAnswer, ShardCommand, ShardQuery, ShardReply};
+use hooklug_store::{Executed, MemoryState, StateAccess, Unavailable};
+use hooklug_types::GroupId;
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, sleep_until};
+
+/// What the link does with the start of a turn. Other commands pass.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// The command is applied and its reply returned.
+    Passes,
+    /// The command is applied; its reply is lost.
+    LosesReply,
+    /// The command is held until it is delivered; its sender gets no reply.
+    HoldsCommand,
+    /// The command is sent twice: one copy is applied and its reply returned, the other one is held
+    /// until it is delivered.
+    HoldsCopy,
+}
+
+/// Access to in-memory state through a link. Clones share the link.
+#[derive(Debug, Clone)]
+pub struct HeldState {
+    memory: MemoryState,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    link: Mutex<Link>,
+    held: Mutex<Vec<(GroupId, ShardCommand)>>,
+    /// Has a permit for each start of a turn that was received and not waited for.
+    received: Semaphore,
+}
+
+impl HeldState {
+    pub fn new(memory: MemoryState) -> Self {
+        let shared = Shared {
+            link: Mutex::new(Link::Passes),
+            held: Mutex::default(),
+            received: Semaphore::new(0),
+        };
+        Self { memory, shared: Arc::new(shared) }
+    }
+
+    /// Sets what happens to the next starts.
+    pub fn set_link(&self, link: Link) {
+        *self.shared.link.lock().unwrap() = link;
+    }
+
+    /// Waits until another start of a turn has been received.
+    pub async fn received(&self) {
+        self.shared.received.acquire().await.expect("the semaphore stays open").forget();
+    }
+
+    /// Delivers the held commands, the newest first, and returns the replies.
+    pub async fn deliver(&self) -> Vec<ShardReply> {
+        let mut held = std::mem::take(&mut *self.shared.held.lock().unwrap());
+        let mut replies = Vec::new();
+        while let Some((group, command)) = held.pop() {
+            let deadline = Instant::now() + super::TEST_TIMEOUT;
+            let reply = self.memory.execute_shard(group, &command, deadline).await;
+            replies.push(reply.expect("the shard is available"));
+        }
+        replies
+    }
+
+    fn hold(&self, group: GroupId, command: &ShardCommand) {
+        self.shared.held.lock().unwrap().push((group, command.clone()));
+    }
+}
+
+async fn no_reply<T>(group: GroupId, deadline: Instant) -> Result<T, Unavailable> {
+    sleep_until(deadline).await;
+    Err(Unavailable { group, reason: "no reply".to_owned() })
+}
+
+#[async_trait]
+impl StateAccess for HeldState {
+    async fn execute_shard(
+        &self,
+        group: GroupId,
+        command: &ShardCommand,
+        deadline: Instant,
+    ) -> Result<ShardReply, Unavailable> {
+        Ok(self.execute_shard_tracked(group, command, deadline).await?.reply)
+    }
+
+    async fn execute_shard_tracked(
+        &self,
+        group: GroupId,
+        command: &ShardCommand,
+        deadline: Instant,
+    ) -> Result<Executed, Unavailable> {
+        let is_start = matches!(command, ShardCommand::StartChainedTurn(_));
+        let link = if is_start { *self.shared.link.lock().unwrap() } else { Link::Passes };
+        if matches!(link, Link::HoldsCommand | Link::HoldsCopy) {
+            self.hold(group, command);
+        }
+        if link == Link::HoldsCommand {
+            self.shared.received.add_permits(1);
+            return no_reply(group, deadline).await;
+        }
+        let reply = self.memory.execute_shard(group, command, deadline).await?;
+        if is_start {
+            self.shared.received.add_permits(1);
+        }
+        if link == Link::LosesReply {
+            return no_reply(group, deadline).await;
+        }
+        Ok(Executed { reply, copy_may_follow: link == Link::HoldsCopy })
+    }
+
+    async fn query_shard(
+        &self,
+        group: GroupId,
+        query: &ShardQuery,
+        deadline: Instant,
+    ) -> Result<ShardAnswer, Unavailable> {
+        self.memory.query_shard(group, query, deadline).await
+    }
+
+    async fn execute_meta(
+        &self,
+        command: &MetaCommand,
+        deadline: Instant,
+    ) -> Result<MetaReply, Unavailable> {
+        self.memory.execute_meta(command, deadline).await
+    }
+
+    async fn query_meta(
+        &self,
+        query: &MetaQuery,
+        deadline: Instant,
+    ) -> Result<MetaAnswer, Unavailable> {
+        self.memory.query_meta(query, deadline).await
+    }
+
+    async fn expire_lease(
+        &self,
+        group: GroupId,
+        subject: LeaseSubject,
+        deadline: Instant,
+    ) -> Result<LeaseStatus, Unavailable> {
+        self.memory.expire_lease(group, subject, deadline).await
+    }
+}
--- a/crates/ingress/tests/support/mod.rs
+++ b/crates/ingress/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses only some of the helpers")]
 
 mod fake_backend;
+mod held_state;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,7 +27,7 @@
     CoreSettings, GatewaySettings, OperatorSettings, Secret, Settings, StoreSettings,
 };
 use hooklug_state::meta::{BundleOrigin, BundleRecord};
-use hooklug_store::MemoryState;
+use hooklug_store::{MemoryState, StateAccess};
 use hooklug_types::{
     BundleVersion, EngineId, Incarnation, NodeId, NodeRole, ProgramId, RegionName, RouteName,
     ServiceName, ServiceVersion, SessionId, TokenCount, TurnId, UnixMillis, ZoneName,
@@ -39,6 +40,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use fake_backend::{Behaviour, FakeBackend};
+pub use held_state::{HeldState, Link};
 
 /// Longest wait for a condition; not a tested bound.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -97,7 +99,18 @@
 
     /// Creates an ingress on state that other worlds may share.
     pub async fn on(state: MemoryState, backends: &[&FakeBackend]) -> Self {
-        let world = Self::without_bundle(state, backends);
+        Self::started(Self::without_bundle(state, backends)).await
+    }
+
+    /// Creates an ingress on state behind a link, which is returned.
+    pub async fn behind_link(backends: &[&FakeBackend]) -> (Self, HeldState) {
+        let memory = MemoryState::default();
+        let access = HeldState::new(memory.clone());
+        let world = Self::with_access(memory, Arc::new(access.clone()), backends);
+        (Self::started(world).await, access)
+    }
+
+    async fn started(world: Self) -> Self {
         world.install_bundle();
         let ingress = world.ingress.clone();
         tokio::spawn(async move { ingress.run().await });
@@ -111,10 +124,18 @@
     }
 
     pub fn without_bundle(state: MemoryState, backends: &[&FakeBackend]) -> Self {
+        Self::with_access(state.clone(), Arc::new(state), backends)
+    }
+
+    fn with_access(
+        state: MemoryState,
+        access: Arc<dyn StateAccess>,
+        backends: &[&FakeBackend],
+    ) -> Self {
         let (handle, channels) = NodeHandle::new();
         let listed = backends.iter().map(|backend| listed(backend));
         let (list, watch_list) = watch::channel(Some(Arc::new(BackendList::new(listed))));
-        let node = context(state.clone(), handle);
+        let node = context(access, handle);
         let dialect = Arc::new(TestDialect);
         let ingress = Ingress::new(IngressContext { node, backends: watch_list, dialect });
         Self { ingress: Arc::new(ingress), state, list, channels }
@@ -146,7 +167,7 @@
     }
 }
 
-fn context(state: MemoryState, node: NodeHandle) -> NodeContext {
+fn context(state: Arc<dyn StateAccess>, node: NodeHandle) -> NodeContext {
     let own: SocketAddr = "127.0.0.1:1".parse().unwrap();
     let address = NodeAddress {
         node: NodeId(5),
@@ -161,7 +182,7 @@
         settings: Arc::new(settings(own)),
         client: RpcClient::new(identity.clone()),
         identity,
-        state: Arc::new(state),
+        state,
         node,
         stop: CancellationToken::new(),
     }
--- a/crates/store/src/access.rs
+++ b/crates/store/src/access.rs
@@ -18,6 +18,16 @@
     pub reason: String,
 }
 
+/// The reply to a command, and whether the command may be applied once more.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Executed {
+    /// The reply to the last copy of the command that was sent.
+    pub reply: ShardReply,
+    /// Whether an earlier copy got no reply and may still be applied. Such a copy may succeed after
+    /// this reply was a refusal.
+    pub copy_may_follow: bool,
+}
+
 /// Linearizable access to the replicated state. Commands are idempotent, so implementations retry
 /// them until the deadline.
 #[async_trait]
@@ -34,6 +44,22 @@
         deadline: Instant,
     ) -> Result<ShardReply, Unavailable>;
 
+    /// Applies a command to a shard like [`StateAccess::execute_shard`], and reports whether a copy
+    /// of it may be applied after the reply. The default is for implementations that send each
+    /// command once.
+    ///
+    /// # Errors
+    /// [`Unavailable`] if there was no reply by the deadline; the command may still be applied.
+    async fn execute_shard_tracked(
+        &self,
+        group: GroupId,
+        command: &ShardCommand,
+        deadline: Instant,
+    ) -> Result<Executed, Unavailable> {
+        let reply = self.execute_shard(group, command, deadline).await?;
+        Ok(Executed { reply, copy_may_follow: false })
+    }
+
     /// Reads from a shard.
     ///
     /// # Errors
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use hooklug_protocol::Request;
 use hooklug_protocol::store::{
     Execute, ExpireLease, LeaseStatus, LeaseSubject, Query, StoreRequestError,
@@ -20,7 +21,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::{StateAccess, Unavailable};
+use crate::{Executed, StateAccess, Unavailable};
 
 /// Timeout of one attempt. Short, so that the client soon moves on from a frozen or unreachable
 /// leader.
@@ -92,7 +93,7 @@
     /// Calls a group's leader, with retries, until it replies or the deadline passes.
     async fn call<R, T>(
         &self,
-        group: GroupId,
+        attempts: &mut Attempts,
         request: &R,
         deadline: Instant,
     ) -> Result<T, Unavailable>
@@ -100,14 +101,15 @@
         R: Request<Reply = Result<T, StoreRequestError>>,
         T: Send,
     {
-        let mut attempts = Attempts::new(group);
+        let group = attempts.group;
         loop {
-            let Some(store) = self.choose(&mut attempts) else {
+            let Some(store) = self.choose(attempts) else {
                 attempts.back_off(deadline, "no store is known".to_owned()).await?;
                 continue;
             };
             let attempt_deadline = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
             let reply = self.inner.client.call(store, request, attempt_deadline).await;
+            attempts.copy_may_follow |= may_take_effect_later(&reply);
             let action = match reply {
                 Ok(Ok(value)) => {
                     self.routing().leaders.insert(group, store);
@@ -194,11 +196,20 @@
         command: &C,
         deadline: Instant,
     ) -> Result<T, Unavailable> {
-        let request = Execute { group, command: encode(command).into() };
-        let reply = self.call(group, &request, deadline).await?;
+        let reply = self.execute_attempts(&mut Attempts::new(group), command, deadline).await?;
         decode_reply(group, &reply)
     }
 
+    async fn execute_attempts<C: serde::Serialize>(
+        &self,
+        attempts: &mut Attempts,
+        command: &C,
+        deadline: Instant,
+    ) -> Result<Bytes, Unavailable> {
+        let request = Execute { group: attempts.group, command: encode(command).into() };
+        self.call(attempts, &request, deadline).await
+    }
+
     async fn query<Q: serde::Serialize, T: DeserializeOwned>(
         &self,
         group: GroupId,
@@ -206,11 +217,22 @@
         deadline: Instant,
     ) -> Result<T, Unavailable> {
         let request = Query { group, query: encode(query) };
-        let answer = self.call(group, &request, deadline).await?;
+        let answer = self.call(&mut Attempts::new(group), &request, deadline).await?;
         decode_reply(group, &answer)
     }
 }
 
+/// Whether a request may still take effect after this result of an attempt.
+fn may_take_effect_later<T>(result: &Result<Result<T, StoreRequestError>, RpcError>) -> bool {
+    match result {
+        Ok(reply) => matches!(
+            reply,
+            Err(StoreRequestError::Uncertain | StoreRequestError::DiskFailed { .. })
+        ),
+        Err(error) => !error.is_not_sent(),
+    }
+}
+
 fn decode_reply<T: DeserializeOwned>(group: GroupId, bytes: &[u8]) -> Result<T, Unavailable> {
     decode("reply", bytes).map_err(|e| Unavailable { group, reason: e.to_string() })
 }
@@ -223,12 +245,21 @@
     index: usize,
     backoff: Duration,
     redirects: u32,
+    /// Whether the request of an earlier attempt may still take effect.
+    copy_may_follow: bool,
 }
 
 impl Attempts {
     fn new(group: GroupId) -> Self {
         let index = usize::from(rand::rng().random::<u8>());
-        Self { group, preferred: None, index, backoff: INITIAL_BACKOFF, redirects: 0 }
+        Self {
+            group,
+            preferred: None,
+            index,
+            backoff: INITIAL_BACKOFF,
+            redirects: 0,
+            copy_may_follow: false,
+        }
     }
 
     fn next_index(&mut self) -> usize {
@@ -270,6 +301,18 @@
         self.execute(group, command, deadline).await
     }
 
+    async fn execute_shard_tracked(
+        &self,
+        group: GroupId,
+        command: &ShardCommand,
+        deadline: Instant,
+    ) -> Result<Executed, Unavailable> {
+        let mut attempts = Attempts::new(group);
+        let reply = self.execute_attempts(&mut attempts, command, deadline).await?;
+        let reply = decode_reply(group, &reply)?;
+        Ok(Executed { reply, copy_may_follow: attempts.copy_may_follow })
+    }
+
     async fn query_shard(
         &self,
         group: GroupId,
@@ -301,6 +344,6 @@
         subject: LeaseSubject,
         deadline: Instant,
     ) -> Result<LeaseStatus, Unavailable> {
-        self.call(group, &ExpireLease { group, subject }, deadline).await
+        self.call(&mut Attempts::new(group), &ExpireLease { group, subject }, deadline).await
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -24,7 +24,7 @@
 mod shared;
 mod store;
 
-pub use access::{StateAccess, Unavailable};
+pub use access::{Executed, StateAccess, Unavailable};
 pub use client::StoreClient;
 pub use data_folder::{DATA_FORMAT, Membership, load_node_id};
 pub use error::StoreError;
