--- a/crates/ingress/tests/support/held_state.rs
+++ b/crates/ingress/tests/support/held_state.rs
@@ -50,6 +50,11 @@
         Self { memory, shared: Arc::new(shared) }
     }
 
+    /// The state behind the link.
+    pub fn memory(&self) -> &MemoryState {
+        &self.memory
+    }
+
     /// Sets what happens to the next starts.
     pub fn set_link(&self, link: Link) {
         *self.shared.link.lock().unwrap() = link;
--- a/crates/ingress/tests/support/mod.rs
+++ b/crates/ingress/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses only some of the helpers")]
 
 mod fake_backend;
+pub mod gateway;
 mod held_state;
 
 use std::net::SocketAddr;
@@ -104,10 +105,14 @@
 
     /// Creates an ingress on state behind a link, which is returned.
     pub async fn behind_link(backends: &[&FakeBackend]) -> (Self, HeldState) {
-        let memory = MemoryState::default();
-        let access = HeldState::new(memory.clone());
-        let world = Self::with_access(memory, Arc::new(access.clone()), backends);
-        (Self::started(world).await, access)
+        let link = HeldState::new(MemoryState::default());
+        (Self::on_link(&link, backends).await, link)
+    }
+
+    /// Creates an ingress on state behind a link that other worlds may share.
+    pub async fn on_link(link: &HeldState, backends: &[&FakeBackend]) -> Self {
+        let world = Self::with_access(link.memory().clone(), Arc::new(link.clone()), backends);
+        Self::started(world).await
     }
 
     async fn started(world: Self) -> Self {
