ingress: two tests of abandoned turns show what their names say

Cause: in the test of a long outage the cancellation was applied before the outage began, so nothing was left to be retried; the test of the next turn of the session did not look at whether that turn was complete, and did not wait for the cancellation.

Change: the shard becomes unavailable while the start is held, before the caller disconnects; the next turn must be complete after the cancellation was applied. No check is loosened.

--- a/crates/ingress/tests/abandoned_turns.rs
+++ b/crates/ingress/tests/abandoned_turns.rs
@@ -19,6 +19,7 @@
 use support::{
     Behaviour, FakeBackend, HeldState, Link, TEST_TIMEOUT, TOKENS_PER_EVENT, World, run_seeds, turn,
 };
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 /// Longer than the time limit of any turn of these tests.
@@ -94,15 +95,25 @@
     u64::try_from(time.as_millis()).unwrap()
 }
 
-/// Sends a turn whose caller disconnects once the link has received the start.
-async fn send_and_disconnect(world: &World, state: &HeldState, id: &str) {
+/// Sends a turn and waits until the link has received its start.
+async fn send(world: &World, state: &HeldState, id: &str) -> JoinHandle<IngressAnswer> {
     let (ingress, request) = (world.ingress.clone(), turn("/kept/x", id, None));
     let serving = tokio::spawn(async move { ingress.serve(&request).await });
     state.received().await;
+    serving
+}
+
+/// Disconnects the caller of a turn whose start has no reply yet.
+async fn disconnect(serving: JoinHandle<IngressAnswer>) {
     serving.abort();
     assert!(serving.await.is_err_and(|error| error.is_cancelled()));
 }
 
+/// Sends a turn whose caller disconnects once the link has received the start.
+async fn send_and_disconnect(world: &World, state: &HeldState, id: &str) {
+    disconnect(send(world, state, id).await).await;
+}
+
 /// Guards against a program that is refused for good because its callers left earlier turns before
 /// their starts were confirmed: the reservations stayed.
 #[tokio::test]
@@ -192,8 +203,10 @@
 async fn a_turn_abandoned_during_a_long_outage_costs_no_budget() {
     let (world, state) = World::behind_link(&[]).await;
     state.set_link(Link::LosesReply);
-    send_and_disconnect(&world, &state, "t1").await;
+    let abandoned = send(&world, &state, "t1").await;
+    // The turn is open; its shard becomes unavailable before the caller disconnects.
     world.state.set_available(shard(), false);
+    disconnect(abandoned).await;
     let request = turn("/kept/x", "t2", None);
     assert!(is_not_run(&world.ingress.serve(&request).await));
     tokio::time::sleep(Duration::from_secs(20)).await;
@@ -208,19 +221,15 @@
     let engine = FakeBackend::start("e1", &[Behaviour::EventsHeld(&["a"])]).await;
     let (world, state) = World::behind_link(&[&engine]).await;
     state.set_link(Link::HoldsCommand);
-    let mut left = tokio::spawn({
-        let ingress = world.ingress.clone();
-        async move { ingress.serve(&turn("/kept/x", "t1", None)).await }
-    });
-    state.received().await;
+    let abandoned = send(&world, &state, "t1").await;
     state.set_link(Link::Passes);
     let answer = world.ingress.serve(&turn("/kept/x", "t2", None)).await;
-    left.abort();
-    assert!((&mut left).await.is_err());
-    tokio::task::yield_now().await;
+    disconnect(abandoned).await;
+    state.cancelled().await;
     state.deliver().await;
     engine.release();
-    assert_eq!(support::forwarded(answer).await.0, 200);
+    let (status, body) = support::forwarded(answer).await;
+    assert_eq!((status, body.is_ok()), (200, true), "the turn is complete and retained");
     world.ingress.finish().await;
     assert_eq!(spent(&world.state).await, TOKENS_PER_EVENT);
 }
--- a/crates/ingress/tests/support/held_state.rs
+++ b/crates/ingress/tests/support/held_state.rs
@@ -38,6 +38,8 @@
     held: Mutex<Vec<(GroupId, ShardCommand)>>,
     /// Has a permit for each start of a turn that was received and not waited for.
     received: Semaphore,
+    /// Has a permit for each cancellation that was applied and not waited for.
+    cancelled: Semaphore,
 }
 
 impl HeldState {
@@ -46,6 +48,7 @@
             link: Mutex::new(Link::Passes),
             held: Mutex::default(),
             received: Semaphore::new(0),
+            cancelled: Semaphore::new(0),
         };
         Self { memory, shared: Arc::new(shared) }
     }
@@ -65,6 +68,11 @@
         self.shared.received.acquire().await.expect("the semaphore stays open").forget();
     }
 
+    /// Waits until another cancellation of a turn has been applied.
+    pub async fn cancelled(&self) {
+        self.shared.cancelled.acquire().await.expect("the semaphore stays open").forget();
+    }
+
     /// Delivers the held commands, the newest first, and returns the replies.
     pub async fn deliver(&self) -> Vec<ShardReply> {
         let mut held = std::mem::take(&mut *self.shared.held.lock().unwrap());
@@ -117,6 +125,9 @@
         if is_start {
             self.shared.received.add_permits(1);
         }
+        if matches!(command, ShardCommand::Batch(_)) {
+            self.shared.cancelled.add_permits(1);
+        }
         if link == Link::LosesReply {
             return no_reply(group, deadline).await;
         }
