--- a/crates/replication/src/clock_source.rs
+++ b/crates/replication/src/clock_source.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use hooklug_raft::ConfState;
 use hooklug_types::GroupId;
 
 /// Creates the clock source of a replica.
@@ -27,11 +28,13 @@
     /// The replica has received a message of the group's leader.
     fn leader_heard(&mut self, now: Instant);
 
-    /// The replica has become the leader. The first step is due at once.
-    fn leadership_gained(&mut self, now: Instant);
+    /// The replica has become the leader of a group with these members. The first step is due at
+    /// once.
+    fn leadership_gained(&mut self, now: Instant, members: &ConfState);
 
-    /// Returns the encoded command of the next step if it is due.
-    fn due_step(&self, occasion: StepOccasion, now: Instant) -> Option<Vec<u8>>;
+    /// Returns the encoded command of the next step if it is due. Commands that wait are appended
+    /// right after it, or after the last step if none is due.
+    fn due_step(&mut self, occasion: StepOccasion, now: Instant) -> Option<Vec<u8>>;
 
     /// The last step that was due is appended to the log.
     fn step_appended(&mut self, now: Instant);
@@ -44,9 +47,9 @@
 impl ClockSource for NoClock {
     fn leader_heard(&mut self, _: Instant) {}
 
-    fn leadership_gained(&mut self, _: Instant) {}
+    fn leadership_gained(&mut self, _: Instant, _: &ConfState) {}
 
-    fn due_step(&self, _: StepOccasion, _: Instant) -> Option<Vec<u8>> {
+    fn due_step(&mut self, _: StepOccasion, _: Instant) -> Option<Vec<u8>> {
         None
     }
 
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -308,7 +308,7 @@
         }
         self.leading_since = leads.then_some(now);
         if leads {
-            self.clock.leadership_gained(now);
+            self.clock.leadership_gained(now, &self.node.status().conf);
         } else {
             // Commands that are not in the log yet can safely be retried at the next leader.
             let error = self.not_leader();
--- a/crates/rpc/src/handshake.rs
+++ b/crates/rpc/src/handshake.rs
@@ -12,6 +12,7 @@
 use subtle::ConstantTimeEq;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 
+use crate::features::Features;
 use crate::frame::{encode, read};
 use crate::{LocalIdentity, Peer};
 
@@ -34,6 +35,8 @@
     bundle: BundleVersion,
     nonce: Nonce,
     proof: [u8; 32],
+    #[serde(deserialize_with = "Features::decode_last")]
+    features: Features,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -70,6 +73,7 @@
         bundle: identity.bundles.advertised(),
         nonce,
         proof: proof(identity.secret_key(), side, challenge, &nonce, (node, incarnation.0)),
+        features: Features::OWN,
     }
 }
 
@@ -91,6 +95,9 @@
     }
     identity.bundles.observe(hello.bundle);
     identity.newest_incarnations.record(ip, hello.incarnation);
+    if hello.role == NodeRole::Store {
+        identity.peer_features.record(hello.node, hello.features);
+    }
     Ok(Peer { node: hello.node, incarnation: hello.incarnation, role: hello.role, ip })
 }
 
--- a/crates/rpc/src/identity.rs
+++ b/crates/rpc/src/identity.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use crate::incarnations::NewestIncarnations;
-use crate::{LinkFaults, Traffic};
+use crate::{LinkFaults, PeerFeatures, Traffic};
 
 /// Bundle versions known to this process: installed, known to be committed, and newest advertised
 /// by any peer.
@@ -89,6 +89,8 @@
     pub faults: Arc<LinkFaults>,
     /// Counters of bytes and frames sent and received.
     pub traffic: Arc<Traffic>,
+    /// Features of the builds of all stores that were connected so far.
+    pub peer_features: Arc<PeerFeatures>,
     /// Newest known incarnation at each peer's address.
     pub(crate) newest_incarnations: Arc<NewestIncarnations>,
 }
@@ -107,6 +109,7 @@
             bundles: Arc::new(BundleVersions::default()),
             faults: Arc::new(LinkFaults::default()),
             traffic: Arc::default(),
+            peer_features: Arc::default(),
             newest_incarnations: Arc::default(),
         }
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod meta;
 pub mod shard;
 
+use machine::decode_prefix;
 pub use machine::{FrozenState, MachineError, StateMachine, decode, encode};
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -69,3 +69,15 @@
 ) -> Result<T, MachineError> {
     postcard::from_bytes(bytes).map_err(|e| MachineError::Decode { what, reason: e.to_string() })
 }
+
+/// Decodes a value from the start of some bytes; returns it with the bytes after it.
+///
+/// # Errors
+/// If the bytes do not start with a `T`.
+pub(crate) fn decode_prefix<'a, T: serde::de::DeserializeOwned>(
+    what: &'static str,
+    bytes: &'a [u8],
+) -> Result<(T, &'a [u8]), MachineError> {
+    postcard::take_from_bytes(bytes)
+        .map_err(|e| MachineError::Decode { what, reason: e.to_string() })
+}
--- a/crates/state/src/shard/chains.rs
+++ b/crates/state/src/shard/chains.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use hooklug_types::{NodeId, ProgramId, SessionEpoch, SessionId, TokenCount, TurnId, UnixMillis};
@@ -18,7 +19,7 @@
 use super::command::{
     EndChainedTurn, ShardRefusal, ShardReply, StartChainedTurn, StartedChainedTurn,
 };
-use super::expiry::ExpiryItem;
+use super::expiry::{ExpiredProgram, ExpiryItem};
 use super::machine::{CommandResult, ShardMachine};
 
 /// All chained programs of a shard. Clones share the programs.
@@ -132,6 +133,17 @@
         self.programs.get(self.turn_programs.get(turn)?)?.history(turn)
     }
 
+    /// Extends the retention times of all programs and the time limits of their open turns.
+    pub(super) fn extend_retention(&mut self, millis: u64) {
+        for program in self.programs.values_mut() {
+            let program = Arc::make_mut(program);
+            program.expires_at = program.expires_at.plus_millis(millis);
+            for (_, open) in program.open.iter_mut() {
+                open.deadline = open.deadline.plus_millis(millis);
+            }
+        }
+    }
+
     /// Ends a turn. A repeated request changes nothing.
     pub(super) fn end_turn(&mut self, end: EndChainedTurn, now: UnixMillis) -> CommandResult {
         let program = self.programs.get_mut(&end.key.program).ok_or(ShardRefusal::NoProgram)?;
@@ -205,6 +217,11 @@
             return;
         }
         let Some(program) = self.state.chained.programs.remove(&id) else { return };
+        self.last_step.expired.push(ExpiredProgram {
+            program: id.clone(),
+            last_used: UnixMillis(program.expires_at.0.saturating_sub(program.keep_ms)),
+            keep: Duration::from_millis(program.keep_ms),
+        });
         let highest = program.sessions.values().map(|session| session.epoch).max();
         self.state.epoch_floor = self.state.epoch_floor.max(highest.unwrap_or_default());
         for turn in program.ended.keys() {
--- a/crates/state/src/shard/expiry.rs
+++ b/crates/state/src/shard/expiry.rs
@@ -3,11 +3,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use hooklug_types::{CallId, ProgramId, SessionKey, TurnId, UnixMillis};
 use serde::{Deserialize, Serialize};
 
-use super::command::ShardReply;
+use super::clock_step::ClockStep;
 use super::machine::ShardMachine;
 
 /// Time span of one slot of the expiry queue, in milliseconds. A write after a frozen copy was
@@ -34,6 +35,33 @@
     ChainedProgram(ProgramId),
 }
 
+/// What a step of the clock did to the records of a shard, for logs and metrics. Not a part of the
+/// state.
+#[derive(Debug, Clone, Default)]
+pub struct AppliedStep {
+    /// The time that the leader asked for.
+    pub proposed: UnixMillis,
+    /// The time before the step.
+    pub from: UnixMillis,
+    /// The time after the step.
+    pub to: UnixMillis,
+    /// Number of milliseconds by which all retention times were extended.
+    pub extended_ms: u64,
+    /// Chained programs that were deleted.
+    pub expired: Vec<ExpiredProgram>,
+}
+
+/// A chained program that was deleted after its retention time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExpiredProgram {
+    /// The program.
+    pub program: ProgramId,
+    /// Time at which its last turn ended at the latest, by the group's clock.
+    pub last_used: UnixMillis,
+    /// Time for which it was to be kept after that.
+    pub keep: Duration,
+}
+
 /// Items to delete, ordered by the time at which they expire. Clones share the slots.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(super) struct ExpiryQueue {
@@ -57,6 +85,14 @@
         }
     }
 
+    /// Delays all items.
+    fn extend(&mut self, millis: u64) {
+        let slots = std::mem::take(&mut self.slots);
+        for (at, item) in slots.into_values().flat_map(Arc::unwrap_or_clone) {
+            self.insert(at.plus_millis(millis), item);
+        }
+    }
+
     /// Removes and returns the first item that has expired.
     fn pop_due(&mut self, now: UnixMillis) -> Option<ExpiryItem> {
         let mut slot = self.slots.first_entry()?;
@@ -71,16 +107,44 @@
 }
 
 impl ShardMachine {
-    /// Advances the clock and deletes expired items. The clock never goes back.
-    pub(super) fn advance_clock(&mut self, now: UnixMillis) -> ShardReply {
-        if now > self.state.clock {
-            self.state.clock = now;
-            for _ in 0..ITEMS_PER_STEP {
-                let Some(item) = self.state.expiry.pop_due(now) else { break };
-                self.expire_item(item);
+    /// Advances the clock and deletes expired items. The clock never goes back. Time that no store has
+    /// measured is added to all retention times.
+    pub(super) fn step_clock(&mut self, step: ClockStep) {
+        let from = self.state.clock;
+        let target = step.target(from);
+        let to = target.unwrap_or(from);
+        self.last_step = AppliedStep { proposed: step.now, from, to, ..AppliedStep::default() };
+        let Some(now) = target else { return };
+        let unmeasured = step.unmeasured(self.state.clock, now);
+        if unmeasured > 0 {
+            self.extend_retention(unmeasured);
+        }
+        self.state.clock = now;
+        for _ in 0..ITEMS_PER_STEP {
+            let Some(item) = self.state.expiry.pop_due(now) else { break };
+            self.expire_item(item);
+        }
+    }
+
+    /// Returns what the last step of the clock did.
+    #[must_use]
+    pub fn last_step(&self) -> &AppliedStep {
+        &self.last_step
+    }
+
+    /// Extends the retention times of all records. Takes time in proportion to their number, which
+    /// leaders ask for only when the clock jumps.
+    fn extend_retention(&mut self, millis: u64) {
+        self.last_step.extended_ms = millis;
+        self.state.expiry.extend(millis);
+        self.state.chained.extend_retention(millis);
+        for program in self.state.programs.values_mut() {
+            let program = Arc::make_mut(program);
+            program.last_ended = program.last_ended.plus_millis(millis);
+            for call in program.calls.values_mut() {
+                call.expires = call.expires.map(|at| at.plus_millis(millis));
             }
         }
-        ShardReply::Done
     }
 
     fn expire_item(&mut self, item: ExpiryItem) {
--- a/crates/state/src/shard/machine.rs
+++ b/crates/state/src/shard/machine.rs
@@ -11,9 +11,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::chains::ChainedPrograms;
+use super::clock_step::{ClockStep, LoggedCommand};
 use super::command::{ShardCommand, ShardRefusal, ShardReply};
 use super::event_log::EventLog;
-use super::expiry::{ExpiryItem, ExpiryQueue};
+use super::expiry::{AppliedStep, ExpiryItem, ExpiryQueue};
 use super::query::{
     CallRecord, LeaseRecord, ProgramRecord, SessionRecord, ShardAnswer, ShardQuery, TurnRecord,
 };
@@ -75,6 +76,8 @@
 pub struct ShardMachine {
     pub(super) retention: Duration,
     pub(super) state: ShardState,
+    /// What the last step of the clock did; not a part of the state.
+    pub(super) last_step: AppliedStep,
 }
 
 impl ShardMachine {
@@ -82,7 +85,21 @@
     /// ended programs for at least `retention`.
     #[must_use]
     pub fn new(retention: Duration) -> Self {
-        Self { retention, state: ShardState::default() }
+        Self { retention, state: ShardState::default(), last_step: AppliedStep::default() }
+    }
+
+    /// Applies an encoded command of the log.
+    ///
+    /// # Errors
+    /// Only if the command does not decode; a refusal is a reply.
+    pub fn apply_logged(&mut self, command: &[u8]) -> Result<ShardReply, MachineError> {
+        match LoggedCommand::decode(command)? {
+            LoggedCommand::Step(step) => {
+                self.step_clock(step);
+                Ok(ShardReply::Done)
+            }
+            LoggedCommand::Other(command) => Ok(self.apply_command(command)),
+        }
     }
 
     /// Applies a command. Each command is idempotent by its key.
@@ -116,7 +133,10 @@
             }
             ShardCommand::RenewLease { holder } => self.renew_lease(holder),
             ShardCommand::ExpireLease { holder, renewal } => self.expire_lease(holder, renewal),
-            ShardCommand::AdvanceClock { now } => Ok(self.advance_clock(now)),
+            ShardCommand::AdvanceClock { now } => {
+                self.step_clock(ClockStep { now, measured: None });
+                Ok(ShardReply::Done)
+            }
             ShardCommand::Batch(commands) => Ok(self.apply_command(ShardCommand::Batch(commands))),
             ShardCommand::StartChainedTurn(start) => self.start_turn(start),
             ShardCommand::EndChainedTurn(end) => self.state.chained.end_turn(end, self.state.clock),
@@ -202,8 +222,7 @@
 
 impl StateMachine for ShardMachine {
     fn apply(&mut self, command: &[u8]) -> Result<Vec<u8>, MachineError> {
-        let command: ShardCommand = decode("shard command", command)?;
-        Ok(encode(&self.apply_command(command)))
+        Ok(encode(&self.apply_logged(command)?))
     }
 
     fn query(&self, query: &[u8]) -> Result<Vec<u8>, MachineError> {
--- a/crates/state/src/shard/mod.rs
+++ b/crates/state/src/shard/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod chains;
+mod clock_step;
 pub mod command;
 pub mod event;
 mod event_log;
@@ -14,13 +15,14 @@
 mod sessions;
 mod turns;
 
+pub use clock_step::{ClockStep, MeasuredTime};
 pub use command::{
     BeginCall, BeginTurn, EndChainedTurn, FinishTurn, OpenSession, PutProgram, ShardCommand,
     ShardRefusal, ShardReply, StartChainedTurn, StartedChainedTurn, TakeSession, TurnGrant,
 };
 pub use event::{Event, EventBody};
 pub use event_log::EventLog;
-pub use expiry::ITEMS_PER_STEP;
+pub use expiry::{AppliedStep, ExpiredProgram, ITEMS_PER_STEP};
 pub use machine::ShardMachine;
 pub use query::{
     CallRecord, LeaseRecord, ProgramRecord, SessionRecord, ShardAnswer, ShardQuery, TurnRecord,
--- a/crates/store/src/clock.rs
+++ b/crates/store/src/clock.rs
@@ -3,11 +3,14 @@
 
 use std::time::{Duration, Instant};
 
+use hooklug_state::shard::{ClockStep, MeasuredTime};
 use hooklug_types::UnixMillis;
 
-/// Longest first step of a leader beyond the time that it measured itself. It bounds how much too
-/// early a wrong wall clock can end a retention time.
+/// Longest first step of a leader beyond the time that it measured itself, if it did. It bounds how
+/// much too early a wall clock that is ahead can end programs of ordinary sessions and orders.
 pub const MAX_FIRST_STEP: Duration = Duration::from_secs(4);
+/// Difference to the wall clock that a leader leaves as it is, if it has measured the time itself.
+pub const WALL_TOLERANCE: Duration = Duration::from_secs(1);
 /// Interval between steps while the group applies commands; the longest time by which the clock is
 /// behind when a command is appended.
 pub const BUSY_INTERVAL: Duration = Duration::from_secs(1);
@@ -32,11 +35,29 @@
         self.time.plus(now.saturating_duration_since(self.at))
     }
 
+    fn measured_until(&self, now: Instant) -> MeasuredTime {
+        let elapsed = now.saturating_duration_since(self.at);
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        MeasuredTime { from: self.time, elapsed_ms }
+    }
+
     fn is_unset(&self) -> bool {
         self.time == UnixMillis::default()
     }
 }
 
+/// How a leader's first step may go beyond the time that it measured itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Correction {
+    /// The group keeps nothing for a retention time, so its clock may simply jump.
+    Jump,
+    /// The step tells what is measured of it, so that the rest shortens no retention time.
+    Split,
+    /// Some member of the group does not know such steps, so the clock goes on from the measured time
+    /// and may stay behind the wall clock.
+    None,
+}
+
 /// Clock of one group, as kept by one replica.
 #[derive(Debug, Clone, Default)]
 pub struct GroupClock {
@@ -50,6 +71,10 @@
 struct Leadership {
     base: UnixMillis,
     started: Instant,
+    correction: Correction,
+    /// Time of the first step.
+    first_step: Option<UnixMillis>,
+    /// When the last step was appended.
     last_step: Option<Instant>,
 }
 
@@ -61,20 +86,31 @@
 
     /// Starts the clock of a new leadership, in which a step is due at once.
     ///
-    /// The clock follows the wall clock, but never goes back. If the replica has followed the group
-    /// before, it has measured the time since the last step itself, and goes at most
-    /// `MAX_FIRST_STEP` ahead of that. Otherwise, as after a restart of all stores, only the wall
-    /// clock knows how much time has passed. It is then followed at once: a clock that is left
-    /// behind would have to catch up at a later change of leader, which would shorten the retention
-    /// of everything that ended in the meantime.
-    pub fn lead(&mut self, applied: AppliedClock, wall: UnixMillis, now: Instant) {
-        let lower_bound = applied.lower_bound(now);
-        let lead = lower_bound.until(wall);
-        let is_measured = !applied.is_unset() && self.has_followed_until(applied.at);
-        let step = if is_measured { lead.min(MAX_FIRST_STEP) } else { lead };
-        let base = if applied.is_unset() { wall } else { lower_bound.plus(step) };
+    /// The clock goes on from the time that the replica measured itself since it applied the newest
+    /// step. It then follows the wall clock, but never goes back: by `MAX_FIRST_STEP` if the replica
+    /// has followed the group before, and without limit otherwise, as after a restart of all stores,
+    /// when only wall clocks know how much time has passed.
+    pub fn lead(
+        &mut self,
+        applied: AppliedClock,
+        wall: UnixMillis,
+        now: Instant,
+        correction: Correction,
+    ) {
+        let measured = applied.lower_bound(now);
+        let lead = measured.until(wall);
+        let step = match self.has_followed_until(applied.at) {
+            _ if applied.is_unset() => lead,
+            // Each leadership gives the clock a value of its own.
+            _ if correction == Correction::None => Duration::from_millis(1),
+            true if lead <= WALL_TOLERANCE => Duration::ZERO,
+            true => lead.min(MAX_FIRST_STEP),
+            false => lead,
+        };
+        let base = if applied.is_unset() { wall } else { measured.plus(step) };
         self.attached_at.get_or_insert(now);
-        self.leadership = Some(Leadership { base, started: now, last_step: None });
+        self.leadership =
+            Some(Leadership { base, started: now, correction, first_step: None, last_step: None });
     }
 
     fn has_followed_until(&self, time: Instant) -> bool {
@@ -98,9 +134,24 @@
         Some(leadership.base.plus(elapsed).max(applied.lower_bound(now)))
     }
 
-    /// Records that the step that was due is appended to the log.
-    pub fn step_appended(&mut self, now: Instant) {
+    /// Returns the step that sets the clock to its current value, or `None` if this replica never
+    /// led.
+    ///
+    /// The step tells what is measured of it until this replica has applied its own first step, and
+    /// thereby all steps of earlier leaders. Later ones contain only measured time.
+    #[must_use]
+    pub fn step(&self, applied: AppliedClock, now: Instant) -> Option<ClockStep> {
+        let leadership = self.leadership.as_ref()?;
+        let has_applied_own = leadership.first_step.is_some_and(|first| first <= applied.time);
+        let is_split = leadership.correction == Correction::Split && !has_applied_own;
+        let measured = is_split.then(|| applied.measured_until(now));
+        Some(ClockStep { now: self.time(applied, now)?, measured })
+    }
+
+    /// Records that a step to this time is appended to the log.
+    pub fn step_appended(&mut self, step: UnixMillis, now: Instant) {
         if let Some(leadership) = &mut self.leadership {
+            leadership.first_step.get_or_insert(step);
             leadership.last_step = Some(now);
         }
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,6 +16,8 @@
 mod gossip;
 mod lease_expiry;
 pub mod leases;
+mod led_steps;
+pub mod member_builds;
 mod memory;
 mod meta_watch;
 pub mod observations;
--- a/crates/store/src/observations.rs
+++ b/crates/store/src/observations.rs
@@ -3,20 +3,24 @@
 //! replica.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use hooklug_replication::ClockSource;
 use hooklug_state::meta::{MetaCommand, MetaMachine, MetaReply};
-use hooklug_state::shard::{ShardCommand, ShardMachine, ShardReply};
+use hooklug_state::shard::{AppliedStep, ShardMachine, ShardReply};
 use hooklug_state::{FrozenState, MachineError, StateMachine, decode, encode};
 use hooklug_types::{
     Digest, EngineIncarnation, FencingEpoch, GroupId, META_GROUP, Renewal, UnixMillis,
 };
-use serde::{Serialize, de::DeserializeOwned};
+use serde::Serialize;
+use tracing::error;
 
 use crate::clock::AppliedClock;
 use crate::clock_source::ObservedClock;
+use crate::led_steps::{EarlyDeletion, LedSteps};
+use crate::member_builds::{MemberBuilds, SameBuild};
 use crate::time_source::TimeSource;
 
 /// A lease renewal and the time when this replica applied it.
@@ -31,6 +35,8 @@
 pub(crate) struct GroupObservations {
     times: Arc<dyn TimeSource>,
     clock: Mutex<AppliedClock>,
+    led_steps: Mutex<LedSteps>,
+    deleted_early: AtomicU64,
     engines: Mutex<BTreeMap<EngineIncarnation, AppliedRenewal>>,
     core_leader: Mutex<Option<(FencingEpoch, AppliedRenewal)>>,
 }
@@ -41,6 +47,8 @@
         Self {
             times,
             clock: Mutex::new(clock),
+            led_steps: Mutex::default(),
+            deleted_early: AtomicU64::new(0),
             engines: Mutex::default(),
             core_leader: Mutex::default(),
         }
@@ -51,6 +59,37 @@
         self.times.wall()
     }
 
+    /// Returns the steps that this replica has appended as leader.
+    pub(crate) fn led_steps(&self) -> MutexGuard<'_, LedSteps> {
+        self.led_steps.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Logs and counts programs that a step of the clock deleted early, with all that decided it.
+    fn check_deletions(&self, step: &AppliedStep) {
+        let (now, wall, clock) = (self.times.monotonic(), self.wall(), self.clock());
+        let mut led_steps = self.led_steps();
+        let (attached_at, leading_since) = led_steps.times();
+        let since = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at));
+        for EarlyDeletion { program, age } in led_steps.applied(step, now) {
+            self.deleted_early.fetch_add(1, Ordering::Relaxed);
+            metrics::counter!("hooklug_store_deleted_early_total").increment(1);
+            error!(
+                program = %program.program,
+                ?age,
+                keep = ?program.keep,
+                last_used = program.last_used.0,
+                clock_before = step.from.0,
+                clock = clock.time.0,
+                clock_applied = ?since(Some(clock.at)),
+                extended_ms = step.extended_ms,
+                wall = wall.0,
+                led_for = ?since(leading_since),
+                followed_for = ?since(attached_at),
+                "a program was deleted before its retention time was over"
+            );
+        }
+    }
+
     /// Returns the group's clock and when this replica applied its value.
     pub(crate) fn clock(&self) -> AppliedClock {
         *self.clock.lock().unwrap_or_else(PoisonError::into_inner)
@@ -124,16 +163,23 @@
 #[derive(Debug, Clone)]
 pub struct Observations {
     times: Arc<dyn TimeSource>,
+    builds: Arc<dyn MemberBuilds>,
     groups: Arc<BTreeMap<GroupId, Arc<GroupObservations>>>,
 }
 
 impl Observations {
-    /// Creates the observations of a process that has these clocks.
+    /// Creates the observations of a process that has these clocks, among stores of the same build.
     #[must_use]
     pub fn new(times: Arc<dyn TimeSource>) -> Self {
+        Self::with_builds(times, Arc::new(SameBuild))
+    }
+
+    /// Creates the observations of a process among stores that may run other builds.
+    #[must_use]
+    pub fn with_builds(times: Arc<dyn TimeSource>, builds: Arc<dyn MemberBuilds>) -> Self {
         let observe = |group| (group, Arc::new(GroupObservations::new(times.clone())));
         let groups = Arc::new(GroupId::all().map(observe).collect());
-        Self { times, groups }
+        Self { times, builds, groups }
     }
 
     /// Returns the observations of a group, or `None` if the group id is unknown.
@@ -141,10 +187,17 @@
         self.groups.get(&group)
     }
 
+    /// Number of programs that were deleted before their retention time was over, by the clock of this
+    /// process.
+    #[must_use]
+    pub fn deleted_early(&self) -> u64 {
+        self.groups.values().map(|group| group.deleted_early.load(Ordering::Relaxed)).sum()
+    }
+
     /// Creates the clock source of a group's replica.
     #[must_use]
     pub fn clock_source(&self, group: GroupId) -> Box<dyn ClockSource> {
-        Box::new(ObservedClock::new(group, self.group_or_new(group)))
+        Box::new(ObservedClock::new(group, self.group_or_new(group), self.builds.clone()))
     }
 
     /// Creates the empty state machine of a group, which retains finished records for `retention`.
@@ -166,23 +219,27 @@
 
 /// A state machine whose clock and replies can be observed.
 trait ObservableMachine: StateMachine {
-    type Command: DeserializeOwned;
     type Reply: Serialize;
-    /// Name of the command type in decoding errors.
-    const COMMAND_NAME: &str;
 
-    fn apply_command(&mut self, command: Self::Command) -> Self::Reply;
+    fn apply_logged(&mut self, command: &[u8]) -> Result<Self::Reply, MachineError>;
     fn clock(&self) -> UnixMillis;
     fn record(observations: &GroupObservations, reply: &Self::Reply);
+
+    /// What the last step of the clock did, in machines that delete records.
+    fn last_step(&self) -> Option<&AppliedStep> {
+        None
+    }
 }
 
 impl ObservableMachine for ShardMachine {
-    type Command = ShardCommand;
     type Reply = ShardReply;
-    const COMMAND_NAME: &str = "shard command";
 
-    fn apply_command(&mut self, command: ShardCommand) -> ShardReply {
-        self.apply_command(command)
+    fn apply_logged(&mut self, command: &[u8]) -> Result<ShardReply, MachineError> {
+        self.apply_logged(command)
+    }
+
+    fn last_step(&self) -> Option<&AppliedStep> {
+        Some(self.last_step())
     }
 
     fn clock(&self) -> UnixMillis {
@@ -195,12 +252,11 @@
 }
 
 impl ObservableMachine for MetaMachine {
-    type Command = MetaCommand;
     type Reply = MetaReply;
-    const COMMAND_NAME: &str = "meta command";
 
-    fn apply_command(&mut self, command: MetaCommand) -> MetaReply {
-        self.apply_command(command)
+    fn apply_logged(&mut self, command: &[u8]) -> Result<MetaReply, MachineError> {
+        let command: MetaCommand = decode("meta command", command)?;
+        Ok(self.apply_command(command))
     }
 
     fn clock(&self) -> UnixMillis {
@@ -220,10 +276,13 @@
 
 impl<M: ObservableMachine> StateMachine for ObservedMachine<M> {
     fn apply(&mut self, command: &[u8]) -> Result<Vec<u8>, MachineError> {
-        let command = decode(M::COMMAND_NAME, command)?;
-        let reply = self.machine.apply_command(command);
+        let clock = self.machine.clock();
+        let reply = self.machine.apply_logged(command)?;
         M::record(&self.observations, &reply);
-        self.observations.record_clock(self.machine.clock());
+        if self.machine.clock() != clock {
+            self.observations.record_clock(self.machine.clock());
+            self.machine.last_step().inspect(|step| self.observations.check_deletions(step));
+        }
         Ok(encode(&reply))
     }
 
@@ -241,6 +300,7 @@
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), MachineError> {
         self.machine.restore(snapshot)?;
+        self.observations.led_steps().clear();
         self.observations.record_clock(self.machine.clock());
         Ok(())
     }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -77,8 +77,9 @@
         if membership.cluster() != 0 {
             identity.set_cluster(membership.cluster());
         }
-        let (addresses, observations) =
-            (AddressBook::default(), Observations::new(Arc::new(SystemClocks)));
+        let builds = Arc::new(identity.clone());
+        let observations = Observations::with_builds(Arc::new(SystemClocks), builds);
+        let addresses = AddressBook::default();
         addresses.record(node, identity.address.incarnation, identity.address.rpc);
         for store in folder.known_stores() {
             addresses.record(store.node, store.incarnation, store.address);
--- a/crates/store/tests/cluster.rs
+++ b/crates/store/tests/cluster.rs
@@ -10,8 +10,8 @@
     BundleContent, MetaAnswer, MetaCommand, MetaQuery, MetaReply, SubmitBundle,
 };
 use hooklug_state::shard::{ShardAnswer, ShardQuery};
-use hooklug_store::StateAccess;
 use hooklug_store::clock::BUSY_INTERVAL;
+use hooklug_store::{StateAccess, StoreClient};
 use hooklug_types::{BundleVersion, GroupId, UnixMillis, shard_of};
 use support::{TestCluster, fast_options, has_program, put_program, rpc_client, soon, until};
 
@@ -72,6 +72,20 @@
     put_program(&client, "after").await;
 }
 
+/// Waits until the clock of a shard was last advanced some seconds ago.
+async fn until_clock_is_old(client: &StoreClient, shard: GroupId) {
+    until("the clock is 3 s old", async || {
+        clock(client, shard).await.until(UnixMillis::now()) >= Duration::from_secs(3)
+    })
+    .await;
+}
+
+async fn clock(client: &StoreClient, shard: GroupId) -> UnixMillis {
+    let answer = client.query_shard(shard, &ShardQuery::Clock, soon()).await.unwrap();
+    let ShardAnswer::Clock(clock) = answer else { panic!("{answer:?}") };
+    clock
+}
+
 /// Guards against records that a store expires early because a command after an idle time was
 /// applied at an old time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -79,18 +93,29 @@
     let cluster = TestCluster::formed(3, fast_options()).await;
     let client = cluster.client();
     let shard = shard_of("program");
-    let clock = async || {
-        let answer = client.query_shard(shard, &ShardQuery::Clock, soon()).await.unwrap();
-        let ShardAnswer::Clock(clock) = answer else { panic!("{answer:?}") };
-        clock
-    };
-    until("the clock is 3 s old", async || {
-        clock().await.until(UnixMillis::now()) >= Duration::from_secs(3)
-    })
-    .await;
+    until_clock_is_old(&client, shard).await;
+    let before = UnixMillis::now();
+    put_program(&client, "program").await;
+    assert!(clock(&client, shard).await.until(before) <= BUSY_INTERVAL, "the clock is behind");
+}
+
+/// Guards against a clock that stays behind after a restart of all stores, because they take one
+/// another for stores of the build before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_clock_follows_the_wall_clock_after_a_restart_of_all_stores() {
+    let mut cluster = TestCluster::formed(3, fast_options()).await;
+    let client = cluster.client();
+    let shard = shard_of("program");
+    until_clock_is_old(&client, shard).await;
+    for number in 0..3 {
+        cluster.kill(number).await;
+    }
+    for number in 0..3 {
+        cluster.start(number).await;
+    }
     let before = UnixMillis::now();
     put_program(&client, "program").await;
-    assert!(clock().await.until(before) <= BUSY_INTERVAL, "the clock is behind");
+    assert!(clock(&client, shard).await.until(before) <= BUSY_INTERVAL, "the clock is behind");
 }
 
 /// The process that acknowledged a bundle may fail immediately afterwards, so the stores report the
--- a/crates/store/tests/decisions.rs
+++ b/crates/store/tests/decisions.rs
@@ -8,9 +8,10 @@
 };
 use hooklug_raft::{ConfState, ProgressState, Role};
 use hooklug_state::meta::{StoreRecord, StoreState};
+use hooklug_state::shard::MeasuredTime;
 use hooklug_store::balance::{LeaderTransfer, choose_transfer};
 use hooklug_store::cleanup::{is_possibly_removed, was_removed};
-use hooklug_store::clock::{AppliedClock, CATCH_UP_TIME, GroupClock};
+use hooklug_store::clock::{AppliedClock, CATCH_UP_TIME, Correction, GroupClock};
 use hooklug_store::formation::{
     FormationView, OfferDecision, PromiseState, decide_offer, promise_state,
 };
@@ -152,7 +153,7 @@
 ) -> UnixMillis {
     let mut clock = GroupClock::default();
     attached_at.into_iter().for_each(|at| clock.hear_leader(at));
-    clock.lead(applied, UnixMillis(wall), now);
+    clock.lead(applied, UnixMillis(wall), now, Correction::Split);
     assert!(clock.is_step_due(true, now));
     clock.time(applied, now).expect("a leader's clock")
 }
@@ -192,12 +193,12 @@
     let mut clock = GroupClock::default();
     let newest = applied(1_000_000, start);
     assert!(!clock.is_step_due(true, start), "does not lead");
-    clock.lead(newest, UnixMillis(1_000_000), start);
-    clock.step_appended(start);
+    clock.lead(newest, UnixMillis(1_000_000), start, Correction::Split);
+    clock.step_appended(UnixMillis(1_000_000), start);
     let second = Duration::from_secs(1);
     let mut due = |commands_wait, newest, now| {
         let time = clock.time(newest, now).filter(|_| clock.is_step_due(commands_wait, now));
-        time.inspect(|_| clock.step_appended(now))
+        time.inspect(|time| clock.step_appended(*time, now))
     };
     assert_eq!(due(true, newest, start + second / 2), None, "too soon");
     assert_eq!(due(false, newest, start + 29 * second), None, "idle");
@@ -209,6 +210,37 @@
     assert_eq!(due(true, ahead, start + 61 * second), Some(UnixMillis(1_091_000)));
 }
 
+/// Guards against a jump that stores of the build before would take for time that has passed.
+#[test]
+fn a_leader_among_stores_of_the_build_before_stays_with_the_time_it_measured() {
+    let start = Instant::now();
+    let mut clock = GroupClock::default();
+    let restored = applied(1_000_000, start);
+    let now = start + Duration::from_secs(2);
+    clock.lead(restored, UnixMillis(9_000_000), now, Correction::None);
+    let step = clock.step(restored, now).expect("a leader's step");
+    assert_eq!((step.now, step.measured), (UnixMillis(1_002_001), None));
+}
+
+/// Guards against idle groups that pay for more than the time in their steps.
+#[test]
+fn a_leader_tells_what_it_measured_until_it_has_applied_its_first_step() {
+    let start = Instant::now();
+    let mut clock = GroupClock::default();
+    let restored = applied(1_000_000, start);
+    let now = start + Duration::from_secs(2);
+    clock.lead(restored, UnixMillis(9_000_000), now, Correction::Split);
+    let first = clock.step(restored, now).expect("a leader's step");
+    let measured = MeasuredTime { from: UnixMillis(1_000_000), elapsed_ms: 2_000 };
+    assert_eq!((first.now, first.measured), (UnixMillis(9_000_000), Some(measured)));
+    clock.step_appended(first.now, now);
+    let later = now + Duration::from_secs(1);
+    assert!(clock.step(restored, later).is_some_and(|step| step.measured.is_some()));
+    let own = applied(9_000_000, now);
+    let second = clock.step(own, later).expect("a leader's step");
+    assert_eq!((second.now, second.measured), (UnixMillis(9_001_000), None));
+}
+
 fn replica(group: u32, leader: u64, own: u64) -> ReplicaStatus {
     let voters = [1, 2, 3].map(NodeId);
     let leads = leader == own;
--- a/crates/store/tests/retention/group.rs
+++ b/crates/store/tests/retention/group.rs
@@ -10,7 +10,7 @@
     ConfState, Config, Entry, EntryKind, HardState, Message, RawNode, Restored, Snapshot,
     SnapshotMeta,
 };
-use hooklug_replication::{Replica, Reply, split_batch};
+use hooklug_replication::{CommittedEntry, Replica, Reply, split_batch};
 use hooklug_state::shard::{ShardAnswer, ShardCommand, ShardQuery, ShardReply};
 use hooklug_state::{StateMachine, decode, encode};
 use hooklug_store::observations::Observations;
@@ -116,9 +116,12 @@
 
 /// What a store loses when it stops.
 struct Process {
+    observations: Observations,
     replica: Replica,
     machine: Box<dyn StateMachine>,
     applied: SnapshotMeta,
+    /// Committed entries that the applier has not applied yet, while it is held.
+    held: Option<Vec<CommittedEntry>>,
 }
 
 impl Store {
@@ -143,7 +146,7 @@
         let node = RawNode::new(config, restored).expect("a consistent disk");
         let replica = Replica::new(SHARD, node, self.disk.hard_state, Some(applied.clone()))
             .with_clock(observations.clock_source(SHARD));
-        self.process = Some(Process { replica, machine, applied });
+        self.process = Some(Process { observations, replica, machine, applied, held: None });
     }
 
     /// Processes all work of the replica; returns the messages to send.
@@ -161,7 +164,7 @@
             }
             work.records.into_iter().for_each(|record| self.disk.persist(record));
             for committed in work.committed {
-                process.apply(&committed.entry, committed.replies);
+                process.commit(committed);
             }
             sent.extend(work.messages);
             if work.sync {
@@ -173,7 +176,15 @@
 }
 
 impl Process {
-    fn apply(&mut self, entry: &Entry, replies: Vec<Reply>) {
+    fn commit(&mut self, committed: CommittedEntry) {
+        match &mut self.held {
+            Some(held) => held.push(committed),
+            None => self.apply(committed),
+        }
+    }
+
+    fn apply(&mut self, committed: CommittedEntry) {
+        let CommittedEntry { entry, replies } = committed;
         let mut replies = replies.into_iter();
         if let EntryKind::Command(batch) = &entry.kind {
             for command in split_batch(batch) {
@@ -277,8 +288,38 @@
         panic!("store {store} did not become the leader");
     }
 
+    /// Number of programs that stores have noticed to be deleted early, since they were started.
+    pub fn deleted_early(&self) -> u64 {
+        let processes = self.stores.iter().filter_map(|store| store.process.as_ref());
+        processes.map(|process| process.observations.deleted_early()).sum()
+    }
+
+    /// Appends a step of the clock that the leader has not measured, as a faulty leader would.
+    pub fn jump(&mut self, span: Duration) {
+        let now = self.wall().plus(span);
+        self.execute(&ShardCommand::AdvanceClock { now });
+    }
+
+    /// Makes a store apply nothing that is committed from now on, as if its applier thread got no
+    /// processor time.
+    pub fn hold_applier(&mut self, store: usize) {
+        self.process(store).held.get_or_insert_default();
+    }
+
+    /// Lets a store apply what it has held back.
+    pub fn release_applier(&mut self, store: usize) {
+        let process = self.process(store);
+        for committed in process.held.take().unwrap_or_default() {
+            process.apply(committed);
+        }
+    }
+
+    fn process(&mut self, store: usize) -> &mut Process {
+        self.stores[store].process.as_mut().expect("a running store")
+    }
+
     fn replica(&mut self, store: usize) -> &mut Replica {
-        &mut self.stores[store].process.as_mut().expect("a running store").replica
+        &mut self.process(store).replica
     }
 
     /// The store that leads under the highest term.
--- a/crates/store/tests/retention/main.rs
+++ b/crates/store/tests/retention/main.rs
@@ -5,3 +5,4 @@
 mod group;
 mod records;
 mod soak;
+mod wrong_clocks;
