--- a/crates/hooklug/src/cli.rs
+++ b/crates/hooklug/src/cli.rs
@@ -8,7 +8,7 @@
 
 /// Serving tier for agent programs: gateways, session-host engines, cores and stores in one binary.
 #[derive(Debug, Parser)]
-#[command(name = "hooklug", version, propagate_version = true)]
+#[command(name = "hooklug", version = hooklug_node::build_info::VERSION, propagate_version = true)]
 pub(crate) struct Cli {
     #[command(subcommand)]
     pub(crate) command: Command,
--- a/crates/hooklug/src/lib.rs
+++ b/crates/hooklug/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod build_info;
 mod node;
 pub mod roles;
 mod signals;
--- a/crates/hooklug/src/node.rs
+++ b/crates/hooklug/src/node.rs
@@ -20,6 +20,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::{info, warn};
 
+use crate::build_info;
 use crate::roles::{RoleExit, RoleProcess};
 use crate::signals;
 
@@ -42,6 +43,7 @@
 /// # Errors
 /// When the process cannot start, or its role fails.
 pub fn run(role: NodeRole, settings: Settings, build: impl BuildRole) -> anyhow::Result<()> {
+    build_info::log();
     let runtime = runtime()?;
     let result = runtime.block_on(serve(role, Arc::new(settings), &build));
     // Tasks that are still running after the grace period end with the process.
@@ -70,6 +72,7 @@
     let stop = signals::listen()?;
     let metrics =
         hooklug_admin::install_metrics().context("cannot install the metrics recorder")?;
+    build_info::publish();
     tokio::spawn(run_metrics_upkeep(metrics.clone()));
     loop {
         let run = NodeRun { role, settings: settings.clone(), stop: stop.child_token() };
--- a/crates/hooklug/tests/command_line.rs
+++ b/crates/hooklug/tests/command_line.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::process::{Command, Output};
 
-use common::{Fleet, eventually, request};
+use common::{Fleet, eventually, get_text, request};
 use http::{Method, StatusCode};
 use nix::sys::signal::Signal;
 
@@ -124,3 +124,32 @@
     assert!(json["slots"].is_array());
     assert_eq!(json["unread_groups"].as_array().map(Vec::len), Some(0));
 }
+
+/// Returns what git says of the sources, or `None` if they are no git work tree.
+fn commit_of_sources() -> Option<String> {
+    let output = Command::new("git")
+        .args(["rev-parse", "--short=12", "HEAD"])
+        .current_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../.."))
+        .output()
+        .ok()?;
+    output.status.success().then(|| text(&output.stdout).trim().to_owned())
+}
+
+/// Guards against a program of an unknown build: the version, the first line of the log and the
+/// metrics of a process name its commit.
+#[tokio::test]
+async fn a_process_tells_which_build_it_is() {
+    let folder = tempfile::tempdir().expect("a scratch folder");
+    let commit = commit_of_sources().unwrap_or_else(|| "unknown".to_owned());
+    let version = text(&hooklug(&["--version"], folder.path()).stdout);
+    assert!(version.contains(&format!("(commit {commit}, ")), "{version}");
+    let fleet = Fleet::started(79, 0, 1, 0);
+    eventually("the core serves its metrics", async || {
+        let metrics = get_text(fleet.http(0), "/metrics").await.unwrap_or_default();
+        metrics.contains("hooklug_build_info{") && metrics.contains(&commit)
+    })
+    .await;
+    let log = fleet.log(0);
+    let first = log.lines().next().unwrap_or_default();
+    assert!(first.contains(&commit), "{log}");
+}
--- a/crates/hooklug/tests/common/mod.rs
+++ b/crates/hooklug/tests/common/mod.rs
@@ -135,6 +135,11 @@
         self.processes[index].http
     }
 
+    /// What a process has written to its log so far.
+    pub fn log(&self, index: usize) -> String {
+        std::fs::read_to_string(&self.processes[index].log).expect("a log")
+    }
+
     /// Waits until a node reports the given number of live members.
     pub async fn wait_for_members(&self, observer: usize, count: usize) {
         eventually("all members are seen", async || {
@@ -189,6 +194,22 @@
     path: &str,
     body: &str,
 ) -> Option<(StatusCode, Value)> {
+    let (status, bytes) = request_bytes(to, method, path, body).await?;
+    Some((status, serde_json::from_slice(&bytes).unwrap_or(Value::Null)))
+}
+
+/// Reads a text; `None` if no complete response arrived.
+pub async fn get_text(from: SocketAddr, path: &str) -> Option<String> {
+    let (_, bytes) = request_bytes(from, Method::GET, path, "").await?;
+    String::from_utf8(bytes.into()).ok()
+}
+
+async fn request_bytes(
+    to: SocketAddr,
+    method: Method,
+    path: &str,
+    body: &str,
+) -> Option<(StatusCode, Bytes)> {
     let exchange = async {
         let stream = tokio::net::TcpStream::connect(to).await.ok()?;
         let (mut sender, connection) =
@@ -205,7 +226,7 @@
         let response = sender.send_request(request).await.ok()?;
         let status = response.status();
         let bytes = response.into_body().collect().await.ok()?.to_bytes();
-        Some((status, serde_json::from_slice(&bytes).unwrap_or(Value::Null)))
+        Some((status, bytes))
     };
     tokio::time::timeout(Duration::from_secs(15), exchange).await.ok().flatten()
 }
