--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -17,6 +17,7 @@
 use crate::history_cache::HistoryCache;
 use crate::records::TurnRecords;
 use crate::routes::{NamedRoute, RouteTable, pick_service};
+use crate::unknown_turns::UnknownTurns;
 use crate::versions::AllowedVersions;
 use crate::waiting_ends::{WaitingEnds, WaitingLimits};
 use crate::{BackendDialect, IngressRequest};
@@ -53,6 +54,7 @@
     pub(crate) connections: Arc<Connections>,
     pub(crate) records: TurnRecords,
     pub(crate) waiting_ends: WaitingEnds,
+    pub(crate) unknown_turns: UnknownTurns,
     pub(crate) histories: Arc<HistoryCache>,
     /// Tasks that outlive their request, such as recording the end of a turn.
     pub(crate) background_tasks: TaskTracker,
@@ -77,6 +79,7 @@
             background_tasks.clone(),
             WaitingLimits::default(),
         );
+        let unknown_turns = UnknownTurns::new(node.state.clone(), background_tasks.clone());
         let backends = BackendTable::new(node.identity.address.rpc.to_string());
         Self {
             node,
@@ -86,6 +89,7 @@
             connections: Arc::default(),
             records,
             waiting_ends,
+            unknown_turns,
             histories: Arc::default(),
             background_tasks,
             routing: RwLock::default(),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod sse;
 pub mod stream;
 pub mod turns;
+pub mod unknown_turns;
 pub mod versions;
 pub mod waiting_ends;
 
--- a/crates/ingress/src/turns.rs
+++ b/crates/ingress/src/turns.rs
@@ -80,7 +80,11 @@
         let history = match open.start(start.clone(), deadline).await {
             Ok(started) => started.history.or(cached),
             Err(StartError::Refused { refusal: StartRefusal::UnknownTurn, .. }) => {
-                Some(self.import(&mut open, start, cached, deadline).await?)
+                let imported = self.import(&mut open, start, cached, deadline).await;
+                if let (Err(Refusal::UnknownTurn), Some(after)) = (&imported, &turn.after) {
+                    self.unknown_turns.explain(turn, after);
+                }
+                Some(imported?)
             }
             Err(error) => return Err(self.start_refusal(turn, &error)),
         };
--- a/crates/state/src/shard/chains.rs
+++ b/crates/state/src/shard/chains.rs
@@ -21,6 +21,7 @@
 };
 use super::expiry::{ExpiredProgram, ExpiryItem};
 use super::machine::{CommandResult, ShardMachine};
+use super::query::ChainedTurnStatus;
 
 /// All chained programs of a shard. Clones share the programs.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -133,6 +134,21 @@
         self.programs.get(self.turn_programs.get(turn)?)?.history(turn)
     }
 
+    /// Returns what is known of a turn of a program.
+    pub(super) fn status(&self, program: &ProgramId, turn: &TurnId) -> ChainedTurnStatus {
+        let Some(program) = self.programs.get(program) else {
+            return ChainedTurnStatus::UnknownProgram;
+        };
+        if program.open.contains_key(turn) {
+            return ChainedTurnStatus::Open;
+        }
+        match program.ended.get(turn) {
+            None => ChainedTurnStatus::UnknownTurn,
+            Some(ended) if ended.text.is_none() => ChainedTurnStatus::NotRetained,
+            Some(_) => ChainedTurnStatus::Retained,
+        }
+    }
+
     /// Extends the retention times of all programs and the time limits of their open turns.
     pub(super) fn extend_retention(&mut self, millis: u64) {
         for program in self.programs.values_mut() {
--- a/crates/state/src/shard/machine.rs
+++ b/crates/state/src/shard/machine.rs
@@ -170,6 +170,9 @@
             }
             ShardQuery::Clock => ShardAnswer::Clock(self.state.clock),
             ShardQuery::History(turn) => ShardAnswer::History(self.state.chained.history(turn)),
+            ShardQuery::ChainedTurn { program, turn } => {
+                ShardAnswer::ChainedTurn(self.state.chained.status(program, turn))
+            }
         }
     }
 
--- a/crates/state/src/shard/mod.rs
+++ b/crates/state/src/shard/mod.rs
@@ -25,6 +25,6 @@
 pub use expiry::{AppliedStep, ExpiredProgram, ITEMS_PER_STEP};
 pub use machine::ShardMachine;
 pub use query::{
-    CallRecord, LeaseRecord, ProgramRecord, SessionRecord, ShardAnswer, ShardQuery, TurnRecord,
-    TurnState,
+    CallRecord, ChainedTurnStatus, LeaseRecord, ProgramRecord, SessionRecord, ShardAnswer,
+    ShardQuery, TurnRecord, TurnState,
 };
--- a/crates/state/src/shard/query.rs
+++ b/crates/state/src/shard/query.rs
@@ -160,6 +160,28 @@
     /// The history up to and including a retained turn of a chained session, whichever program
     /// retains it.
     History(TurnId),
+    /// What a program's shard knows of a turn of a chained session.
+    ChainedTurn {
+        /// The program.
+        program: ProgramId,
+        /// The turn.
+        turn: TurnId,
+    },
+}
+
+/// What a program's shard knows of a turn of a chained session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChainedTurnStatus {
+    /// The shard has no record of the program.
+    UnknownProgram,
+    /// The program has no such turn.
+    UnknownTurn,
+    /// The turn has not ended.
+    Open,
+    /// The turn ended without a complete output, was superseded or cancelled.
+    NotRetained,
+    /// The turn can be continued.
+    Retained,
 }
 
 /// Answer to a [`ShardQuery`]; `None` means that the record does not exist.
@@ -188,4 +210,6 @@
     Clock(UnixMillis),
     /// A history.
     History(Option<Bytes>),
+    /// The status of a turn of a chained session.
+    ChainedTurn(ChainedTurnStatus),
 }
