--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -18,6 +18,7 @@
 mod input;
 mod lifecycle;
 mod metrics;
+mod pending_reads;
 mod proposals;
 mod replica;
 mod replica_work;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -1,7 +1,6 @@
 //! A replica: raft state machine plus the client requests that wait for it. Performs no I/O; the
 //! current time is passed as an argument.
 
-use std::collections::BTreeMap;
 use std::time::Instant;
 
 use hooklug_protocol::store::{MemberProgress, ReplicaStatus};
@@ -14,6 +13,7 @@
 
 use crate::clock_source::NoClock;
 use crate::command_batch::single_command_batch;
+use crate::pending_reads::PendingReads;
 use crate::proposals::Proposals;
 use crate::{
     ClockSource, CommittedEntry, ReadWaiter, ReplicaWork, ReplicationError, Reply, StepOccasion,
@@ -35,13 +35,7 @@
     hard_state: HardState,
     proposals: Proposals,
     clock: Box<dyn ClockSource>,
-    /// Reads that wait for their heartbeat round, by context.
-    unconfirmed_reads: BTreeMap<u64, Vec<ReadWaiter>>,
-    /// Confirmed reads that wait until the given index is passed to the state machine.
-    confirmed_reads: Vec<(u64, Vec<ReadWaiter>)>,
-    /// Reads that arrived in this driver cycle; they share one context.
-    new_reads: Vec<ReadWaiter>,
-    next_context: u64,
+    reads: PendingReads,
     /// Highest index passed to the state machine.
     dispatched_index: u64,
     /// The newest durable snapshot.
@@ -76,10 +70,7 @@
             hard_state,
             proposals: Proposals::default(),
             clock: Box::new(NoClock),
-            unconfirmed_reads: BTreeMap::new(),
-            confirmed_reads: Vec::new(),
-            new_reads: Vec::new(),
-            next_context: 1,
+            reads: PendingReads::default(),
             dispatched_index: snapshot.as_ref().map_or(0, |meta| meta.index),
             snapshot,
             snapshot_in_progress: false,
@@ -177,7 +168,7 @@
     /// Requests a linearizable read. All reads of a driver cycle share a heartbeat round.
     pub fn read(&mut self, read: ReadWaiter) {
         if self.node.role() == Role::Leader {
-            self.new_reads.push(read);
+            self.reads.add(read);
         } else {
             drop(read.reply.send(Err(self.not_leader())));
         }
@@ -198,7 +189,7 @@
 
     /// Returns the next work, if there is any and no sync is in progress.
     pub fn next_work(&mut self, now: Instant) -> Option<ReplicaWork> {
-        self.start_reads();
+        self.reads.start(&mut self.node);
         if self.messages_after_sync.is_some() {
             return None;
         }
@@ -211,19 +202,6 @@
         Some(self.prepare_work(ready))
     }
 
-    fn start_reads(&mut self) {
-        if self.new_reads.is_empty() {
-            return;
-        }
-        let reads = std::mem::take(&mut self.new_reads);
-        let context = self.next_context;
-        self.next_context += 1;
-        match self.node.read_index(context) {
-            Ok(()) => drop(self.unconfirmed_reads.insert(context, reads)),
-            Err(error) => fail_reads(reads, &error.into()),
-        }
-    }
-
     fn prepare_work(&mut self, mut ready: Ready) -> ReplicaWork {
         self.hard_state = ready.hard_state.unwrap_or(self.hard_state);
         let records = take_records(&mut ready);
@@ -234,18 +212,15 @@
         }
         let committed = ready.committed.into_iter().map(|entry| self.commit(entry)).collect();
         for context in ready.aborted_reads {
-            let reads = self.unconfirmed_reads.remove(&context).unwrap_or_default();
-            fail_reads(reads, &self.not_leader());
-        }
-        for read in ready.reads {
-            let waiters = self.unconfirmed_reads.remove(&read.context).unwrap_or_default();
-            self.confirmed_reads.push((read.index, waiters));
+            let error = self.not_leader();
+            self.reads.abort(context, &error);
         }
+        ready.reads.into_iter().for_each(|read| self.reads.confirm(read));
         let mut work = ReplicaWork {
             messages_before_sync: ready.messages_before_sync,
             snapshot: ready.snapshot,
             committed,
-            reads: self.take_due_reads(),
+            reads: self.reads.take_due(self.dispatched_index),
             leading_since: self.leading_since,
             records,
             sync: ready.must_sync,
@@ -286,19 +261,6 @@
         CommittedEntry { entry, replies }
     }
 
-    fn take_due_reads(&mut self) -> Vec<ReadWaiter> {
-        let dispatched_index = self.dispatched_index;
-        let mut due = Vec::new();
-        self.confirmed_reads.retain_mut(|(index, reads)| {
-            let is_due = *index <= dispatched_index;
-            if is_due {
-                due.append(reads);
-            }
-            !is_due
-        });
-        due
-    }
-
     /// Tracks since when this replica is the leader. A replica that lost leadership fails all
     /// waiting requests immediately, so that callers turn to the new leader.
     fn update_leadership(&mut self, now: Instant) {
@@ -320,7 +282,7 @@
     /// Fails all commands, membership changes and unstarted reads with an error.
     pub fn fail_waiting(&mut self, error: &ReplicationError) {
         self.proposals.fail_all(error);
-        fail_reads(std::mem::take(&mut self.new_reads), error);
+        self.reads.fail_new(error);
     }
 
     /// Whether enough was applied since the last snapshot to take another one: `snapshot_commands`
@@ -464,9 +426,3 @@
     }
     records
 }
-
-fn fail_reads(reads: Vec<ReadWaiter>, error: &ReplicationError) {
-    for read in reads {
-        drop(read.reply.send(Err(error.clone())));
-    }
-}
