ingress, tests: backends of a pool share a script, so a test no longer depends on which of them is chosen

Cause: in the test, not in the product. Two of three backends each lost their first response; three calls were to use these up, "afterwards no scripted failure is left". Backends are chosen at random (better_of_two), so all three calls may have gone to the third, and the call that is checked then met both failures, which is as many attempts as its route allows.

Change: the backends of a pool follow one script, so the first request loses its response whichever backend it reaches. Stricter than before: the first call itself has to succeed, with one run at each of two backends; a second test asks for the refusal after two lost responses. Related: the other tests with several scripted backends hold whichever is chosen (read).

--- a/crates/ingress/tests/calls.rs
+++ b/crates/ingress/tests/calls.rs
@@ -8,7 +8,7 @@
 
 use hooklug_ingress::{IngressAnswer, IngressRequest, Refusal};
 use hooklug_store::MemoryState;
-use support::{Behaviour, FakeBackend, World, call, eventually, forwarded};
+use support::{Behaviour, FakeBackend, Script, World, call, eventually, forwarded};
 
 async fn answer_of(script: &[Behaviour], path: &str) -> (IngressAnswer, FakeBackend) {
     let backend = FakeBackend::start("e1", script).await;
@@ -118,35 +118,62 @@
     }
 }
 
+/// Failures after which a repeatable call is tried once more.
+const LOST_RESPONSES: [Behaviour; 4] = [
+    Behaviour::NoResponse,
+    Behaviour::WrongRequest,
+    Behaviour::Truncated,
+    Behaviour::Answer(500, "no"),
+];
+
+/// Starts three backends that follow one script, since a call may reach any of them.
+async fn pool(script: &[Behaviour]) -> (World, [FakeBackend; 3]) {
+    let script = Script::new(script);
+    let backends = [
+        FakeBackend::with_script("e1", script.clone()).await,
+        FakeBackend::with_script("e2", script.clone()).await,
+        FakeBackend::with_script("e3", script).await,
+    ];
+    (World::new(&backends.each_ref()).await, backends)
+}
+
+/// How often each backend ran a call, from most to least.
+fn runs(backends: &[FakeBackend; 3], id: &str) -> [usize; 3] {
+    let mut runs = backends
+        .each_ref()
+        .map(|backend| backend.executed().iter().filter(|ran| ran.id == id).count());
+    runs.sort_unstable_by(|one, other| other.cmp(one));
+    runs
+}
+
 #[tokio::test]
 async fn a_repeatable_call_is_retried_after_a_lost_response() {
-    for lost in [
-        Behaviour::NoResponse,
-        Behaviour::WrongRequest,
-        Behaviour::Truncated,
-        Behaviour::Answer(500, "no"),
-    ] {
-        let backends = [
-            FakeBackend::start("e1", std::slice::from_ref(&lost)).await,
-            FakeBackend::start("e2", std::slice::from_ref(&lost)).await,
-            FakeBackend::start("e3", &[]).await,
-        ];
-        let world = World::new(&[&backends[0], &backends[1], &backends[2]]).await;
-        // A call has at most two attempts, so one of these three may meet both failing backends.
-        // Afterwards no scripted failure is left.
-        for number in 0..3 {
-            world.ingress.serve(&call("/any/x", &format!("r{number}"))).await;
+    for lost in LOST_RESPONSES {
+        let (world, backends) = pool(std::slice::from_ref(&lost)).await;
+        for id in ["first", "second"] {
+            let answer = world.ingress.serve(&call("/any/x", id)).await;
+            assert_eq!(forwarded(answer).await, (200, Ok("done".to_owned())), "{lost:?}: {id}");
         }
-        let answer = world.ingress.serve(&call("/any/x", "last")).await;
-        assert_eq!(forwarded(answer).await, (200, Ok("done".to_owned())), "{lost:?}");
-        for number in 0..3 {
-            let id = format!("r{number}");
-            let runs: usize = backends
-                .iter()
-                .map(|b| b.executed().iter().filter(|ran| ran.id == id).count())
-                .sum();
-            assert!((1..=2).contains(&runs), "{lost:?}: {id} ran {runs} times");
+        assert_eq!(runs(&backends, "first"), [1, 1, 0], "{lost:?}");
+        assert_eq!(runs(&backends, "second"), [1, 0, 0], "{lost:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_repeatable_call_fails_after_two_lost_responses() {
+    for lost in LOST_RESPONSES {
+        let (world, backends) = pool(&[lost.clone(), lost.clone()]).await;
+        match (world.ingress.serve(&call("/any/x", "first")).await, &lost) {
+            (IngressAnswer::Refused(Refusal::ResponseLost(_)), _) => {}
+            (answer, Behaviour::Answer(status, body)) => {
+                assert_eq!(forwarded(answer).await, (*status, Ok((*body).to_owned())));
+            }
+            (answer, _) => panic!("{lost:?}: {answer:?}"),
         }
+        let answer = world.ingress.serve(&call("/any/x", "second")).await;
+        assert_eq!(forwarded(answer).await, (200, Ok("done".to_owned())), "{lost:?}");
+        assert_eq!(runs(&backends, "first"), [1, 1, 0], "{lost:?}");
+        assert_eq!(runs(&backends, "second"), [1, 0, 0], "{lost:?}");
     }
 }
 
--- a/crates/ingress/tests/support/fake_backend.rs
+++ b/crates/ingress/tests/support/fake_backend.rs
@@ -45,9 +45,24 @@
     pub body: String,
 }
 
+/// Behaviours for the next requests, in the order of their arrival. Clones share them, so that several
+/// backends can follow one script whichever of them a request reaches.
+#[derive(Debug, Clone, Default)]
+pub struct Script(Arc<Mutex<VecDeque<Behaviour>>>);
+
+impl Script {
+    pub fn new(behaviours: &[Behaviour]) -> Self {
+        Self(Arc::new(Mutex::new(behaviours.iter().cloned().collect())))
+    }
+
+    fn next(&self) -> Behaviour {
+        self.0.lock().unwrap().pop_front().unwrap_or(Behaviour::Answer(200, "done"))
+    }
+}
+
 #[derive(Debug, Default)]
 struct BackendState {
-    script: VecDeque<Behaviour>,
+    script: Script,
     executed: Vec<ExecutedRequest>,
     disconnects: usize,
 }
@@ -62,11 +77,14 @@
 
 impl FakeBackend {
     pub async fn start(name: &str, script: &[Behaviour]) -> Self {
+        Self::with_script(name, Script::new(script)).await
+    }
+
+    /// Starts a backend on a script that others may follow too.
+    pub async fn with_script(name: &str, script: Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind to loopback");
         let address = listener.local_addr().expect("a bound address");
-        let state =
-            BackendState { script: script.iter().cloned().collect(), ..BackendState::default() };
-        let state = Arc::new(Mutex::new(state));
+        let state = Arc::new(Mutex::new(BackendState { script, ..BackendState::default() }));
         let released = Arc::new(Notify::new());
         let (serving, release) = (state.clone(), released.clone());
         tokio::spawn(async move {
@@ -135,7 +153,7 @@
 /// Takes the next behaviour of the script and records the request if that behaviour runs it.
 fn next_behaviour(state: &Mutex<BackendState>, request: &ReceivedRequest) -> Behaviour {
     let mut state = state.lock().unwrap();
-    let behaviour = state.script.pop_front().unwrap_or(Behaviour::Answer(200, "done"));
+    let behaviour = state.script.next();
     let refuses = matches!(
         behaviour,
         Behaviour::AtCapacity | Behaviour::AtCapacityTwice(_) | Behaviour::WrongBackend
--- a/crates/ingress/tests/support/mod.rs
+++ b/crates/ingress/tests/support/mod.rs
@@ -40,7 +40,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-pub use fake_backend::{Behaviour, FakeBackend};
+pub use fake_backend::{Behaviour, FakeBackend, Script};
 pub use held_state::{HeldState, Link};
 
 /// Longest wait for a condition; not a tested bound.
