--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -17,6 +17,7 @@
 use crate::history_cache::HistoryCache;
 use crate::records::TurnRecords;
 use crate::routes::{NamedRoute, RouteTable, pick_service};
+use crate::running_turns::RunningTurns;
 use crate::unknown_turns::UnknownTurns;
 use crate::versions::AllowedVersions;
 use crate::waiting_ends::{WaitingEnds, WaitingLimits};
@@ -53,6 +54,7 @@
     pub(crate) backends: Arc<BackendTable>,
     pub(crate) connections: Arc<Connections>,
     pub(crate) records: TurnRecords,
+    pub(crate) running_turns: RunningTurns,
     pub(crate) waiting_ends: WaitingEnds,
     pub(crate) unknown_turns: UnknownTurns,
     pub(crate) histories: Arc<HistoryCache>,
@@ -88,6 +90,7 @@
             backends: Arc::new(backends),
             connections: Arc::default(),
             records,
+            running_turns: RunningTurns::default(),
             waiting_ends,
             unknown_turns,
             histories: Arc::default(),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod records;
 pub mod request;
 pub mod routes;
+pub mod running_turns;
 pub mod server;
 pub mod sse;
 pub mod stream;
--- a/crates/ingress/src/open_turn.rs
+++ b/crates/ingress/src/open_turn.rs
@@ -11,6 +11,7 @@
 
 use crate::TurnRequest;
 use crate::records::{StartError, TurnRecords, TurnStart, end_command};
+use crate::running_turns::RunningTurn;
 use crate::waiting_ends::{WaitingEnd, WaitingEnds};
 
 /// Longest time for recording the end of a turn that its caller waits for.
@@ -33,6 +34,8 @@
 pub(crate) struct OpenTurn {
     records: TurnRecords,
     ends: WaitingEnds,
+    /// Taken when the end joins the waiting ends.
+    running: Option<RunningTurn>,
     pub(crate) turn: TurnRequest,
     /// Number of tokens sent to the caller.
     pub(crate) tokens: TokenCount,
@@ -46,11 +49,12 @@
     pub(crate) fn new(
         records: TurnRecords,
         ends: WaitingEnds,
+        running: RunningTurn,
         turn: TurnRequest,
         retention: Duration,
     ) -> Self {
         let (tokens, stage) = (TokenCount(0), Stage::NotOpen);
-        Self { records, ends, turn, tokens, retention, stage }
+        Self { records, ends, running: Some(running), turn, tokens, retention, stage }
     }
 
     /// Starts the turn in its shard. It may be started again after a refusal.
@@ -97,7 +101,8 @@
             Stage::MayBeOpen => self.records.cancel_command(&self.turn, self.retention),
             Stage::Open(epoch) => end_command(&self.turn, epoch, self.tokens, None),
         };
+        let Some(turn) = self.running.take() else { return };
         let give_up = Instant::now() + self.retention;
-        self.ends.push(WaitingEnd { program: self.turn.program.clone(), command, give_up });
+        self.ends.push(WaitingEnd { turn, command, give_up });
     }
 }
--- a/crates/ingress/src/turns.rs
+++ b/crates/ingress/src/turns.rs
@@ -75,8 +75,9 @@
             retention,
         };
         let deadline = deadlines.end.min(Instant::now() + START_TIMEOUT);
+        let running = self.running_turns.register(turn).ok_or_else(duplicate_turn)?;
         let (records, ends) = (self.records.clone(), self.waiting_ends.clone());
-        let mut open = OpenTurn::new(records, ends, turn.clone(), retention);
+        let mut open = OpenTurn::new(records, ends, running, turn.clone(), retention);
         let history = match open.start(start.clone(), deadline).await {
             Ok(started) => started.history.or(cached),
             Err(StartError::Refused { refusal: StartRefusal::UnknownTurn, .. }) => {
@@ -190,6 +191,11 @@
     not_run("the turn's shard is unavailable", SHARD_RETRY)
 }
 
+/// The refusal of a turn whose id is in use or was used. An earlier request with it may have run.
+fn duplicate_turn() -> Refusal {
+    Refusal::ResponseLost("the turn id was already used".to_owned())
+}
+
 fn refusal(error: &StartError) -> Refusal {
     let StartError::Refused { refusal, .. } = error else { return shard_unavailable() };
     match refusal {
@@ -198,9 +204,7 @@
             not_run("other turns have reserved the budget", BUDGET_RETRY)
         }
         StartRefusal::UnknownTurn => Refusal::UnknownTurn,
-        StartRefusal::DuplicateTurn => {
-            Refusal::ResponseLost("the turn id was already used".to_owned())
-        }
+        StartRefusal::DuplicateTurn => duplicate_turn(),
     }
 }
 
--- a/crates/ingress/src/waiting_ends.rs
+++ b/crates/ingress/src/waiting_ends.rs
@@ -15,6 +15,8 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, warn};
 
+use crate::running_turns::RunningTurn;
+
 /// Maximum number of ends in one command.
 pub const MAX_ENDS_PER_COMMAND: usize = 256;
 
@@ -45,10 +47,10 @@
 }
 
 /// The end of a turn whose request is over.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct WaitingEnd {
-    /// Program of the turn.
-    pub program: ProgramId,
+    /// The turn, which stays registered until its end is recorded.
+    pub turn: RunningTurn,
     /// The idempotent command that ends or cancels the turn. A refusal of it is final.
     pub command: ShardCommand,
     /// Time after which the shard may have deleted the turn's program.
@@ -94,7 +96,7 @@
 
     /// Records an end in the background, as soon as its shard is available.
     pub fn push(&self, end: WaitingEnd) {
-        let shard = shard_of(end.program.as_str());
+        let shard = shard_of(end.turn.program().as_str());
         let must_serve = self.queues().push(shard, end);
         if must_serve {
             self.tasks.spawn(self.clone().serve(shard));
@@ -106,7 +108,9 @@
     pub fn has_end_of(&self, program: &ProgramId) -> bool {
         let queues = self.queues();
         let queue = queues.shards.get(&shard_of(program.as_str()));
-        queue.is_some_and(|queue| queue.ends.iter().any(|queued| queued.end.program == *program))
+        queue.is_some_and(|queue| {
+            queue.ends.iter().any(|queued| queued.end.turn.program() == program)
+        })
     }
 
     /// Reports that a shard has replied to a request that was sent at the given time.
--- a/crates/ingress/tests/turns.rs
+++ b/crates/ingress/tests/turns.rs
@@ -51,6 +51,44 @@
     assert_eq!(engine.executed(), []);
 }
 
+/// Guards against two requests with one id that share a reservation, which the first to end settles
+/// while the other still streams tokens.
+#[tokio::test]
+async fn a_second_request_with_the_id_of_a_running_turn_is_not_run() {
+    let engine = FakeBackend::start("e1", &[Behaviour::EventsHeld(&["a", "b"]), TWO]).await;
+    let world = World::new(&[&engine]).await;
+    let first = world.ingress.serve(&turn("/kept/x", "t1", None)).await;
+    let refused = refusal(world.ingress.serve(&turn("/kept/x", "t1", None)).await);
+    assert!(matches!(refused, Refusal::ResponseLost(_)), "{refused}");
+    engine.release();
+    let body = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
+    assert_eq!(forwarded(first).await, (200, Ok(body.to_owned())));
+    let refused = refusal(world.ingress.serve(&turn("/kept/x", "t1", None)).await);
+    assert!(matches!(refused, Refusal::ResponseLost(_)), "after its end: {refused}");
+    assert_eq!(engine.executed().len(), 1);
+    // Another turn of the program is not affected.
+    complete_body(&world, &turn("/kept/x", "t2", Some("t1"))).await;
+}
+
+/// Guards against a second request with the id of a turn whose caller has left: the end of the first
+/// one arrives while the second runs, and settles its reservation.
+#[tokio::test]
+async fn a_second_request_with_the_id_of_a_turn_whose_end_waits_is_not_run() {
+    let engine = FakeBackend::start("e1", &[Behaviour::Unresponsive, TWO]).await;
+    let (world, link) = World::behind_link(&[&engine]).await;
+    let ingress = world.ingress.clone();
+    let first = tokio::spawn(async move { ingress.serve(&turn("/kept/x", "t1", None)).await });
+    eventually("the turn runs", || engine.executed().len() == 1).await;
+    link.set_stalled(true);
+    first.abort();
+    let _ = first.await;
+    let refused = refusal(world.ingress.serve(&turn("/kept/x", "t1", None)).await);
+    assert!(matches!(refused, Refusal::ResponseLost(_)), "{refused}");
+    assert_eq!(engine.executed().len(), 1);
+    link.set_stalled(false);
+    world.ingress.finish().await;
+}
+
 #[tokio::test]
 async fn a_turn_is_not_reported_unknown_while_a_shard_is_unavailable() {
     let engine = FakeBackend::start("e1", &[]).await;
--- a/crates/ingress/tests/waiting_ends.rs
+++ b/crates/ingress/tests/waiting_ends.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hooklug_ingress::running_turns::RunningTurns;
 use hooklug_ingress::waiting_ends::{WaitingEnd, WaitingEnds, WaitingLimits};
 use hooklug_ingress::{IngressAnswer, IngressRequest, Refusal};
 use hooklug_state::encode;
@@ -282,12 +283,14 @@
     for limits in limits {
         let tasks = TaskTracker::new();
         let ends = WaitingEnds::new(Arc::new(state.clone()), tasks.clone(), limits);
+        let running_turns = RunningTurns::default();
         let outage = Outage { span: Duration::from_secs(1), all_shards: true, loses_reply: false };
         outage.set_available(&state, false);
         for number in 0..5 {
-            let program = ProgramId::new(program(number)).unwrap();
+            let turn = request(number, "t").turn.expect("a turn");
+            let turn = running_turns.register(&turn).expect("not registered yet");
             let give_up = Instant::now() + TEST_TIMEOUT;
-            ends.push(WaitingEnd { program, command: end(number), give_up });
+            ends.push(WaitingEnd { turn, command: end(number), give_up });
         }
         let waiting = |number| ends.has_end_of(&ProgramId::new(program(number)).unwrap());
         assert_eq!([0, 1, 2, 3, 4].map(waiting), [true, true, true, false, false]);
