wal: removed segments that come back after a loss of power do not keep a store from starting

A store whose machine lost power while its log removed segments could end at every start: "the segment is missing, but later ones exist".

Cause: covered segments are removed one after the other and only the next rotation syncs the folder, so an older one may come back while a newer one does not. Recovery could not tell a removed segment from a missing one.

Fix: a file names the oldest segment that is needed; it is durable before older ones are removed. These are ignored and removed again; a needed one that is missing ends the start with an error that names it. Logs without the file open as before.

--- a/crates/store/tests/disks.rs
+++ b/crates/store/tests/disks.rs
@@ -12,14 +12,19 @@
 use hooklug_rpc::{LocalIdentity, RpcClient};
 use hooklug_settings::StoreSettings;
 use hooklug_state::encode;
+use hooklug_state::shard::{ShardCommand, StartChainedTurn};
 use hooklug_store::{DATA_FORMAT, StateAccess, Store, StoreError, load_node_id};
-use hooklug_types::{NodeId, shard_of};
+use hooklug_types::{NodeId, ProgramId, SessionId, SessionKey, TokenCount, TurnId, shard_of};
 use support::{
     TEST_TIMEOUT, TestCluster, fast_options, has_program, put, put_program, soon, until,
 };
 
 async fn cluster_on(disks: &[TestDisk]) -> TestCluster {
-    let mut cluster = TestCluster::new(disks.len(), fast_options()).await;
+    cluster_with(disks, fast_options()).await
+}
+
+async fn cluster_with(disks: &[TestDisk], options: StoreSettings) -> TestCluster {
+    let mut cluster = TestCluster::new(disks.len(), options).await;
     for (number, disk) in disks.iter().enumerate() {
         cluster.stores[number].files = Arc::new(disk.clone());
         cluster.start(number).await;
@@ -67,6 +72,57 @@
     }
 }
 
+/// Fills several segments of the stores' logs.
+async fn write_turns(cluster: &TestCluster, count: std::ops::Range<usize>) {
+    let client = cluster.client();
+    for number in count {
+        let program = format!("large-{number}");
+        let start = StartChainedTurn {
+            key: SessionKey {
+                program: ProgramId::new(&program).unwrap(),
+                session: SessionId::new("session").unwrap(),
+            },
+            turn: TurnId::new("turn").unwrap(),
+            host: NodeId(1),
+            after: None,
+            token_budget: None,
+            max_tokens: TokenCount(0),
+            input: Some(vec![b'x'; 32 << 10].into()),
+            include_history: false,
+            imported: None,
+            time_limit_ms: 1_000,
+            keep_ms: 1_000,
+        };
+        let command = ShardCommand::StartChainedTurn(start);
+        client.execute_shard(shard_of(&program), &command, soon()).await.expect("a reply");
+    }
+}
+
+/// Guards against a store that never starts again after a loss of power: log segments are removed one
+/// after the other, and an older one comes back while a newer one does not.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_store_starts_although_removed_log_segments_come_back() {
+    let disks = [TestDisk::default(), TestDisk::default(), TestDisk::default()];
+    let options = StoreSettings { log_megabytes: 1, ..fast_options() };
+    let mut cluster = cluster_with(&disks, options).await;
+    put_program(&cluster.client(), "first").await;
+    let mut written = 0;
+    for chosen in [|number| number == 0, |number| number % 2 == 0] {
+        let removed = disks[0].removed_segments() + 5;
+        while disks[0].removed_segments() < removed {
+            assert!(written < 5_000, "no segment is removed");
+            write_turns(&cluster, written..written + 40).await;
+            written += 40;
+        }
+        cluster.kill(0).await;
+        disks[0].put_back_segments(chosen);
+        cluster.start(0).await;
+        cluster.until_formed().await;
+        cluster.assert_equal_digests(shard_of("first")).await;
+        assert!(has_program(&cluster.client(), "first").await);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_store_with_a_failed_disk_acknowledges_nothing_while_the_others_serve() {
     let disks = [TestDisk::default(), TestDisk::default(), TestDisk::default()];
--- a/crates/store/tests/support/disk.rs
+++ b/crates/store/tests/support/disk.rs
@@ -13,6 +13,8 @@
 struct Disk {
     /// Synced length of each file, in bytes.
     synced: Mutex<BTreeMap<PathBuf, u64>>,
+    /// Log segments that were removed, in order, with their content.
+    removed_segments: Mutex<Vec<(PathBuf, Vec<u8>)>>,
     fails: AtomicBool,
     panicking_thread: Mutex<Option<&'static str>>,
 }
@@ -34,6 +36,21 @@
         }
     }
 
+    /// Number of log segments that were removed.
+    pub fn removed_segments(&self) -> usize {
+        self.disk.removed_segments.lock().unwrap().len()
+    }
+
+    /// Puts back the removed log segments whose number in the order of removals is chosen, as a loss of
+    /// power may do.
+    pub fn put_back_segments(&self, is_chosen: impl Fn(usize) -> bool) {
+        let removed = self.disk.removed_segments.lock().unwrap();
+        let chosen = removed.iter().enumerate().filter(|(number, _)| is_chosen(*number));
+        for (_, (path, bytes)) in chosen {
+            std::fs::write(path, bytes).unwrap();
+        }
+    }
+
     /// Makes every sync fail from now on.
     pub fn fail(&self) {
         self.disk.fails.store(true, Ordering::SeqCst);
@@ -111,6 +128,10 @@
 
     fn remove(&self, path: &Path) -> io::Result<()> {
         self.disk.synced.lock().unwrap().remove(path);
+        if path.extension().is_some_and(|extension| extension == "segment") {
+            let bytes = OsFiles.read(path)?;
+            self.disk.removed_segments.lock().unwrap().push((path.to_owned(), bytes));
+        }
         OsFiles.remove(path)
     }
 
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -12,6 +12,7 @@
 mod error;
 mod files;
 mod log;
+mod oldest_segment;
 mod record;
 mod recovery;
 mod segment;
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -6,10 +6,11 @@
 use std::thread::JoinHandle;
 
 use hooklug_types::GroupId;
+use tracing::info;
 
 use crate::recovery::GroupMeta;
 use crate::writer::{SegmentIndex, SegmentSpan, SharedIndex, Writer};
-use crate::{Files, GroupRecord, Record, Recovered, WalError, segment};
+use crate::{Files, GroupRecord, Record, Recovered, WalError, oldest_segment, segment};
 
 /// Options of the log.
 #[derive(Debug, Clone)]
@@ -107,7 +108,10 @@
 
 impl LogOpener {
     fn open(&mut self) -> Result<(Writer, Recovered), WalError> {
-        let numbers = segment::numbers(self.files.as_ref(), &self.folder)?;
+        let oldest = oldest_segment::read(self.files.as_ref(), &self.folder)?;
+        let found = segment::numbers(self.files.as_ref(), &self.folder, oldest)?;
+        self.remove_again(&found.removed)?;
+        let numbers = found.needed;
         let mut recovered = Recovered::default();
         let mut index = SegmentIndex::default();
         let mut active = None;
@@ -131,9 +135,23 @@
         index.group_metas = group_metas.collect();
         let mut writer = self.writer(active, Arc::new(Mutex::new(index)))?;
         writer.start_segment()?;
+        if oldest.is_none() {
+            let first = numbers.first().copied().unwrap_or(writer.number);
+            oldest_segment::write(self.files.as_ref(), &self.folder, first)?;
+        }
         Ok((writer, recovered))
     }
 
+    /// Removes segments that were removed before a loss of power and have come back.
+    fn remove_again(&self, numbers: &[u64]) -> Result<(), WalError> {
+        for number in numbers {
+            let path = segment::path(&self.folder, *number);
+            info!(path = %path.display(), "removing a log segment again that has come back");
+            self.files.remove(&path).map_err(|e| WalError::io("remove", &path, &e))?;
+        }
+        Ok(())
+    }
+
     /// Fails if the entries of a group have a gap. Such a group must not vote or lead.
     fn check_contiguous(&self, recovered: &Recovered) -> Result<(), WalError> {
         let Some((group, entry)) = recovered.gap() else { return Ok(()) };
--- a/crates/wal/src/segment.rs
+++ b/crates/wal/src/segment.rs
@@ -15,19 +15,36 @@
 }
 
 /// Numbers of the segments in a directory, in order.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct SegmentNumbers {
+    /// Segments that were removed before and have come back.
+    pub(crate) removed: Vec<u64>,
+    /// Segments that hold the log, without a gap.
+    pub(crate) needed: Vec<u64>,
+}
+
+/// Finds the segments in a directory. `oldest` is the number of the oldest one that is needed, if it is
+/// known.
 ///
 /// # Errors
-/// If the directory can't be read or the numbers have a gap.
-pub(crate) fn numbers(files: &dyn Files, folder: &Path) -> Result<Vec<u64>, WalError> {
+/// If the directory can't be read or a needed segment is missing.
+pub(crate) fn numbers(
+    files: &dyn Files,
+    folder: &Path,
+    oldest: Option<u64>,
+) -> Result<SegmentNumbers, WalError> {
     let paths = files.list(folder).map_err(|e| WalError::io("list", folder, &e))?;
     let mut numbers: Vec<u64> = paths.iter().filter_map(|path| number(path)).collect();
     numbers.sort_unstable();
-    match numbers.windows(2).find(|pair| pair[1] != pair[0] + 1) {
-        Some(pair) => {
-            let missing = path(folder, pair[0] + 1);
-            Err(WalError::corrupt(&missing, 0, "the segment is missing, but later ones exist"))
-        }
-        None => Ok(numbers),
+    let (removed, needed): (Vec<u64>, Vec<u64>) =
+        numbers.into_iter().partition(|number| oldest.is_some_and(|oldest| *number < oldest));
+    let expected = oldest.or(needed.first().copied()).unwrap_or_default()..;
+    // An empty log has no segment yet; a known oldest one must exist.
+    let count = needed.len().max(usize::from(oldest.is_some()));
+    let missing = expected.take(count).find(|number| !needed.contains(number));
+    match missing {
+        Some(number) => Err(WalError::corrupt(&path(folder, number), 0, "the segment is missing")),
+        None => Ok(SegmentNumbers { removed, needed }),
     }
 }
 
--- a/crates/wal/src/writer.rs
+++ b/crates/wal/src/writer.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::mpsc::Receiver;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use hooklug_types::GroupId;
 use tracing::error;
@@ -11,7 +11,7 @@
 use crate::block::Block;
 use crate::log::{QueuedAppend, WalOptions};
 use crate::recovery::GroupMeta;
-use crate::{Files, GroupRecord, LogFile, Record, Recovered, WalError, segment};
+use crate::{Files, GroupRecord, LogFile, Record, Recovered, WalError, oldest_segment, segment};
 
 /// Maximum number of appends in one block; limits the time to the first acknowledgement.
 const MAX_BLOCK_APPENDS: usize = 4096;
@@ -31,7 +31,17 @@
 impl SegmentIndex {
     /// Groups whose entries prevent the removal of the oldest sealed segment.
     pub(crate) fn groups_pinning_oldest(&self) -> Vec<GroupId> {
-        let Some(span) = self.sealed.values().next() else { return Vec::new() };
+        self.sealed.values().next().map_or_else(Vec::new, |span| self.groups_pinning(span))
+    }
+
+    /// The oldest sealed segments that no group needs, in order.
+    fn covered_prefix(&self) -> Vec<u64> {
+        let covered =
+            self.sealed.iter().take_while(|(_, span)| self.groups_pinning(span).is_empty());
+        covered.map(|(number, _)| *number).collect()
+    }
+
+    fn groups_pinning(&self, span: &SegmentSpan) -> Vec<GroupId> {
         let holds = |(group, last): &(&GroupId, &u64)| !self.is_covered(**group, **last);
         span.iter().filter(holds).map(|(group, _)| *group).collect()
     }
@@ -128,11 +138,7 @@
         let path = segment::path(&self.folder, number);
         self.file = self.files.create(&path).map_err(|e| WalError::io("create", &path, &e))?;
         let sealed = std::mem::take(&mut self.span);
-        self.index
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .sealed
-            .insert(self.number, sealed);
+        self.lock_index().sealed.insert(self.number, sealed);
         (self.number, self.length, self.synced) = (number, 0, 0);
         self.start_segment()
     }
@@ -143,10 +149,7 @@
         if self.length > 0 {
             return Ok(());
         }
-        let checkpoint = {
-            let index = self.index.lock().unwrap_or_else(PoisonError::into_inner);
-            Recovered::checkpoint(&index.group_metas)
-        };
+        let checkpoint = Recovered::checkpoint(&self.lock_index().group_metas);
         self.append(checkpoint)?;
         self.sync()?;
         self.files.sync_folder(&self.folder).map_err(|e| WalError::io("sync", &self.folder, &e))
@@ -155,24 +158,22 @@
     /// Removes the oldest segments while snapshots cover all their entries. Only a prefix may be
     /// removed: a later segment may replace entries of an earlier one.
     fn remove_covered(&mut self) -> Result<(), WalError> {
-        loop {
-            let oldest = {
-                let index = self.index.lock().unwrap_or_else(PoisonError::into_inner);
-                index
-                    .sealed
-                    .keys()
-                    .next()
-                    .copied()
-                    .filter(|_| index.groups_pinning_oldest().is_empty())
-            };
-            let Some(oldest) = oldest else { return Ok(()) };
-            // The record that made the segment removable must be durable first.
-            if self.synced < self.length {
-                self.sync()?;
-            }
-            let path = segment::path(&self.folder, oldest);
+        let covered = self.lock_index().covered_prefix();
+        let Some(last) = covered.last() else { return Ok(()) };
+        // The records that made the segments removable must be durable first.
+        if self.synced < self.length {
+            self.sync()?;
+        }
+        oldest_segment::write(self.files.as_ref(), &self.folder, last + 1)?;
+        for number in covered {
+            let path = segment::path(&self.folder, number);
             self.files.remove(&path).map_err(|e| WalError::io("remove", &path, &e))?;
-            self.index.lock().unwrap_or_else(PoisonError::into_inner).sealed.remove(&oldest);
+            self.lock_index().sealed.remove(&number);
         }
+        Ok(())
+    }
+
+    fn lock_index(&self) -> MutexGuard<'_, SegmentIndex> {
+        self.index.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/wal/tests/damage.rs
+++ b/crates/wal/tests/damage.rs
@@ -19,7 +19,8 @@
 }
 
 fn only_segment(folder: &Path) -> PathBuf {
-    let mut paths = std::fs::read_dir(folder).unwrap().map(|e| e.unwrap().path());
+    let files = std::fs::read_dir(folder).unwrap().map(|e| e.unwrap().path());
+    let mut paths = files.filter(|path| path.extension().is_some_and(|e| e == "segment"));
     let path = paths.next().expect("a segment");
     assert!(paths.next().is_none(), "one segment");
     path
@@ -120,7 +121,12 @@
     std::fs::remove_file(&middle).unwrap();
     let refused = open(folder.path(), 200).map(|_| ());
     assert!(matches!(refused, Err(WalError::Corrupt { path, .. }) if path == middle));
-    std::fs::remove_file(folder.path().join("0000000000000001.segment")).unwrap();
+    let first = folder.path().join("0000000000000001.segment");
+    std::fs::remove_file(&first).unwrap();
+    let refused = open(folder.path(), 200).map(|_| ());
+    assert!(matches!(refused, Err(WalError::Corrupt { path, .. }) if path == first));
+    // The log of a build that did not write which segment is the oldest needed one.
+    std::fs::remove_file(folder.path().join("oldest-segment")).unwrap();
     let refused = open(folder.path(), 200).map(|_| ());
     assert!(matches!(refused, Err(WalError::Corrupt { reason, .. }) if reason.contains("entry 1")));
 }
