control, ingress: a rollout keeps the exposure of its target by its plan, and harm under load is looked for (EXPOSURE)

Cause: the last third of a rollout sent a quarter, a half and then all requests to the target, found harmful or not.

Exposure is a setting, read from the bounds.

--- a/crates/control/src/agent/heartbeat.rs
+++ b/crates/control/src/agent/heartbeat.rs
@@ -15,6 +15,10 @@
 /// Time between heartbeats (design document, section 4: 1 s).
 const INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between heartbeats while a service is in the last steps of a rollout, which end soon after the
+/// gateways have seen harm.
+const ROLLOUT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Minimum time between two heartbeats, however often the report changes.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -24,13 +28,19 @@
         send_heartbeat(&shared, current).await;
         tokio::time::sleep(MIN_INTERVAL).await;
         tokio::select! {
-            () = tokio::time::sleep(INTERVAL - MIN_INTERVAL) => {}
+            () = tokio::time::sleep(interval(&shared) - MIN_INTERVAL) => {}
             () = shared.heartbeat_due.notified() => {}
             Ok(()) = report.changed() => {}
         }
     }
 }
 
+fn interval(shared: &Shared) -> Duration {
+    let view = shared.view.borrow();
+    let is_urgent = view.meta.rollouts.values().any(|rollout| rollout.phase.is_heavy());
+    if is_urgent { ROLLOUT_INTERVAL } else { INTERVAL }
+}
+
 async fn send_heartbeat(shared: &Shared, report: NodeReport) {
     let mut heartbeat = Heartbeat {
         from: shared.identity.address.clone(),
--- a/crates/control/src/core/leader.rs
+++ b/crates/control/src/core/leader.rs
@@ -23,7 +23,7 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between reads of the meta state while nothing reports a change of it.
-const META_READ_INTERVAL: Duration = Duration::from_millis(500);
+pub(super) const META_READ_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Longest wait of the leader for its own copy of a bundle before it announces the bundle.
 const OWN_BUNDLE_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -16,6 +16,7 @@
 mod published;
 pub mod repair;
 mod rollback;
+pub mod rollout_plan;
 pub mod rollouts;
 pub mod sent_records;
 pub mod slot_usage;
--- a/crates/ingress/src/backends.rs
+++ b/crates/ingress/src/backends.rs
@@ -274,10 +274,20 @@
     /// Backends of the service and the allowed versions that accept new requests.
     fn usable(&self, criteria: &SelectionCriteria<'_>) -> Vec<&Backend> {
         let ids = self.by_service.get(criteria.service).into_iter().flatten();
-        ids.filter_map(|id| self.backends.get(id))
+        let mut usable: Vec<&Backend> = ids
+            .filter_map(|id| self.backends.get(id))
             .filter(|b| !b.listed.draining && !b.stale)
             .filter(|b| criteria.versions.allows(&b.listed.version))
-            .collect()
+            .collect();
+        // A model engine without cached prompts would be overloaded by the share that it will have later.
+        let is_call = matches!(criteria.kind, RequestKind::Call);
+        let count = criteria.versions.max_backends(usable.len());
+        if is_call && count < usable.len() {
+            // All gateways must select the same ones, so that these get the load of all.
+            usable.sort_by_cached_key(|backend| choice::position(&backend.listed.id));
+            usable.truncate(count);
+        }
+        usable
     }
 
     /// Engines within the ring segment of the prompt's first part.
--- a/crates/ingress/src/choice.rs
+++ b/crates/ingress/src/choice.rs
@@ -54,6 +54,15 @@
     ordered
 }
 
+/// Position of a backend in an order that all gateways share; independent of which other backends
+/// exist.
+#[must_use]
+pub fn position(backend: &EngineId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    backend.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Rendezvous hash of a backend for a gateway; independent of which other backends exist.
 fn rendezvous_weight(gateway: &str, backend: &EngineId) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/ingress/src/ingress.rs
+++ b/crates/ingress/src/ingress.rs
@@ -153,11 +153,10 @@
         let picked = self.backends.pick(&criteria, &mut rng);
         // A version on trial has few engines; if they are full, other versions serve the request.
         picked.or_else(|| {
-            let AllowedVersions::Only(target) = &versions else { return None };
-            let trial = rollout.as_ref().is_some_and(RolloutRecord::is_on_trial);
+            let AllowedVersions::Trial(target, _) = &versions else { return None };
             let versions = AllowedVersions::AllBut(target.clone());
             let criteria = SelectionCriteria { service, versions: &versions, tried, kind };
-            trial.then(|| self.backends.pick(&criteria, &mut rng)).flatten()
+            self.backends.pick(&criteria, &mut rng)
         })
     }
 
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod server;
 pub mod sse;
 pub mod stream;
+pub mod stream_times;
 pub mod turns;
 pub mod unknown_turns;
 pub mod versions;
--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -20,6 +20,7 @@
 use crate::open_turn::{END_TIMEOUT, OpenTurn};
 use crate::routes::NamedRoute;
 use crate::sse::EventReader;
+use crate::stream_times::StreamTimes;
 use crate::turns::concatenated;
 
 /// Capacity of the queue of chunks to the caller's connection.
@@ -31,6 +32,7 @@
     chunks: mpsc::Sender<Result<Bytes, Truncated>>,
     open: OpenTurn,
     events: EventReader,
+    times: StreamTimes,
     tokens_per_event: u64,
     /// The prompt and the output so far, on routes that retain turns.
     retained: Option<RetainedTurn>,
@@ -74,6 +76,7 @@
             chunks,
             open,
             events: EventReader::default(),
+            times: StreamTimes::default(),
             tokens_per_event: model.map_or(1, |model| model.tokens_per_event),
             retained,
             connections: self.connections.clone(),
@@ -88,16 +91,16 @@
 
 impl StreamForwarder {
     async fn run(mut self, recorder: impl Fn(bool, std::time::Duration)) {
-        let mut first_event = None;
-        let end = self.forward_chunks(&mut first_event).await;
-        let first_event = first_event.unwrap_or_else(|| self.response.sent.elapsed());
+        let end = self.forward_chunks().await;
+        let first_event = self.times.first().unwrap_or_else(|| self.response.sent.elapsed());
+        let compared = self.times.between_events().unwrap_or(first_event);
         match end {
             StreamEnd::Complete => {
-                recorder(true, first_event);
+                recorder(true, compared);
                 self.finish(first_event).await;
             }
             StreamEnd::Interrupted => {
-                recorder(false, first_event);
+                recorder(false, compared);
                 let _ = self.chunks.send(Err(Truncated)).await;
                 self.response.reservation.end(Outcome::NoResponse);
             }
@@ -105,7 +108,7 @@
         }
     }
 
-    async fn forward_chunks(&mut self, first_event: &mut Option<std::time::Duration>) -> StreamEnd {
+    async fn forward_chunks(&mut self) -> StreamEnd {
         loop {
             let next = tokio::select! {
                 next = timeout_at(self.end, self.response.next_chunk()) => next,
@@ -116,22 +119,26 @@
                 Ok(Ok(None)) => return StreamEnd::Complete,
                 Ok(Err(_)) | Err(_) => return StreamEnd::Interrupted,
             };
-            self.parse_chunk(&chunk);
-            first_event.get_or_insert_with(|| self.response.sent.elapsed());
+            let events = self.parse_chunk(&chunk);
+            self.times.record(events, self.response.sent.elapsed());
             if self.chunks.send(Ok(chunk)).await.is_err() {
                 return StreamEnd::CallerDisconnected;
             }
         }
     }
 
-    fn parse_chunk(&mut self, chunk: &[u8]) {
+    /// Returns the number of events that the chunk completes.
+    fn parse_chunk(&mut self, chunk: &[u8]) -> usize {
+        let mut count = 0;
         for data in self.events.read(chunk) {
+            count += 1;
             self.open.tokens.0 += self.tokens_per_event;
             if let Some(retained) = &mut self.retained {
                 retained.output.extend_from_slice(&data);
                 retained.output.extend_from_slice(b"\n");
             }
         }
+        count
     }
 
     /// Records the end of the turn, then ends the response.
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -190,11 +190,21 @@
     /// Time in seconds after which a service's newest version is rolled back if it has no ready
     /// engine while an older version has some (default 300; a model server takes minutes to load).
     pub version_ready_seconds: u64,
+    /// Share of a service's requests that may reach the target of a rollout before it is due
+    /// (default 0.1).
+    pub rollout_exposure_share: f64,
+    /// Number of requests beyond that share (default 50).
+    pub rollout_exposure_requests: u32,
 }
 
 impl Default for CoreSettings {
     fn default() -> Self {
-        Self { platform_list: None, version_ready_seconds: 300 }
+        Self {
+            platform_list: None,
+            version_ready_seconds: 300,
+            rollout_exposure_share: 0.1,
+            rollout_exposure_requests: 50,
+        }
     }
 }
 
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -204,6 +204,18 @@
         ("s", Some("300")),
         "time without a ready engine of a newest version, while an older one has some, until it is rolled back",
     ),
+    optional(
+        "core.rollout_exposure_share",
+        Kind::Number(0.0, 1.0),
+        ("share", Some("0.1")),
+        "share of a service's requests that may reach the target of a rollout before it is due",
+    ),
+    optional(
+        "core.rollout_exposure_requests",
+        Kind::Integer(0, 1_000_000),
+        ("requests", Some("50")),
+        "requests that may reach it beyond that share",
+    ),
     optional("operators.keys", Kind::PublicKeys, ("", Some("{}")), "operators' public keys"),
     optional(
         "operators.required_signatures",
--- a/crates/state/src/meta/mod.rs
+++ b/crates/state/src/meta/mod.rs
@@ -22,4 +22,4 @@
     StoreRecord, StoreState,
 };
 pub use rollback::RETAINED_ROLLBACKS;
-pub use rollouts::{RolloutPhase, RolloutRecord};
+pub use rollouts::{LOAD_STEP_PERMILLE, RolloutPhase, RolloutRecord};
--- a/crates/state/src/meta/rollouts.rs
+++ b/crates/state/src/meta/rollouts.rs
@@ -27,7 +27,21 @@
     RolledBack,
 }
 
+/// Share of requests, in thousandths, from which a trial loads a part of the target's engines as they
+/// will be loaded later, instead of all of them lightly.
+pub const LOAD_STEP_PERMILLE: u32 = 100;
+
 impl RolloutPhase {
+    /// Whether many requests go to some engines of the target, so that harm has to be found soon.
+    #[must_use]
+    pub fn is_heavy(self) -> bool {
+        match self {
+            Self::Trial { share_permille } => share_permille >= LOAD_STEP_PERMILLE,
+            Self::Shifted => true,
+            Self::Completed | Self::RolledBack => false,
+        }
+    }
+
     /// Whether this phase is final.
     #[must_use]
     pub fn is_final(self) -> bool {
