settings: settings that are new are written only if they are set

Cause: defaults are written out, those of new names too. Fix: the two settings of the exposure of rollouts are not written while they have their defaults. Test: new_settings_are_written_only_if_they_are_set; mixed_builds.sh is the one seen failing.

--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -191,12 +191,24 @@
     /// engine while an older version has some (default 300; a model server takes minutes to load).
     pub version_ready_seconds: u64,
     /// Share of a service's requests that may reach the target of a rollout before it is due
-    /// (default 0.1).
+    /// (default 0.1). Not written while it has that value, since the build before refuses the name.
+    #[serde(skip_serializing_if = "is_default_exposure_share")]
     pub rollout_exposure_share: f64,
-    /// Number of requests beyond that share (default 50).
+    /// Number of requests beyond that share (default 50). Not written while it has that value.
+    #[serde(skip_serializing_if = "is_default_exposure_requests")]
     pub rollout_exposure_requests: u32,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
+fn is_default_exposure_share(share: &f64) -> bool {
+    share.total_cmp(&CoreSettings::default().rollout_exposure_share).is_eq()
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
+fn is_default_exposure_requests(requests: &u32) -> bool {
+    *requests == CoreSettings::default().rollout_exposure_requests
+}
+
 impl Default for CoreSettings {
     fn default() -> Self {
         Self {
--- a/crates/settings/tests/load.rs
+++ b/crates/settings/tests/load.rs
@@ -4,7 +4,7 @@
 use std::io::Write;
 
 use hooklug_settings::schema::SETTINGS;
-use hooklug_settings::{Overrides, SettingError, Settings};
+use hooklug_settings::{CoreSettings, Overrides, SettingError, Settings};
 use hooklug_types::{NodeRole, ZoneName};
 
 const VALID: &str = r#"
@@ -190,3 +190,20 @@
     assert_eq!(missing.expect_err("missing")[0].key, "--settings");
     assert!(load("rpc = ", &[], &Overrides::default(), NodeRole::Core).is_err());
 }
+
+/// Guards against a file, written by this build, that the build before refuses for names of settings
+/// that it does not know.
+#[test]
+fn new_settings_are_written_only_if_they_are_set() {
+    let defaults = CoreSettings::default();
+    let text = toml::to_string(&defaults).unwrap();
+    assert!(!text.contains("rollout_exposure"), "{text}");
+    assert_eq!(toml::from_str::<CoreSettings>(&text).unwrap(), defaults);
+    let set = CoreSettings {
+        rollout_exposure_share: 0.2,
+        rollout_exposure_requests: 7,
+        ..CoreSettings::default()
+    };
+    let text = toml::to_string(&set).unwrap();
+    assert_eq!(toml::from_str::<CoreSettings>(&text).unwrap(), set);
+}
